--- /dev/null
+++ b/src/cmake/dependencies.cmake
@@ -0,0 +1,11 @@
+# Libraries from Debian; scripts/install-packages names the packages.
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS headers)
+find_package(Protobuf REQUIRED)
+find_package(spdlog REQUIRED)
+find_package(cxxopts REQUIRED)
+find_package(Catch2 2 REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(ZMQ REQUIRED IMPORTED_TARGET libzmq)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+include(Catch)
--- /dev/null
+++ b/src/cmake/slice.cmake
@@ -0,0 +1,29 @@
+# Functions that declare a slice (a library for one duty) and its unit tests.
+
+# ebonygrade_slice(NAME SOURCES ... DEPENDS ...)
+# Builds the static library ebonygrade_NAME; headers are included as
+# "NAME/header.h" from the src folder.
+function(ebonygrade_slice name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  if(ARG_SOURCES)
+    add_library(ebonygrade_${name} STATIC ${ARG_SOURCES})
+    set(scope PUBLIC)
+  else()
+    add_library(ebonygrade_${name} INTERFACE)
+    set(scope INTERFACE)
+  endif()
+  target_include_directories(ebonygrade_${name} ${scope} ${CMAKE_SOURCE_DIR}/src)
+  target_link_libraries(ebonygrade_${name} ${scope} Boost::headers
+                        Threads::Threads ${ARG_DEPENDS})
+endfunction()
+
+# ebonygrade_test(NAME SOURCES ... DEPENDS ...)
+# Builds the Catch2 program NAME and registers it with ctest.
+function(ebonygrade_test name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/src)
+  target_link_libraries(${name} PRIVATE ebonygrade_catch_main ${ARG_DEPENDS})
+  add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/src/ownership/ownership.h
@@ -0,0 +1,169 @@
+// Ownership of shards by epochs in the platform's log.
+//
+// Two parts, both pure. `claim_table` replays the "claims" stream: every
+// daemon that has read the same offset holds the same table. `step` decides
+// what this daemon does about its shards: claim, fence and reconcile workers,
+// serve, hand over. Only a shard in phase `serving` may be given work.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "clock/clock.h"
+#include "job/job.h"
+#include "wire/record.pb.h"
+
+namespace ebonygrade::ownership {
+
+using clock::milliseconds;
+using clock::steady_time;
+
+// One shard as the log has it.
+struct claim_state {
+  job::epoch epoch = 0;  // 0: never claimed, or forgotten by the log.
+  std::string owner;
+  std::uint64_t incarnation = 0;
+  bool released = false;
+
+  friend bool operator==(const claim_state&, const claim_state&) = default;
+};
+
+// Every shard of the cell, by region index then shard number.
+struct claim_table {
+  std::vector<std::string> regions;  // Names, in the settings' order.
+  std::vector<std::vector<claim_state>> shards;
+  std::uint64_t next_offset = 0;  // Offset of the next record to apply.
+};
+
+claim_table make_claim_table(std::vector<std::string> regions,
+                             std::uint16_t shards_per_region);
+
+// Applies one record of the claims stream and returns the shards it changed.
+// A claim that names a previous epoch other than the present one is void, so
+// of racing claims the first in the log wins and a repeated record is
+// harmless. Records below next_offset are ignored.
+std::vector<job::shard_id> apply(claim_table& table, const wire::record& record,
+                                 std::uint64_t offset);
+
+// A daemon as membership sees it now. `alive_for` and `silent_for` are zero
+// when they do not apply.
+struct member {
+  std::string id;
+  std::string region;
+  bool leaving = false;
+  milliseconds alive_for{0};   // Continuously heard for so long.
+  milliseconds silent_for{0};  // Not heard for so long.
+};
+
+// The member that should own the shard: rendezvous hashing over the members
+// of the shard's region that are neither leaving nor silent; over all regions
+// if that region has none. Empty if there is none at all.
+std::string preferred_owner(const std::string& region, std::uint16_t shard,
+                            const std::vector<member>& members,
+                            milliseconds silence_limit);
+
+struct ownership_options {
+  std::string self;
+  std::uint64_t incarnation = 0;
+  milliseconds takeover_after{3000};   // Silence of an owner before a claim.
+  milliseconds handover_after{5000};   // A better owner must be alive so long.
+  milliseconds claim_retry{1000};      // Between claims of the same shard.
+  milliseconds snapshot_every{60000};  // Claims are restated so often.
+};
+
+enum class shard_phase {
+  not_owned,
+  fencing,    // Claimed; workers are being fenced and reconciled.
+  serving,    // May be given work.
+  quiescing,  // Handing over: no new starts; waiting for sent starts.
+  releasing,  // The release record is on its way.
+};
+
+struct own_shard {
+  shard_phase phase = shard_phase::not_owned;
+  job::epoch epoch = 0;
+  steady_time last_claim;
+};
+
+struct state {
+  ownership_options options;
+  claim_table claims;
+  std::vector<std::vector<own_shard>> own;  // Parallel to claims.shards.
+  bool caught_up = false;  // The claims stream was read to its end once.
+  bool draining = false;   // This daemon hands over everything.
+  std::uint64_t next_sequence = 1;
+  steady_time last_snapshot;
+};
+
+state make_state(ownership_options options, claim_table claims);
+
+// ---- Events -------------------------------------------------------------
+
+struct record_read {
+  wire::record record;
+  std::uint64_t offset = 0;
+};
+// The stream holds records only from `first` on; earlier ones have expired.
+struct caught_up {};
+// All reachable workers of the shard are fenced under `epoch` and their tasks
+// are known.
+struct reconciled {
+  job::shard_id shard;
+  job::epoch epoch = 0;
+};
+// No start under the shard's epoch is without an answer.
+struct quiesced {
+  job::shard_id shard;
+};
+// A worker showed a higher epoch than ours: somebody else owns the shard.
+struct fenced_by_worker {
+  job::shard_id shard;
+  job::epoch epoch = 0;
+};
+struct drain {};
+struct tick {
+  std::vector<member> members;
+};
+
+using event = std::variant<record_read, caught_up, reconciled, quiesced,
+                           fenced_by_worker, drain, tick>;
+
+// ---- Effects ------------------------------------------------------------
+
+// Append to the claims stream. An append without an answer is not repeated:
+// the next tick claims again if the log still shows the old state.
+struct append_record {
+  wire::record record;
+};
+// Fence and reconcile every worker of the shard, then report `reconciled`.
+struct fence_shard {
+  job::shard_id shard;
+  job::epoch epoch = 0;
+  claim_state previous;  // Whose intents must be read.
+};
+// The shard may be given work.
+struct serve_shard {
+  job::shard_id shard;
+  job::epoch epoch = 0;
+};
+// Give no new work; report `quiesced` when no sent start is unanswered.
+struct quiesce_shard {
+  job::shard_id shard;
+};
+// The shard is no longer ours; forget its state.
+struct drop_shard {
+  job::shard_id shard;
+};
+
+using effect = std::variant<append_record, fence_shard, serve_shard,
+                            quiesce_shard, drop_shard>;
+
+std::vector<effect> step(state& state, const event& input, steady_time now);
+
+// Epoch under which this daemon may act on the shard; 0 if it may not.
+job::epoch serving_epoch(const state& state, job::shard_id shard);
+
+}  // namespace ebonygrade::ownership
