--- /dev/null
+++ b/src/core/owning.cpp
@@ -0,0 +1,376 @@
+// Claims, takeover of shards, and the workers of owned shards.
+#include <algorithm>
+#include <utility>
+
+#include "core/core_pvt.h"
+
+namespace ebonygrade::core {
+
+namespace {
+
+job::shard_id shard_of_vm(const core_state& state,
+                          const wire::worker_vm& worker) {
+  job::shard_id shard;
+  shard.region = region_of_zone(state.options, worker.zone()).value_or(0);
+  shard.shard = job::shard_of(worker.id(), state.options.shards_per_region);
+  return shard;
+}
+
+void watch_worker(core_state& state, const shard_runtime& shard,
+                  const wire::worker_vm& vm) {
+  state.workers.send(worker::watch{vm.id(), vm.address(), shard.epoch});
+}
+
+void read_intents_of(core_state& state, job::shard_id id,
+                     const past_owner& owner) {
+  const std::uint64_t token = state.next_token++;
+  const std::string stream =
+      intents::stream_name(owner.daemon, owner.incarnation);
+  state.calls[token] = {call_purpose::read_intents, id, stream, 0};
+  runtime(state, id).unread_intents.insert(token);
+  state.platform.send(platform::read_to_end{token, stream});
+}
+
+void begin_takeover(core_state& state, const ownership::fence_shard& fence) {
+  shard_runtime& shard = runtime(state, fence.shard);
+  shard.phase = takeover_phase::reconciling;
+  shard.epoch = fence.epoch;
+  shard.takeover_started = state.clock.now();
+  place::engine_options engine_options;
+  engine_options.seed = fence.epoch;
+  shard.engine = place::make_engine(engine_options);
+  shard.workers.clear();
+  shard.unread_intents.clear();
+  for (const wire::worker_vm& vm : state.list.workers()) {
+    if (shard_of_vm(state, vm) != fence.shard) continue;
+    shard.workers[vm.id()].vm = vm;
+    state.shard_of_worker[vm.id()] = fence.shard;
+    watch_worker(state, shard, vm);
+  }
+  for (const past_owner& owner : shard.past_owners) {
+    read_intents_of(state, fence.shard, owner);
+  }
+  spread_policy(state);
+  check_takeovers(state);
+}
+
+void drop_runtime(core_state& state, job::shard_id id) {
+  shard_runtime& shard = runtime(state, id);
+  for (const auto& [name, entry] : shard.workers) {
+    state.workers.send(worker::forget{name});
+    state.shard_of_worker.erase(name);
+  }
+  shard.workers.clear();
+  shard.engine.reset();
+  shard.unread_intents.clear();
+  shard.starts_in_flight = 0;
+  shard.phase = takeover_phase::none;
+  shard.epoch = 0;
+  apply_request(state, requests::shard_lost{id});
+}
+
+bool workers_known(const core_state& state, const shard_runtime& shard) {
+  const milliseconds limit = state.options.requests.task_lease +
+                             state.options.isolation_limit;
+  if (state.clock.now() - shard.takeover_started >= limit) return true;
+  for (const auto& [name, entry] : shard.workers) {
+    if (!entry.fenced) return false;
+  }
+  return true;
+}
+
+void check_quiesced(core_state& state, job::shard_id id) {
+  shard_runtime& shard = runtime(state, id);
+  if (shard.phase != takeover_phase::quiescing) return;
+  if (shard.starts_in_flight > 0) return;
+  apply_ownership(state, ownership::quiesced{id});
+}
+
+// Takes a worker into its shard's engine with the tasks that it runs.
+void admit_worker(core_state& state, job::shard_id id, worker_entry& entry,
+                  const wire::fence_reply& reply) {
+  shard_runtime& shard = runtime(state, id);
+  if (entry.fenced) place::remove_worker(*shard.engine, entry.vm.id());
+  entry.fenced = true;
+  place::worker_spec spec;
+  spec.id = entry.vm.id();
+  spec.zone = entry.vm.zone();
+  spec.rack = entry.vm.rack();
+  spec.capacity = job::from_wire(reply.capacity());
+  place::add_worker(*shard.engine, spec);
+  if (entry.vm.state() == wire::leaving) {
+    place::set_leaving(*shard.engine, spec.id, true);
+  }
+  for (const wire::task_record& task : reply.tasks()) {
+    apply_request(state, requests::task_found{task, spec.id});
+  }
+  spread_policy(state);
+  check_takeovers(state);
+}
+
+// Every lease that the worker held has run out or its tasks are gone.
+void lose_worker(core_state& state, job::shard_id id, const std::string& name) {
+  shard_runtime& shard = runtime(state, id);
+  const auto found = shard.workers.find(name);
+  if (found == shard.workers.end() || !found->second.fenced) return;
+  found->second.fenced = false;
+  place::remove_worker(*shard.engine, name);
+  apply_request(state, requests::worker_lost{name});
+}
+
+void remove_unlisted_worker(core_state& state, job::shard_id id,
+                            const std::string& name) {
+  lose_worker(state, id, name);
+  state.workers.send(worker::forget{name});
+  runtime(state, id).workers.erase(name);
+  state.shard_of_worker.erase(name);
+}
+
+void on_report(core_state& state, worker::fenced&& report) {
+  const auto found = state.shard_of_worker.find(report.worker);
+  if (found == state.shard_of_worker.end()) return;
+  shard_runtime& shard = runtime(state, found->second);
+  if (report.epoch != shard.epoch) return;
+  admit_worker(state, found->second, shard.workers[report.worker],
+               report.reply);
+}
+
+void on_report(core_state& state, worker::superseded&& report) {
+  const auto found = state.shard_of_worker.find(report.worker);
+  if (found == state.shard_of_worker.end()) return;
+  const job::shard_id id = found->second;
+  apply_ownership(state, ownership::fenced_by_worker{id, report.epoch});
+}
+
+void on_report(core_state& state, worker::unreachable&& report) {
+  const auto found = state.shard_of_worker.find(report.worker);
+  if (found == state.shard_of_worker.end()) return;
+  const job::shard_id id = found->second;
+  const milliseconds limit =
+      state.options.requests.task_lease + 2 * state.options.silence_limit;
+  if (report.silent_for < limit) return;
+  shard_runtime& shard = runtime(state, id);
+  const auto entry = shard.workers.find(report.worker);
+  if (entry == shard.workers.end() || !entry->second.fenced) return;
+  lose_worker(state, id, report.worker);
+  state.workers.send(worker::forget{report.worker});
+  watch_worker(state, shard, entry->second.vm);
+}
+
+void on_report(core_state& state, worker::rebooted&& report) {
+  const auto found = state.shard_of_worker.find(report.worker);
+  if (found == state.shard_of_worker.end()) return;
+  const job::shard_id id = found->second;
+  lose_worker(state, id, report.worker);
+  state.workers.send(worker::forget{report.worker});
+  shard_runtime& shard = runtime(state, id);
+  watch_worker(state, shard, shard.workers[report.worker].vm);
+}
+
+void note_start_done(core_state& state, const std::string& worker) {
+  const auto found = state.shard_of_worker.find(worker);
+  if (found == state.shard_of_worker.end()) return;
+  const job::shard_id id = found->second;
+  shard_runtime& shard = runtime(state, id);
+  if (shard.starts_in_flight > 0) --shard.starts_in_flight;
+  check_quiesced(state, id);
+}
+
+void on_report(core_state& state, worker::start_answered&& report) {
+  apply_request(state, requests::start_answered{report.key, report.status});
+  note_start_done(state, report.worker);
+}
+
+void on_report(core_state& state, worker::start_unanswered&& report) {
+  apply_request(state, requests::start_unanswered{report.key});
+  note_start_done(state, report.worker);
+}
+
+void on_report(core_state& state, worker::stop_answered&& report) {
+  apply_request(state, requests::stop_answered{report.key, report.status});
+}
+
+void on_report(core_state& state, worker::ended&& report) {
+  requests::task_ended event;
+  event.key = job::from_wire(report.event.key());
+  event.end = report.event.end();
+  event.exit_code = report.event.exit_code();
+  event.output = std::move(*report.event.mutable_output());
+  event.worker = report.worker;
+  apply_request(state, event);
+}
+
+void on_report(core_state& state, worker::usage&& report) {
+  const auto found = state.shard_of_worker.find(report.worker);
+  if (found == state.shard_of_worker.end()) return;
+  const shard_runtime& shard = runtime(state, found->second);
+  place::report_usage(*shard.engine, report.usage.key().request_id(),
+                      report.usage.key().task_index(),
+                      job::from_wire(report.usage.used()));
+}
+
+void on_effect(core_state& state, const ownership::append_record& effect) {
+  const std::uint64_t token = state.next_token++;
+  state.calls[token] = {call_purpose::append_claims, {}, kClaimsStream, 0};
+  state.platform.send(platform::append{token, kClaimsStream, effect.record});
+}
+
+void on_effect(core_state& state, const ownership::fence_shard& effect) {
+  begin_takeover(state, effect);
+}
+
+void on_effect(core_state& state, const ownership::serve_shard& effect) {
+  runtime(state, effect.shard).phase = takeover_phase::serving;
+}
+
+void on_effect(core_state& state, const ownership::quiesce_shard& effect) {
+  runtime(state, effect.shard).phase = takeover_phase::quiescing;
+  check_quiesced(state, effect.shard);
+}
+
+void on_effect(core_state& state, const ownership::drop_shard& effect) {
+  drop_runtime(state, effect.shard);
+}
+
+void note_past_owners(core_state& state, const wire::record& record) {
+  for (const wire::shard_claim& claim : record.claim().shards()) {
+    const std::optional<std::uint16_t> region =
+        region_index(state, claim.region());
+    if (!region || claim.shard() >= state.options.shards_per_region) continue;
+    const job::shard_id id{*region, static_cast<std::uint16_t>(claim.shard())};
+    runtime(state, id).past_owners.insert(
+        {record.writer().daemon(), record.writer().incarnation()});
+  }
+}
+
+void update_members(core_state& state, const wire::vm_list& list) {
+  for (auto& [id, member] : state.members) member.listed = false;
+  for (const wire::daemon_vm& vm : list.daemons()) {
+    if (vm.id() == state.options.self) continue;
+    member_entry& member = state.members[vm.id()];
+    if (member.vm.id().empty()) member.first_listed = state.clock.now();
+    member.vm = vm;
+    member.listed = true;
+    const std::optional<std::uint16_t> region =
+        region_of_zone(state.options, vm.zone());
+    member.region = region ? state.options.regions[*region].name : "";
+  }
+  peer::set_peers command;
+  for (const auto& [id, member] : state.members) {
+    if (!member.listed) continue;
+    command.peers.push_back({id, member.vm.peer_address(), member.vm.zone(),
+                             member.region});
+  }
+  state.peers.send(std::move(command));
+}
+
+void update_workers(core_state& state, const wire::vm_list& list) {
+  std::set<std::string> listed;
+  for (const wire::worker_vm& vm : list.workers()) {
+    listed.insert(vm.id());
+    const job::shard_id id = shard_of_vm(state, vm);
+    shard_runtime& shard = runtime(state, id);
+    if (shard.phase == takeover_phase::none) continue;
+    const auto found = shard.workers.find(vm.id());
+    if (found == shard.workers.end()) {
+      shard.workers[vm.id()].vm = vm;
+      state.shard_of_worker[vm.id()] = id;
+      watch_worker(state, shard, vm);
+      continue;
+    }
+    const bool moved = found->second.vm.address() != vm.address();
+    found->second.vm = vm;
+    if (moved) watch_worker(state, shard, vm);
+    if (found->second.fenced) {
+      place::set_leaving(*shard.engine, vm.id(), vm.state() == wire::leaving);
+    }
+  }
+  std::vector<std::pair<job::shard_id, std::string>> gone;
+  for (const auto& [name, id] : state.shard_of_worker) {
+    if (!listed.contains(name)) gone.emplace_back(id, name);
+  }
+  for (const auto& [id, name] : gone) remove_unlisted_worker(state, id, name);
+}
+
+}  // namespace
+
+void apply_ownership(core_state& state, const ownership::event& event) {
+  const std::vector<ownership::effect> effects =
+      ownership::step(state.ownership, event, state.clock.now());
+  for (const ownership::effect& effect : effects) {
+    std::visit([&state](const auto& each) { on_effect(state, each); }, effect);
+  }
+}
+
+void on_claim_records(core_state& state, const platform::records& records) {
+  for (std::size_t i = 0; i < records.entries.size(); ++i) {
+    note_past_owners(state, records.entries[i]);
+    apply_ownership(state, ownership::record_read{records.entries[i],
+                                                  records.offsets[i]});
+  }
+  if (records.at_end && !state.claims_known) {
+    state.claims_known = true;
+    apply_ownership(state, ownership::caught_up{});
+  }
+}
+
+void on_list(core_state& state, const wire::vm_list& list) {
+  state.list = list;
+  state.list_known = true;
+  update_members(state, list);
+  update_workers(state, list);
+  spread_policy(state);
+  check_takeovers(state);
+}
+
+void on_worker_report(core_state& state, worker::report&& report) {
+  std::visit(
+      [&state](auto&& each) {
+        on_report(state, std::forward<decltype(each)>(each));
+      },
+      std::move(report));
+}
+
+void on_intents_read(core_state& state, const platform_call& call,
+                     std::uint64_t token) {
+  runtime(state, call.shard).unread_intents.erase(token);
+  check_takeovers(state);
+}
+
+void check_takeovers(core_state& state) {
+  for (std::uint16_t region = 0; region < state.shards.size(); ++region) {
+    for (std::uint16_t i = 0; i < state.shards[region].size(); ++i) {
+      const shard_runtime& shard = state.shards[region][i];
+      if (shard.phase != takeover_phase::reconciling) continue;
+      if (!state.list_known || !shard.unread_intents.empty()) continue;
+      if (!workers_known(state, shard)) continue;
+      apply_ownership(state,
+                      ownership::reconciled{{region, i}, shard.epoch});
+    }
+  }
+}
+
+std::vector<ownership::member> present_members(const core_state& state) {
+  const steady_time now = state.clock.now();
+  std::vector<ownership::member> members;
+  members.push_back({state.options.self, state.region, state.draining,
+                     milliseconds::max(), milliseconds(0)});
+  for (const auto& [id, entry] : state.members) {
+    ownership::member member;
+    member.id = id;
+    member.region = entry.region;
+    member.leaving = entry.leaving || entry.vm.state() == wire::leaving;
+    const steady_time since =
+        entry.first_heard ? entry.last_heard : entry.first_listed;
+    member.silent_for =
+        std::chrono::duration_cast<milliseconds>(now - since);
+    if (entry.first_heard) {
+      member.alive_for =
+          std::chrono::duration_cast<milliseconds>(now - *entry.first_heard);
+    }
+    members.push_back(member);
+  }
+  return members;
+}
+
+}  // namespace ebonygrade::core
--- a/src/job/job.cpp
+++ b/src/job/job.cpp
@@ -74,20 +74,6 @@
   }
 }
 
-wire::job_class to_wire(job_class value) {
-  switch (value) {
-    case job_class::service:
-      return wire::service;
-    case job_class::batch:
-      return wire::batch;
-    case job_class::gang:
-      return wire::gang;
-    case job_class::urgent:
-      return wire::urgent;
-  }
-  return wire::job_class_unspecified;
-}
-
 }  // namespace
 
 resources& resources::operator+=(const resources& other) {
@@ -140,6 +126,25 @@
   return "unspecified";
 }
 
+job_class class_from_wire(wire::job_class value) {
+  error::result<job_class> parsed = parse_class(value);
+  return parsed.has_value() ? *parsed : job_class::batch;
+}
+
+wire::job_class to_wire(job_class value) {
+  switch (value) {
+    case job_class::service:
+      return wire::service;
+    case job_class::batch:
+      return wire::batch;
+    case job_class::gang:
+      return wire::gang;
+    case job_class::urgent:
+      return wire::urgent;
+  }
+  return wire::job_class_unspecified;
+}
+
 std::uint16_t shard_of(std::string_view key, std::uint16_t shard_count) {
   return static_cast<std::uint16_t>(XXH3_64bits(key.data(), key.size()) %
                                     shard_count);
--- a/src/job/job.h
+++ b/src/job/job.h
@@ -43,6 +43,9 @@
 inline constexpr int kJobClassCount = 4;
 
 std::string_view to_string(job_class value);
+// An unspecified class is read as batch.
+job_class class_from_wire(wire::job_class value);
+wire::job_class to_wire(job_class value);
 
 // A part of the cell with one owner at a time: a set of workers and a set of
 // request ids of one region.
