--- /dev/null
+++ b/src/http/session.cpp
@@ -0,0 +1,259 @@
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+#include "http/session_pvt.h"
+
+namespace ebonygrade::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace beast_http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t kReadChunkBytes = 4096;
+// After a refusal, what the caller still sends is read so that the reply
+// isn't lost by a reset; no more than this, for no longer than this.
+constexpr std::size_t kLingerBytes = 4 << 20;
+constexpr milliseconds kLingerTime{1000};
+
+response refusal(beast::error_code cause, const server_options& options) {
+  if (cause == beast_http::error::header_limit ||
+      cause == beast_http::error::buffer_overflow) {
+    return error_response(
+        status::request_header_fields_too_large,
+        "header exceeds " + std::to_string(options.max_header_bytes) + " bytes",
+        "header");
+  }
+  if (cause == beast_http::error::body_limit) {
+    return error_response(
+        status::payload_too_large,
+        "body exceeds " + std::to_string(options.max_body_bytes) + " bytes",
+        "body");
+  }
+  if (cause == beast::error::timeout) {
+    return error_response(status::request_timeout,
+                          "request not complete after " +
+                              std::to_string(options.read_timeout.count()) +
+                              " ms");
+  }
+  return error_response(status::bad_request,
+                        "malformed request: " + cause.message());
+}
+
+}  // namespace
+
+session::session(asio::ip::tcp::socket socket,
+                 std::shared_ptr<session_context> context)
+    : socket_(std::move(socket)),
+      timer_(socket_.get_executor()),
+      context_(std::move(context)),
+      buffer_(context_->options.max_header_bytes +
+              context_->options.max_body_bytes + kReadChunkBytes) {
+  beast::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+void session::run() { wait_for_request(); }
+
+void session::run_refused() {
+  reply_ = error_response(status::service_unavailable, "too many connections");
+  write(false);
+}
+
+void session::close_if_idle() {
+  if (idle_) end();
+}
+
+void session::close() { end(); }
+
+void session::wait_for_request() {
+  if (buffer_.size() > 0) return read_request();
+  idle_ = true;
+  set_deadline(context_->options.idle_timeout);
+  socket_.async_read_some(
+      buffer_.prepare(kReadChunkBytes),
+      [self = shared_from_this()](beast::error_code failed, std::size_t bytes) {
+        self->idle_ = false;
+        if (failed || self->ended_) return self->end();
+        self->buffer_.commit(bytes);
+        self->read_request();
+      });
+}
+
+void session::read_request() {
+  reading_ = true;
+  parser_.emplace();
+  parser_->header_limit(context_->options.max_header_bytes);
+  parser_->body_limit(context_->options.max_body_bytes);
+  set_deadline(context_->options.read_timeout);
+  beast_http::async_read_header(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](beast::error_code failed, std::size_t) {
+        self->on_header(failed);
+      });
+}
+
+void session::on_header(beast::error_code failed) {
+  if (ended_) return;
+  if (timed_out_) failed = beast::error::timeout;
+  if (failed) return refuse(failed);
+  bool expects_continue =
+      beast::iequals(parser_->get()[beast_http::field::expect], "100-continue");
+  if (expects_continue && !parser_->is_done()) return send_continue();
+  read_body();
+}
+
+void session::send_continue() {
+  static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  asio::async_write(
+      socket_, asio::buffer(kContinue),
+      [self = shared_from_this()](beast::error_code failed, std::size_t) {
+        if (failed || self->ended_) return self->end();
+        self->read_body();
+      });
+}
+
+void session::read_body() {
+  if (parser_->is_done()) return on_request({});
+  beast_http::async_read(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](beast::error_code failed, std::size_t) {
+        self->on_request(failed);
+      });
+}
+
+void session::on_request(beast::error_code failed) {
+  if (ended_) return;
+  if (timed_out_) failed = beast::error::timeout;
+  if (failed) return refuse(failed);
+  reading_ = false;
+  clear_deadline();
+  keep_alive_ = parser_->get().keep_alive();
+  handling_ = true;
+  watch_caller();
+  context_->handler(parser_->release(), responder(shared_from_this()));
+}
+
+// Learns that the caller has closed its connection while it is owed an
+// answer. Bytes of a next request end the watch.
+void session::watch_caller() {
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](beast::error_code failed) {
+                       if (failed || !self->handling_ || self->ended_) return;
+                       char byte = 0;
+                       beast::error_code peeked;
+                       self->socket_.non_blocking(true, peeked);
+                       self->socket_.receive(asio::buffer(&byte, 1),
+                                             asio::socket_base::message_peek,
+                                             peeked);
+                       if (peeked && peeked != asio::error::would_block) {
+                         self->caller_gone_ = true;
+                         self->end();
+                       }
+                     });
+}
+
+void session::answer(response&& reply) {
+  if (!handling_ || ended_) return;
+  handling_ = false;
+  beast::error_code ignored;
+  socket_.cancel(ignored);
+  reply_ = std::move(reply);
+  bool keep_alive = keep_alive_ && !context_->stopping;
+  // Through the queue: the handler may still be running.
+  asio::post(socket_.get_executor(), [self = shared_from_this(), keep_alive] {
+    if (!self->ended_) self->write(keep_alive);
+  });
+}
+
+void session::refuse(beast::error_code cause) {
+  reading_ = false;
+  bool caller_left = cause == beast_http::error::end_of_stream ||
+                     cause == beast_http::error::partial_message ||
+                     (cause.category() == asio::error::get_system_category() &&
+                      cause != beast::error::timeout);
+  if (caller_left) return end();
+  reply_ = refusal(cause, context_->options);
+  write(false);
+}
+
+void session::write(bool keep_alive) {
+  keep_alive_ = keep_alive;
+  reply_.keep_alive(keep_alive);
+  set_deadline(context_->options.write_timeout);
+  beast_http::async_write(
+      socket_, reply_,
+      [self = shared_from_this()](beast::error_code failed, std::size_t) {
+        self->on_written(failed);
+      });
+}
+
+void session::on_written(beast::error_code failed) {
+  if (failed || ended_) return end();
+  if (keep_alive_) return wait_for_request();
+  beast::error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  set_deadline(kLingerTime);
+  buffer_.clear();
+  linger();
+}
+
+void session::linger() {
+  socket_.async_read_some(
+      buffer_.prepare(kReadChunkBytes),
+      [self = shared_from_this()](beast::error_code failed, std::size_t bytes) {
+        self->linger_bytes_ += bytes;
+        bool enough = self->linger_bytes_ > kLingerBytes;
+        if (failed || self->ended_ || enough) return self->end();
+        self->linger();
+      });
+}
+
+// One wait stands for many deadlines: a later deadline leaves the timer as it
+// is, and the timer starts again when it fires too early.
+void session::set_deadline(milliseconds after) {
+  deadline_ = std::chrono::steady_clock::now() + after;
+  if (!timer_armed_ || timer_.expiry() > deadline_) arm_timer();
+}
+
+void session::clear_deadline() {
+  deadline_ = std::chrono::steady_clock::time_point::max();
+}
+
+void session::arm_timer() {
+  timer_armed_ = true;
+  timer_.expires_at(deadline_);
+  timer_.async_wait([self = shared_from_this()](beast::error_code cancelled) {
+    if (cancelled || self->ended_) return;
+    self->timer_armed_ = false;
+    self->on_timer();
+  });
+}
+
+void session::on_timer() {
+  if (deadline_ == std::chrono::steady_clock::time_point::max()) return;
+  if (deadline_ > std::chrono::steady_clock::now()) return arm_timer();
+  if (!reading_) return end();
+  timed_out_ = true;
+  beast::error_code ignored;
+  socket_.cancel(ignored);
+}
+
+void session::end() {
+  if (ended_) return;
+  ended_ = true;
+  handling_ = false;
+  beast::error_code ignored;
+  socket_.close(ignored);
+  timer_.cancel();
+  if (context_->ended) context_->ended(this);
+}
+
+}  // namespace ebonygrade::http
