Add numbered log events

Cause: operators need alerts that keep their meaning, each with step and peer, and a daemon must not wait for whoever reads its log.

--- /dev/null
+++ b/src/events/catalogue.h
@@ -0,0 +1,117 @@
+// Catalogue of numbered log events. Operators' alerts depend on numbers and
+// names: neither is changed or used again once released. docs/EVENTS.md
+// repeats this table with advice, and a test keeps the two equal.
+#pragma once
+
+#include <array>
+#include <string_view>
+
+namespace ebonygrade::events {
+
+enum class level { debug, info, warning, error };
+
+// What an event's number is in code.
+enum class id {
+  started = 101,
+  ready = 102,
+  not_ready = 103,
+  drain_begun = 104,
+  drain_finished = 105,
+  abandoned = 106,
+  settings_refused = 107,
+  stopped = 108,
+  claim_won = 201,
+  claim_lost = 202,
+  shard_serving = 203,
+  shard_dropped = 204,
+  worker_fenced = 301,
+  worker_unreachable = 302,
+  worker_rebooted = 303,
+  worker_superseded = 304,
+  log_down = 401,
+  log_up = 402,
+  append_failed = 403,
+  bundle_in_force = 501,
+  bundle_refused = 502,
+  peer_silent = 601,
+  peer_reconnected = 602,
+  overload_refused = 701,
+  bad_request = 702,
+};
+
+struct definition {
+  id number;
+  std::string_view name;
+  events::level level;
+  std::string_view meaning;
+  std::string_view peer;  // What the peer field holds.
+};
+
+inline constexpr std::array kCatalogue = {
+    definition{id::started, "started", level::info,
+               "The daemon runs and has bound its addresses.", "none"},
+    definition{id::ready, "ready", level::info,
+               "The daemon takes requests; /readyz answers 200.", "none"},
+    definition{id::not_ready, "not_ready", level::warning,
+               "The daemon no longer takes requests; /readyz answers 503.",
+               "none"},
+    definition{id::drain_begun, "drain_begun", level::info,
+               "A graceful shutdown began.", "none"},
+    definition{id::drain_finished, "drain_finished", level::info,
+               "Every shard was handed over and every request answered.",
+               "none"},
+    definition{id::abandoned, "abandoned", level::error,
+               "The daemon stopped before its drain had finished.", "none"},
+    definition{id::settings_refused, "settings_refused", level::error,
+               "The settings hold a fault; the daemon does not start.",
+               "settings file"},
+    definition{id::stopped, "stopped", level::info, "The daemon ends.", "none"},
+    definition{id::claim_won, "claim_won", level::info,
+               "The log gave this daemon a shard under a new epoch.", "none"},
+    definition{id::claim_lost, "claim_lost", level::info,
+               "Another daemon claimed the shard first.", "daemon"},
+    definition{id::shard_serving, "shard_serving", level::info,
+               "The shard's workers are reconciled; it takes work.", "none"},
+    definition{id::shard_dropped, "shard_dropped", level::info,
+               "This daemon no longer owns the shard.", "daemon"},
+    definition{id::worker_fenced, "worker_fenced", level::info,
+               "The worker accepted the shard's epoch.", "worker"},
+    definition{id::worker_unreachable, "worker_unreachable", level::warning,
+               "The worker does not answer; it gets no work.", "worker"},
+    definition{id::worker_rebooted, "worker_rebooted", level::warning,
+               "The worker lost its task table; its tasks are over.", "worker"},
+    definition{id::worker_superseded, "worker_superseded", level::warning,
+               "The worker knows a later epoch; the shard is dropped.",
+               "worker"},
+    definition{id::log_down, "log_down", level::error,
+               "The platform's log does not answer.", "log address"},
+    definition{id::log_up, "log_up", level::info,
+               "The platform's log answers again.", "log address"},
+    definition{id::append_failed, "append_failed", level::warning,
+               "A record was not written, or may have been.", "log address"},
+    definition{id::bundle_in_force, "bundle_in_force", level::info,
+               "A policy bundle took effect on this daemon.", "none"},
+    definition{id::bundle_refused, "bundle_refused", level::warning,
+               "A publish, approval or roll had no effect.", "none"},
+    definition{id::peer_silent, "peer_silent", level::warning,
+               "Nothing was heard from a daemon for the silence limit.",
+               "daemon"},
+    definition{id::peer_reconnected, "peer_reconnected", level::info,
+               "A silent connection to a daemon was replaced.", "daemon"},
+    definition{id::overload_refused, "overload_refused", level::warning,
+               "A request was refused because a queue is full.", "caller"},
+    definition{id::bad_request, "bad_request", level::info,
+               "A request was refused because of its content.", "caller"},
+};
+
+// The definition of an event.
+constexpr const definition& find(id number) {
+  for (const definition& each : kCatalogue) {
+    if (each.number == number) return each;
+  }
+  return kCatalogue.front();
+}
+
+std::string_view to_string(level value);
+
+}  // namespace ebonygrade::events
--- a/src/settings/keys.cpp
+++ b/src/settings/keys.cpp
@@ -179,7 +179,8 @@
              at<&settings::http, &http_settings::max_wait>()),
 
     {"log", "level", value_type::choice, false, 0, 0, "",
-     "debug info warn error off", "Least level of the events that are written.",
+     "debug info warning error off",
+     "Least level of the events that are written.",
      at<&settings::log, &log_settings::level>()},
 };
 
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -128,7 +128,7 @@
        "[peer] silence_limit: expected more than [peer] heartbeat_interval "
        "(500ms), found '500ms'"},
       {"[platform]", "[log]\nlevel = loud\n[platform]",
-       "[log] level: expected one of debug info warn error off"},
+       "[log] level: expected one of debug info warning error off"},
       {"name = zora", "name = zora\n= x", "expected KEY = VALUE"},
       {"; Entry", "x = 1\n; Entry", "expected a [SECTION] before"},
   };
