--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -21,12 +21,27 @@
 using clock::milliseconds;
 using clock::steady_time;
 
+// A daemon that owned a shard before; its intent stream may matter.
+struct earlier_owner {
+  std::string daemon;
+  std::uint64_t incarnation = 0;
+
+  friend bool operator==(const earlier_owner&, const earlier_owner&) = default;
+};
+
+// Earlier owners that are remembered for each shard; the oldest go first.
+inline constexpr std::size_t kMaxEarlierOwners = 16;
+
 // One shard as the log has it.
 struct claim_state {
   job::epoch epoch = 0;  // 0: never claimed, or forgotten by the log.
   std::string owner;
   std::uint64_t incarnation = 0;
   bool released = false;
+  // Offset + 1 of the last record that states the owner; while the epoch is
+  // 0, of the last one that names the shard. 0: none.
+  std::uint64_t stated = 0;
+  std::vector<earlier_owner> earlier;  // Oldest first, without the owner.
 
   friend bool operator==(const claim_state&, const claim_state&) = default;
 };
@@ -35,7 +50,8 @@
 struct claim_table {
   std::vector<std::string> regions;  // Names, in the settings' order.
   std::vector<std::vector<claim_state>> shards;
-  std::uint64_t next_offset = 0;  // Offset of the next record to apply.
+  std::uint64_t first_offset = 0;  // Every record from here on was applied.
+  std::uint64_t next_offset = 0;   // Offset of the next record to apply.
 };
 
 claim_table make_claim_table(std::vector<std::string> regions,
@@ -45,9 +61,18 @@
 // A claim that names a previous epoch other than the present one is void, so
 // of racing claims the first in the log wins and a repeated record is
 // harmless. Records below next_offset are ignored.
+//
+// A reader that joined after old records had expired doesn't know the epoch
+// that a claim replaces. It takes such a shard's state from a snapshot whose
+// writer had read all that this reader missed, so that every reader that
+// knows a shard's epoch agrees on it.
 std::vector<job::shard_id> apply(claim_table& table, const wire::record& record,
                                  std::uint64_t offset);
 
+// The stream no longer holds the records from `next_offset` up to `first`:
+// what it said of any shard is unknown until a snapshot or a new claim.
+void forget_expired(claim_table& table, std::uint64_t first);
+
 // A daemon as membership sees it now. `alive_for` and `silent_for` are zero
 // when they do not apply.
 struct member {
@@ -58,6 +83,13 @@
   milliseconds silent_for{0};  // Not heard for so long.
 };
 
+// Members in the order in which they should own the shard, best first, by
+// rendezvous hashing; see preferred_owner.
+std::vector<const member*> owner_order(const std::string& region,
+                                       std::uint16_t shard,
+                                       const std::vector<member>& members,
+                                       milliseconds silence_limit);
+
 // The member that should own the shard: rendezvous hashing over the members
 // of the shard's region that are neither leaving nor silent; over all regions
 // if that region has none. Empty if there is none at all.
@@ -71,7 +103,9 @@
   milliseconds takeover_after{3000};   // Silence of an owner before a claim.
   milliseconds handover_after{5000};   // A better owner must be alive so long.
   milliseconds claim_retry{1000};      // Between claims of the same shard.
-  milliseconds snapshot_every{60000};  // Claims are restated so often.
+  milliseconds snapshot_every{60000};  // Claims are restated so often. The
+                                       // log must keep records ten times as
+                                       // long.
 };
 
 enum class shard_phase {
@@ -85,9 +119,13 @@
 struct own_shard {
   shard_phase phase = shard_phase::not_owned;
   job::epoch epoch = 0;
-  steady_time last_claim;
+  steady_time last_claim;       // Last claim or release that was sent.
+  steady_time vacant_since;     // Since when nobody owns it; zero: owned.
+  std::uint32_t handovers = 0;  // Times it was handed over and came back.
 };
 
+// `options.incarnation` is raised at the first `caught_up` above every one
+// that the log knows of this daemon, so read it from here.
 struct state {
   ownership_options options;
   claim_table claims;
@@ -96,6 +134,7 @@
   bool draining = false;   // This daemon hands over everything.
   std::uint64_t next_sequence = 1;
   steady_time last_snapshot;
+  steady_time caught_up_at;
 };
 
 state make_state(ownership_options options, claim_table claims);
@@ -106,7 +145,12 @@
   wire::record record;
   std::uint64_t offset = 0;
 };
-// The stream holds records only from `first` on; earlier ones have expired.
+// The log's oldest record is `first`, later than the next one to be read. Sent
+// before the records of that read, also by a daemon that has just started.
+struct records_expired {
+  std::uint64_t first = 0;
+};
+// Every record that the stream held at some moment after the start was read.
 struct caught_up {};
 // All reachable workers of the shard are fenced under `epoch` and their tasks
 // are known.
@@ -124,12 +168,13 @@
   job::epoch epoch = 0;
 };
 struct drain {};
+// `members` includes this daemon.
 struct tick {
   std::vector<member> members;
 };
 
-using event = std::variant<record_read, caught_up, reconciled, quiesced,
-                           fenced_by_worker, drain, tick>;
+using event = std::variant<record_read, records_expired, caught_up, reconciled,
+                           quiesced, fenced_by_worker, drain, tick>;
 
 // ---- Effects ------------------------------------------------------------
 
@@ -142,7 +187,8 @@
 struct fence_shard {
   job::shard_id shard;
   job::epoch epoch = 0;
-  claim_state previous;  // Whose intents must be read.
+  claim_state previous;  // `owner` and `earlier`: whose intents must be read
+                         // before `reconciled` is reported.
 };
 // The shard may be given work.
 struct serve_shard {
