--- a/src/bundle/bundle.h
+++ b/src/bundle/bundle.h
@@ -6,7 +6,9 @@
 #pragma once
 
 #include <array>
+#include <compare>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -77,19 +79,40 @@
   std::vector<std::string> approvers;
 };
 
+// Identifies a record, so that one appended twice is applied once.
+struct writer_key {
+  std::string daemon;
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+
+  friend auto operator<=>(const writer_key&, const writer_key&) = default;
+};
+
+// A roll record that was read, with the approvals its version had then.
+struct seen_roll {
+  std::uint64_t roll = 0;
+  std::uint64_t version = 0;
+  std::uint64_t replaces = 0;
+  std::uint32_t approvals = 0;
+};
+
+// Replayed state of the bundles stream; every part is bounded.
 struct registry {
   std::map<std::uint64_t, version_state> versions;
   std::uint64_t in_force = 0;  // Version; 0: none.
   std::uint64_t roll = 0;      // Offset of the roll record + 1; only grows.
   std::string in_force_text;
   std::uint64_t next_offset = 0;
+  std::deque<seen_roll> seen_rolls;     // Replayed after a late snapshot.
+  std::deque<writer_key> seen_writers;  // Most recent records.
 };
 
 // What a record did to the registry.
 enum class apply_result {
   applied,
   ignored,       // Seen before, or older than what is in force.
-  not_approved,  // A roll of a version without the needed approvals.
+  not_approved,  // A roll without the needed approvals, or an approval by
+                 // the author, which doesn't count.
   lost_race,     // A roll that replaces a version no longer in force.
   unknown_version,
   malformed,  // A publish whose text does not parse.
