Add links between daemons over ZeroMQ

Cause: daemons need bounded, non-blocking messages to each other, and a connection that silently stopped passing bytes must be replaced. Change: peer::link drives one ROUTER and one DEALER a peer from an io_context by ZMQ_FD. A heartbeat is answered by the link on the connection it came by, so the reply proves that very connection. Unanswered heartbeats lead to a new socket after silence_limit, with a doubled, jittered limit until a reply. Contract (src/peer/link.h): link_options gains region, needed to tell a peer in another region; bound_address() for port 0; implementation is held by shared_ptr, as handlers may outlive the link. Conclusion: ready to be driven from src/core.

--- /dev/null
+++ b/src/peer/link.cpp
@@ -0,0 +1,368 @@
+#include "peer/link.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <map>
+#include <random>
+#include <system_error>
+#include <utility>
+
+#include "peer/silence.h"
+#include "peer/socket.h"
+#include "peer/traffic.h"
+
+namespace ebonygrade::peer {
+
+namespace {
+
+constexpr milliseconds kTick{50};  // Between checks for silence.
+constexpr milliseconds kTrafficInterval{1000};
+constexpr milliseconds kFullRingPause{2};  // Before a full ring is retried.
+constexpr std::size_t kMaxPendingReports = 4096;
+constexpr int kMaxReadsPerTurn = 256;
+constexpr int kReplyQueue = 16;  // Heartbeat replies a peer.
+constexpr std::int64_t kMaxEnvelopeBytes = 64 << 20;
+constexpr milliseconds kMinReconnect{100};  // ZeroMQ's own, when refused.
+constexpr milliseconds kMaxReconnect{2000};
+
+zmq::message_t serialise(const wire::envelope& message) {
+  zmq::message_t frame(message.ByteSizeLong());
+  message.SerializeToArray(frame.data(), static_cast<int>(frame.size()));
+  return frame;
+}
+
+int count(milliseconds value) { return static_cast<int>(value.count()); }
+
+std::string without_scheme(const std::string& endpoint) {
+  constexpr std::string_view kScheme = "tcp://";
+  return endpoint.substr(kScheme.size());
+}
+
+// The connection to one peer.
+struct connection {
+  peer_address address;
+  distance where = distance::unknown;
+  std::shared_ptr<socket> dealer;
+  silence_state silence;
+};
+
+}  // namespace
+
+class link::implementation
+    : public std::enable_shared_from_this<link::implementation> {
+ public:
+  implementation(boost::asio::io_context& context, const clock::clock& clock,
+                 const link_options& options, ring::channel<report>& reports)
+      : context_(context),
+        clock_(clock),
+        options_(options),
+        reports_(reports),
+        zmq_(1),
+        timer_(context),
+        full_timer_(context),
+        random_(options.incarnation ^ std::hash<std::string>()(options.self)) {
+    zmq_.set(zmq::ctxopt::max_sockets, 2048);
+  }
+
+  void start() {
+    router_ =
+        std::make_shared<socket>(context_, zmq_, zmq::socket_type::router);
+    set_common_options(*router_);
+    router_->raw().set(zmq::sockopt::rcvhwm,
+                       static_cast<int>(options_.send_queue));
+    router_->raw().set(zmq::sockopt::sndhwm, kReplyQueue);
+    router_->raw().set(zmq::sockopt::maxmsgsize, kMaxEnvelopeBytes);
+    bind();
+    router_->watch([this] { read_router(); });
+    schedule_tick();
+  }
+
+  void handle(command&& value) {
+    if (closed_) return;
+    if (set_peers* wanted = std::get_if<set_peers>(&value)) {
+      replace_peers(std::move(wanted->peers));
+    } else {
+      send_to(std::move(std::get<send>(value)));
+    }
+  }
+
+  void close() {
+    if (closed_) return;
+    closed_ = true;
+    timer_.cancel();
+    full_timer_.cancel();
+    for (auto& [id, peer] : peers_) peer.dealer->close();
+    peers_.clear();
+    router_->close();
+  }
+
+  std::string bound_address() const {
+    return without_scheme(router_->raw().get(zmq::sockopt::last_endpoint));
+  }
+
+ private:
+  // ---- Sockets ----------------------------------------------------------
+
+  void set_common_options(socket& value) {
+    zmq::socket_t& raw = value.raw();
+    raw.set(zmq::sockopt::linger, 0);
+    raw.set(zmq::sockopt::tcp_keepalive, 1);
+  }
+
+  void bind() {
+    try {
+      router_->raw().bind("tcp://" + options_.listen_address);
+    } catch (const zmq::error_t& failed) {
+      throw std::system_error(failed.num(), std::generic_category(),
+                              "bind " + options_.listen_address);
+    }
+  }
+
+  // Opens a new connection in place of the present one, if any.
+  void connect(connection& peer) {
+    if (peer.dealer) peer.dealer->close();
+    peer.dealer =
+        std::make_shared<socket>(context_, zmq_, zmq::socket_type::dealer);
+    set_common_options(*peer.dealer);
+    zmq::socket_t& raw = peer.dealer->raw();
+    int limit = count(options_.silence_limit);
+    raw.set(zmq::sockopt::sndhwm, static_cast<int>(options_.send_queue));
+    raw.set(zmq::sockopt::rcvhwm, kReplyQueue);
+    raw.set(zmq::sockopt::immediate, true);
+    raw.set(zmq::sockopt::connect_timeout, limit);
+    raw.set(zmq::sockopt::reconnect_ivl, count(kMinReconnect));
+    raw.set(zmq::sockopt::reconnect_ivl_max, count(kMaxReconnect));
+    // Second line of defence, for peers that the core sends no heartbeats.
+    raw.set(zmq::sockopt::heartbeat_ivl, limit);
+    raw.set(zmq::sockopt::heartbeat_timeout, 2 * limit);
+    raw.set(zmq::sockopt::heartbeat_ttl, 3 * limit);
+    raw.connect("tcp://" + peer.address.address);
+    std::string id = peer.address.id;
+    peer.dealer->watch([this, id] { read_dealer(id); });
+  }
+
+  // ---- Commands ---------------------------------------------------------
+
+  void replace_peers(std::vector<peer_address> wanted) {
+    std::map<std::string, connection> kept;
+    for (peer_address& address : wanted) {
+      if (address.id == options_.self || kept.count(address.id) > 0) continue;
+      keep_or_open(std::move(address), kept);
+    }
+    for (auto& [id, peer] : peers_) peer.dealer->close();
+    peers_ = std::move(kept);
+  }
+
+  // Moves the peer's connection to `kept`, or opens one if it has none to
+  // this address.
+  void keep_or_open(peer_address&& address,
+                    std::map<std::string, connection>& kept) {
+    std::map<std::string, connection>::iterator old = peers_.find(address.id);
+    std::string id = address.id;
+    if (old != peers_.end() && old->second.address == address) {
+      kept.emplace(id, std::move(old->second));
+      peers_.erase(old);
+      return;
+    }
+    connection& peer = kept[id];
+    peer.where = distance_to(options_.zone, options_.region, address);
+    peer.address = std::move(address);
+    connect(peer);
+  }
+
+  void send_to(send&& wanted) {
+    std::map<std::string, connection>::iterator found = peers_.find(wanted.to);
+    wanted.message.set_from(options_.self);
+    wanted.message.set_incarnation(options_.incarnation);
+    if (found == peers_.end() || !send_by(found->second, wanted.message)) {
+      if (wanted.message.has_heartbeat()) return;
+      emit(undeliverable{std::move(wanted.to), std::move(wanted.message)});
+    }
+  }
+
+  bool send_by(connection& peer, const wire::envelope& message) {
+    zmq::message_t frame = serialise(message);
+    std::uint64_t bytes = frame.size();
+    std::vector<zmq::message_t> parts;
+    parts.push_back(std::move(frame));
+    bool sent = peer.dealer->try_send(std::move(parts));
+    if (message.has_heartbeat()) {
+      heartbeat_sent(peer.silence, message.heartbeat().sequence(),
+                     clock_.now());
+    }
+    if (sent) traffic_.count_sent(message.body_case(), peer.where, bytes);
+    read_dealer(peer.address.id);
+    return sent;
+  }
+
+  // ---- Receiving --------------------------------------------------------
+
+  void read_dealer(const std::string& id) {
+    std::map<std::string, connection>::iterator found = peers_.find(id);
+    if (closed_ || found == peers_.end()) return;
+    connection& peer = found->second;
+    std::vector<zmq::message_t> parts;
+    while (peer.dealer->try_read(&parts)) {
+      wire::envelope message;
+      const zmq::message_t& body = parts.back();
+      if (!message.ParseFromArray(body.data(), static_cast<int>(body.size())))
+        continue;
+      traffic_.count_received(message.body_case(), peer.where, body.size());
+      if (!message.has_heartbeat_reply()) continue;
+      reply_received(peer.silence, message.heartbeat_reply().sequence(),
+                     clock_.now());
+    }
+  }
+
+  void read_router() {
+    if (closed_) return;
+    if (full_) {
+      // Takes the edge, so that the descriptor is quiet until the retry.
+      static_cast<void>(router_->raw().get(zmq::sockopt::events));
+      return;
+    }
+    std::vector<zmq::message_t> parts;
+    for (int reads = 0; reads < kMaxReadsPerTurn; ++reads) {
+      if (!has_report_space()) return wait_for_space();
+      if (!router_->try_read(&parts)) return;
+      receive(parts);
+    }
+    boost::asio::post(context_,
+                      [self = shared_from_this()] { self->read_router(); });
+  }
+
+  void receive(std::vector<zmq::message_t>& parts) {
+    wire::envelope message;
+    const zmq::message_t& body = parts.back();
+    if (!message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+      return;
+    }
+    traffic_.count_received(message.body_case(), distance_of(message.from()),
+                            body.size());
+    if (message.has_heartbeat()) answer(parts.front(), message);
+    emit(received{std::move(message)});
+  }
+
+  void answer(zmq::message_t& sender, const wire::envelope& heartbeat) {
+    wire::envelope reply;
+    reply.set_from(options_.self);
+    reply.set_incarnation(options_.incarnation);
+    reply.mutable_heartbeat_reply()->set_sequence(
+        heartbeat.heartbeat().sequence());
+    std::vector<zmq::message_t> parts;
+    parts.push_back(std::move(sender));
+    parts.push_back(serialise(reply));
+    traffic_.count_sent(reply.body_case(), distance_of(heartbeat.from()),
+                        parts.back().size());
+    router_->try_send(std::move(parts));
+  }
+
+  distance distance_of(const std::string& id) const {
+    std::map<std::string, connection>::const_iterator found = peers_.find(id);
+    return found == peers_.end() ? distance::unknown : found->second.where;
+  }
+
+  // ---- Reports ----------------------------------------------------------
+
+  bool has_report_space() {
+    flush_pending();
+    return pending_.empty() && reports_.free_space() > 0;
+  }
+
+  void flush_pending() {
+    while (!pending_.empty() && reports_.try_send(pending_.front())) {
+      pending_.pop_front();
+    }
+  }
+
+  // A report that finds both the ring and the spill queue full is dropped.
+  void emit(report value) {
+    flush_pending();
+    if (pending_.empty() && reports_.try_send(value)) return;
+    if (pending_.size() < kMaxPendingReports) {
+      pending_.push_back(std::move(value));
+    }
+  }
+
+  void wait_for_space() {
+    full_ = true;
+    full_timer_.expires_after(kFullRingPause);
+    full_timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& failed) {
+          if (failed || self->closed_) return;
+          self->full_ = false;
+          self->read_router();
+        });
+  }
+
+  // ---- Silence ----------------------------------------------------------
+
+  void schedule_tick() {
+    timer_.expires_after(kTick);
+    timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& failed) {
+          if (failed || self->closed_) return;
+          self->tick();
+          self->schedule_tick();
+        });
+  }
+
+  void tick() {
+    steady_time now = clock_.now();
+    silence_options limits{options_.silence_limit,
+                           options_.max_reconnect_pause};
+    for (auto& [id, peer] : peers_) {
+      if (!should_replace(peer.silence, limits, now)) continue;
+      milliseconds silence = silent_for(peer.silence, now);
+      replaced(peer.silence, limits, random_);
+      connect(peer);
+      emit(reconnected{id, silence});
+    }
+    flush_pending();
+    report_traffic(now);
+  }
+
+  void report_traffic(steady_time now) {
+    if (now - last_traffic_ < kTrafficInterval) return;
+    last_traffic_ = now;
+    for (traffic& each : traffic_.take()) emit(std::move(each));
+  }
+
+  boost::asio::io_context& context_;
+  const clock::clock& clock_;
+  const link_options options_;
+  ring::channel<report>& reports_;
+  zmq::context_t zmq_;
+  std::shared_ptr<socket> router_;
+  std::map<std::string, connection> peers_;
+  std::deque<report> pending_;
+  traffic_counters traffic_;
+  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer full_timer_;
+  std::mt19937_64 random_;
+  steady_time last_traffic_;
+  bool full_ = false;
+  bool closed_ = false;
+};
+
+link::link(boost::asio::io_context& context, const clock::clock& clock,
+           const link_options& options, ring::channel<report>& reports)
+    : implementation_(
+          std::make_shared<implementation>(context, clock, options, reports)) {
+  implementation_->start();
+}
+
+link::~link() { implementation_->close(); }
+
+void link::handle(command&& command) {
+  implementation_->handle(std::move(command));
+}
+
+void link::close() { implementation_->close(); }
+
+std::string link::bound_address() const {
+  return implementation_->bound_address();
+}
+
+}  // namespace ebonygrade::peer
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -2,9 +2,17 @@
 // socket that is bound, one DEALER socket a peer). Runs in a thread of its
 // own; commands come in and reports go out through bounded channels.
 //
-// A link from which nothing was received for `silence_limit`, although
-// heartbeats were sent, is replaced by a new connection, with a growing
-// pause between replacements.
+// The core sends heartbeats; the link at the other end answers each one on
+// the connection it came by, and these replies are not reported. A connection
+// whose heartbeats have gone unanswered for `silence_limit` is replaced by a
+// new one, with a growing, jittered pause between replacements. All other
+// messages travel by the sender's own connection to the receiver, so each
+// connection carries one direction.
+//
+// Delivery is not certain: a message that was taken may be lost with its
+// connection. Sends never wait. While `reports` is full nothing is read, so a
+// slow receiver fills its senders' queues, which are bounded, and they get
+// `undeliverable`.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -28,6 +36,7 @@
   std::uint64_t incarnation = 0;
   std::string listen_address;  // IP:PORT
   std::string zone;
+  std::string region;
   milliseconds silence_limit{2000};
   milliseconds max_reconnect_pause{16000};
   std::size_t send_queue = 1000;  // Envelopes a peer; further ones are dropped
@@ -61,19 +70,24 @@
 struct received {
   wire::envelope message;
 };
-// The message was not sent: the peer is unknown or its queue is full.
+// The message was not sent: the peer is unknown, there is no connection to it
+// now, or its queue is full. Not reported for heartbeats.
 struct undeliverable {
   std::string to;
   wire::envelope message;
 };
+// The connection to a peer was silent and has been replaced; what was sent by
+// it of late may be lost.
 struct reconnected {
   std::string to;
   milliseconds silent_for{0};
 };
-// Bytes since the last report, by kind of message and distance of the peer.
+// Bytes of envelopes since the last report, by kind of message and distance
+// of the peer.
 struct traffic {
   std::string kind;  // Field name of the envelope's body.
-  std::string link;  // "zone", "region" or "cross_region".
+  std::string link;  // "zone", "region", "cross_region", or "unknown" for a
+                     // sender that is not among the peers.
   std::uint64_t sent_bytes = 0;
   std::uint64_t received_bytes = 0;
 };
@@ -89,11 +103,15 @@
 
   // Called on `context`.
   void handle(command&& command);
+  // Closes all connections, so that the context can run out of work.
   void close();
 
+  // IP:PORT that is bound; of use when port 0 was asked for.
+  std::string bound_address() const;
+
  private:
   class implementation;
-  std::unique_ptr<implementation> implementation_;
+  std::shared_ptr<implementation> implementation_;
 };
 
 }  // namespace ebonygrade::peer
--- /dev/null
+++ b/src/peer/silence_test.cpp
@@ -0,0 +1,56 @@
+#include "peer/silence.h"
+
+#include <catch2/catch.hpp>
+
+namespace peer = ebonygrade::peer;
+using ebonygrade::clock::milliseconds;
+using ebonygrade::clock::steady_time;
+
+namespace {
+
+const steady_time kStart{std::chrono::hours(1)};
+const peer::silence_options kOptions{milliseconds(1000), milliseconds(8000)};
+
+}  // namespace
+
+TEST_CASE("a connection is replaced after a full limit without a reply") {
+  peer::silence_state state;
+  peer::heartbeat_sent(state, 1, kStart);
+  peer::heartbeat_sent(state, 2, kStart + milliseconds(500));
+  CHECK_FALSE(
+      peer::should_replace(state, kOptions, kStart + milliseconds(999)));
+  CHECK(peer::should_replace(state, kOptions, kStart + milliseconds(1000)));
+}
+
+TEST_CASE("without heartbeats nothing is judged silent") {
+  peer::silence_state state;
+  CHECK_FALSE(
+      peer::should_replace(state, kOptions, kStart + std::chrono::hours(1)));
+}
+
+TEST_CASE("a late reply counts as life, but leaves later heartbeats open") {
+  peer::silence_state state;
+  peer::heartbeat_sent(state, 1, kStart);
+  peer::heartbeat_sent(state, 2, kStart + milliseconds(500));
+  peer::reply_received(state, 1, kStart + milliseconds(900));
+  CHECK_FALSE(
+      peer::should_replace(state, kOptions, kStart + milliseconds(1899)));
+  CHECK(peer::should_replace(state, kOptions, kStart + milliseconds(1900)));
+}
+
+TEST_CASE("the limit grows to its maximum and a reply resets it") {
+  peer::silence_state state;
+  std::mt19937_64 random(7);
+  milliseconds earlier{0};
+  for (int i = 0; i < 20; ++i) {
+    peer::replaced(state, kOptions, random);
+    CHECK(state.limit >= earlier);
+    CHECK(state.limit >= kOptions.limit);
+    CHECK(state.limit <= kOptions.max_limit);
+    earlier = state.limit;
+  }
+  CHECK(state.limit > kOptions.limit);
+  peer::reply_received(state, 1, kStart);
+  peer::heartbeat_sent(state, 2, kStart);
+  CHECK(peer::should_replace(state, kOptions, kStart + milliseconds(1000)));
+}
--- /dev/null
+++ b/src/peer/socket.cpp
@@ -0,0 +1,59 @@
+#include "peer/socket.h"
+
+#include <utility>
+
+namespace ebonygrade::peer {
+
+socket::socket(boost::asio::io_context& context, zmq::context_t& zmq,
+               zmq::socket_type type)
+    : socket_(zmq, type), descriptor_(context, socket_.get(zmq::sockopt::fd)) {}
+
+socket::~socket() { close(); }
+
+void socket::watch(std::function<void()> on_ready) {
+  on_ready_ = std::move(on_ready);
+  wait();
+}
+
+void socket::wait() {
+  std::weak_ptr<socket> weak = weak_from_this();
+  descriptor_.async_wait(boost::asio::posix::stream_descriptor::wait_read,
+                         [weak](const boost::system::error_code& failed) {
+                           std::shared_ptr<socket> self = weak.lock();
+                           if (failed || !self || self->closed_) return;
+                           self->on_ready_();
+                           if (!self->closed_) self->wait();
+                         });
+}
+
+bool socket::try_send(std::vector<zmq::message_t> parts) {
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    zmq::send_flags flags = zmq::send_flags::dontwait;
+    if (i + 1 < parts.size()) flags = flags | zmq::send_flags::sndmore;
+    if (!socket_.send(parts[i], flags)) return false;
+  }
+  return true;
+}
+
+bool socket::try_read(std::vector<zmq::message_t>* parts) {
+  parts->clear();
+  bool more = true;
+  while (more) {
+    zmq::message_t part;
+    if (!socket_.recv(part, zmq::recv_flags::dontwait)) return false;
+    more = part.more();
+    parts->push_back(std::move(part));
+  }
+  return true;
+}
+
+void socket::close() {
+  if (closed_) return;
+  closed_ = true;
+  // The descriptor belongs to ZeroMQ.
+  descriptor_.cancel();
+  descriptor_.release();
+  socket_.close();
+}
+
+}  // namespace ebonygrade::peer
