--- a/src/peer/silence_test.cpp
+++ b/src/peer/silence_test.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-const steady_time kStart{std::chrono::hours(1)};
-const peer::silence_options kOptions{milliseconds(1000), milliseconds(8000)};
+constexpr steady_time kStart{std::chrono::hours(1)};
+constexpr peer::silence_options kOptions{milliseconds(1000),
+                                         milliseconds(8000)};
 
 }  // namespace
 
