Add the HTTP client

Adapter and platform client need calls that end exactly once and say whether the peer may have seen them. A connection on which a call timed out is closed; the next call opens a new one. A connection that the peer closed while idle is noticed before it costs a call. The moving deadline is shared with the server.

--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,205 @@
+#include "http/client.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <deque>
+#include <utility>
+#include <vector>
+
+#include "http/address.h"
+#include "http/connection_pvt.h"
+#include "http/json.h"
+#include "wire/api.pb.h"
+
+namespace ebonygrade::http {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Of a peer's error text that is no error_reply.
+constexpr std::size_t kMaxDetailBytes = 200;
+
+std::string error_text(const response& reply) {
+  wire::error_reply parsed;
+  if (from_json(reply.body(), &parsed).has_value()) {
+    return parsed.field().empty() ? parsed.error()
+                                  : parsed.field() + ": " + parsed.error();
+  }
+  return reply.body().substr(0, kMaxDetailBytes);
+}
+
+}  // namespace
+
+void throw_exception_from_error(const call_failure& value,
+                                const boost::source_location& at) {
+  error::throw_exception_from_error(value.cause, at);
+}
+
+error::failure status_failure(const response& reply, std::string_view step,
+                              std::string_view peer) {
+  bool come_back = reply.result() == status::too_many_requests ||
+                   reply.result() == status::service_unavailable;
+  return {come_back ? error::code::unavailable : error::code::rejected,
+          std::string(step), std::string(peer),
+          "status " + std::to_string(reply.result_int()) + ": " +
+              error_text(reply)};
+}
+
+class client::implementation
+    : public std::enable_shared_from_this<client::implementation> {
+ public:
+  implementation(asio::io_context& context, std::string_view address,
+                 const client_options& options)
+      : context_(context),
+        address_(address),
+        endpoint_(parse_address(address)),
+        options_(options),
+        queue_deadline_(context.get_executor(),
+                        [this] { fail_passed_deadlines(); }) {}
+
+  void call(pending_call&& call) {
+    if (closed_) return refuse(std::move(call), "closed");
+    if (endpoint_.has_error()) {
+      return post_failure(std::move(call), error::code::invalid_argument,
+                          endpoint_.error().detail);
+    }
+    connection* free = free_connection();
+    if (free != nullptr) return free->start(std::move(call));
+    if (queue_.size() >= options_.max_queued) {
+      return refuse(std::move(call), "too many calls wait");
+    }
+    schedule_queue_deadline(call.deadline);
+    queue_.push_back(std::move(call));
+  }
+
+  void close() {
+    closed_ = true;
+    queue_deadline_.cancel();
+    std::deque<pending_call> waiting = std::exchange(queue_, {});
+    for (const std::shared_ptr<connection>& open : take_connections()) {
+      open->close();
+    }
+    for (pending_call& call : waiting) refuse(std::move(call), "closed");
+  }
+
+  void detach() {
+    closed_ = true;
+    queue_deadline_.cancel();
+    queue_.clear();
+    for (const std::shared_ptr<connection>& open : take_connections()) {
+      open->detach();
+    }
+  }
+
+  const client_options& options() const { return options_; }
+  std::size_t queued() const { return queue_.size(); }
+  const client_traffic& traffic() const { return *traffic_; }
+
+ private:
+  connection* free_connection() {
+    if (!queue_.empty()) return nullptr;
+    return any_free_connection();
+  }
+
+  connection* any_free_connection() {
+    for (const std::shared_ptr<connection>& open : connections_) {
+      if (open->free()) return open.get();
+    }
+    if (connections_.size() >= options_.connections) return nullptr;
+    connections_.push_back(std::make_shared<connection>(
+        context_.get_executor(), *endpoint_, address_, options_, traffic_.get(),
+        [this] { start_queued(); }));
+    return connections_.back().get();
+  }
+
+  void start_queued() {
+    while (!queue_.empty()) {
+      connection* free = any_free_connection();
+      if (free == nullptr) return;
+      pending_call next = std::move(queue_.front());
+      queue_.pop_front();
+      free->start(std::move(next));
+    }
+  }
+
+  void schedule_queue_deadline(clock::steady_time at) {
+    if (at >= next_queue_deadline_) return;
+    next_queue_deadline_ = at;
+    queue_deadline_.set(at);
+  }
+
+  void fail_passed_deadlines() {
+    clock::steady_time now = std::chrono::steady_clock::now();
+    next_queue_deadline_ = clock::steady_time::max();
+    std::deque<pending_call> waiting = std::exchange(queue_, {});
+    for (pending_call& call : waiting) {
+      if (call.deadline > now) {
+        schedule_queue_deadline(call.deadline);
+        queue_.push_back(std::move(call));
+      } else {
+        post_failure(std::move(call), error::code::timeout,
+                     "no free connection");
+      }
+    }
+  }
+
+  void refuse(pending_call&& call, std::string_view detail) {
+    post_failure(std::move(call), error::code::unavailable, detail);
+  }
+
+  // For calls of which nothing was sent.
+  void post_failure(pending_call&& call, error::code code,
+                    std::string_view detail) {
+    call_failure failure;
+    failure.cause = {code, call.step, address_, std::string(detail)};
+    asio::post(context_, [handler = std::move(call.handler),
+                          failure = std::move(failure)]() mutable {
+      handler(std::move(failure));
+    });
+  }
+
+  std::vector<std::shared_ptr<connection>> take_connections() {
+    return std::exchange(connections_, {});
+  }
+
+  asio::io_context& context_;
+  std::string address_;
+  error::result<asio::ip::tcp::endpoint> endpoint_;
+  client_options options_;
+  deadline queue_deadline_;
+  clock::steady_time next_queue_deadline_ = clock::steady_time::max();
+  std::deque<pending_call> queue_;
+  std::vector<std::shared_ptr<connection>> connections_;
+  std::unique_ptr<client_traffic> traffic_ = std::make_unique<client_traffic>();
+  bool closed_ = false;
+};
+
+client::client(asio::io_context& context, std::string_view address,
+               const client_options& options)
+    : implementation_(
+          std::make_shared<implementation>(context, address, options)) {}
+
+client::~client() { implementation_->detach(); }
+
+void client::call(std::string_view step, request&& request,
+                  milliseconds timeout, handler handler) {
+  implementation_->call({std::string(step), std::move(request),
+                         std::chrono::steady_clock::now() + timeout,
+                         std::move(handler)});
+}
+
+void client::call(std::string_view step, request&& request, handler handler) {
+  call(step, std::move(request), implementation_->options().call_timeout,
+       std::move(handler));
+}
+
+void client::close() { implementation_->close(); }
+
+std::size_t client::queued() const { return implementation_->queued(); }
+
+const client_traffic& client::traffic() const {
+  return implementation_->traffic();
+}
+
+}  // namespace ebonygrade::http
--- /dev/null
+++ b/src/http/client_test.cpp
@@ -0,0 +1,225 @@
+#include "http/client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "http/server.h"
+
+namespace asio = boost::asio;
+namespace error = ebonygrade::error;
+namespace http = ebonygrade::http;
+using ebonygrade::http::milliseconds;
+
+namespace {
+
+constexpr std::chrono::seconds kPatience{20};
+constexpr milliseconds kShort{30};
+constexpr milliseconds kLong{20000};
+
+struct fixture {
+  asio::io_context context;
+  std::vector<http::responder> waiting;
+  std::vector<std::string> bodies;
+  std::vector<http::call_result> results;
+  bool answer_later = false;
+  std::optional<http::server> server;
+  std::optional<http::client> client;
+
+  explicit fixture(http::client_options options = {},
+                   const http::server_options& server_options = {}) {
+    server.emplace(
+        context, server_options,
+        [this](http::request&& request, http::responder answer) {
+          bodies.push_back(request.body());
+          if (answer_later) return waiting.push_back(answer);
+          answer(http::json_response(http::status::ok, request.body()));
+        });
+    REQUIRE(server->listen("127.0.0.1:0").has_value());
+    client.emplace(context, address(), options);
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(server->port());
+  }
+  void call(std::string body, milliseconds timeout = kLong) {
+    client->call(
+        "echo",
+        http::json_request(http::verb::post, "/v1/echo", std::move(body)),
+        timeout, [this](http::call_result&& result) {
+          results.push_back(std::move(result));
+        });
+  }
+  void run_until(const std::function<bool()>& met) {
+    while (!met()) {
+      context.restart();
+      REQUIRE(context.run_one_for(kPatience) > 0);
+    }
+  }
+  void run_until_results(std::size_t count) {
+    run_until([&] { return results.size() >= count; });
+  }
+};
+
+}  // namespace
+
+TEST_CASE("calls on one connection are answered in order") {
+  fixture f;
+  for (const char* body : {"a", "b", "c"}) f.call(body);
+  f.run_until_results(3);
+  CHECK(f.results[0].value().body() == "a");
+  CHECK(f.results[2].value().body() == "c");
+  CHECK(f.client->traffic().connects == 1);
+  CHECK(f.client->traffic().bytes_sent > 0);
+}
+
+TEST_CASE("a pool carries several calls at once") {
+  http::client_options options;
+  options.connections = 2;
+  fixture f(options);
+  f.answer_later = true;
+  for (const char* body : {"a", "b", "c"}) f.call(body);
+  f.run_until([&] { return f.waiting.size() == 2; });
+  CHECK(f.client->queued() == 1);
+  f.waiting[1](http::json_response(http::status::ok, "second"));
+  f.run_until([&] { return f.waiting.size() == 3; });
+  CHECK(f.bodies[2] == "c");
+}
+
+TEST_CASE("a silent connection is replaced within the call timeout") {
+  fixture f;
+  f.answer_later = true;
+  f.call("lost", kShort);
+  f.run_until_results(1);
+  REQUIRE(f.results[0].has_error());
+  CHECK(f.results[0].error().cause.code == error::code::timeout);
+  CHECK(f.results[0].error().cause.step == "echo");
+  CHECK(f.results[0].error().cause.peer == f.address());
+  CHECK(f.results[0].error().maybe_sent);
+  f.answer_later = false;
+  f.call("next");
+  f.run_until_results(2);
+  CHECK(f.results[1].value().body() == "next");
+  CHECK(f.client->traffic().connects == 2);
+}
+
+TEST_CASE("a call that could not connect was surely not sent") {
+  fixture f;
+  f.server->close();
+  f.call("x");
+  f.run_until_results(1);
+  REQUIRE(f.results[0].has_error());
+  CHECK(f.results[0].error().cause.code == error::code::unavailable);
+  CHECK_FALSE(f.results[0].error().maybe_sent);
+}
+
+TEST_CASE("a call whose connection broke may have taken effect") {
+  fixture f;
+  f.answer_later = true;
+  f.call("x");
+  f.run_until([&] { return !f.waiting.empty(); });
+  f.server->close();
+  f.run_until_results(1);
+  REQUIRE(f.results[0].has_error());
+  CHECK(f.results[0].error().cause.code == error::code::connection_lost);
+  CHECK(f.results[0].error().maybe_sent);
+}
+
+TEST_CASE("a connection closed by the peer while idle costs no call") {
+  http::server_options server_options;
+  server_options.idle_timeout = milliseconds(5);
+  fixture f({}, server_options);
+  f.call("one");
+  f.run_until_results(1);
+  f.run_until([&] { return f.server->connection_count() == 0; });
+  f.context.restart();
+  f.context.poll();
+  f.call("two");
+  f.run_until_results(2);
+  CHECK(f.results[1].has_value());
+}
+
+TEST_CASE("a call that waited too long was not sent") {
+  fixture f;
+  f.answer_later = true;
+  f.call("first");
+  f.call("second", kShort);
+  f.run_until_results(1);
+  REQUIRE(f.results[0].has_error());
+  CHECK(f.results[0].error().cause.code == error::code::timeout);
+  CHECK_FALSE(f.results[0].error().maybe_sent);
+}
+
+TEST_CASE("a full queue refuses") {
+  http::client_options options;
+  options.max_queued = 1;
+  fixture f(options);
+  f.answer_later = true;
+  for (const char* body : {"a", "b", "c"}) f.call(body);
+  f.run_until_results(1);
+  CHECK(f.results[0].error().cause.code == error::code::unavailable);
+}
+
+TEST_CASE("a reply beyond the limit is a bad reply") {
+  http::client_options options;
+  options.max_body_bytes = 100;
+  fixture f(options);
+  f.call(std::string(101, 'x'));
+  f.run_until_results(1);
+  CHECK(f.results[0].error().cause.code == error::code::bad_reply);
+}
+
+TEST_CASE("closing fails what is open, destroying forgets it") {
+  fixture f;
+  f.answer_later = true;
+  f.call("a");
+  f.call("b");
+  f.run_until([&] { return f.waiting.size() == 1; });
+  SECTION("close") {
+    f.client->close();
+    f.run_until_results(2);
+    CHECK(f.results[0].error().maybe_sent);
+    CHECK_FALSE(f.results[1].error().maybe_sent);
+  }
+  SECTION("destroy") {
+    f.client.reset();
+    f.context.restart();
+    f.context.poll();
+    CHECK(f.results.empty());
+  }
+}
+
+TEST_CASE("a client may be destroyed in its own handler") {
+  fixture f;
+  bool called = false;
+  f.client->call("echo", http::json_request(http::verb::get, "/"),
+                 [&](http::call_result&&) {
+                   called = true;
+                   f.client.reset();
+                 });
+  f.run_until([&] { return called; });
+  CHECK_FALSE(f.client.has_value());
+}
+
+TEST_CASE("a malformed address fails every call") {
+  fixture f;
+  f.client.emplace(f.context, "nowhere", http::client_options());
+  f.call("x");
+  f.run_until_results(1);
+  CHECK(f.results[0].error().cause.code == error::code::invalid_argument);
+}
+
+TEST_CASE("a status that is no success becomes a failure") {
+  error::failure busy = http::status_failure(
+      http::error_response(http::status::too_many_requests, "rate"), "append",
+      "p");
+  CHECK(busy.code == error::code::unavailable);
+  error::failure bad = http::status_failure(
+      http::error_response(http::status::bad_request, "empty", "id"), "start",
+      "p");
+  CHECK(error::to_string(bad) == "start: p: rejected: status 400: id: empty");
+}
--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -52,7 +52,7 @@
 session::session(asio::ip::tcp::socket socket,
                  std::shared_ptr<session_context> context)
     : socket_(std::move(socket)),
-      timer_(socket_.get_executor()),
+      deadline_(socket_.get_executor(), [this] { on_deadline(); }),
       context_(std::move(context)),
       buffer_(context_->options.max_header_bytes +
               context_->options.max_body_bytes + kReadChunkBytes) {
@@ -76,7 +76,7 @@
 void session::wait_for_request() {
   if (buffer_.size() > 0) return read_request();
   idle_ = true;
-  set_deadline(context_->options.idle_timeout);
+  deadline_.set(context_->options.idle_timeout);
   socket_.async_read_some(
       buffer_.prepare(kReadChunkBytes),
       [self = shared_from_this()](beast::error_code failed, std::size_t bytes) {
@@ -92,7 +92,7 @@
   parser_.emplace();
   parser_->header_limit(context_->options.max_header_bytes);
   parser_->body_limit(context_->options.max_body_bytes);
-  set_deadline(context_->options.read_timeout);
+  deadline_.set(context_->options.read_timeout);
   beast_http::async_read_header(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](beast::error_code failed, std::size_t) {
@@ -134,7 +134,7 @@
   if (timed_out_) failed = beast::error::timeout;
   if (failed) return refuse(failed);
   reading_ = false;
-  clear_deadline();
+  deadline_.clear();
   keep_alive_ = parser_->get().keep_alive();
   handling_ = true;
   watch_caller();
@@ -187,7 +187,7 @@
 void session::write(bool keep_alive) {
   keep_alive_ = keep_alive;
   reply_.keep_alive(keep_alive);
-  set_deadline(context_->options.write_timeout);
+  deadline_.set(context_->options.write_timeout);
   beast_http::async_write(
       socket_, reply_,
       [self = shared_from_this()](beast::error_code failed, std::size_t) {
@@ -200,7 +200,7 @@
   if (keep_alive_) return wait_for_request();
   beast::error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  set_deadline(kLingerTime);
+  deadline_.set(kLingerTime);
   buffer_.clear();
   linger();
 }
@@ -216,30 +216,7 @@
       });
 }
 
-// One wait stands for many deadlines: a later deadline leaves the timer as it
-// is, and the timer starts again when it fires too early.
-void session::set_deadline(milliseconds after) {
-  deadline_ = std::chrono::steady_clock::now() + after;
-  if (!timer_armed_ || timer_.expiry() > deadline_) arm_timer();
-}
-
-void session::clear_deadline() {
-  deadline_ = std::chrono::steady_clock::time_point::max();
-}
-
-void session::arm_timer() {
-  timer_armed_ = true;
-  timer_.expires_at(deadline_);
-  timer_.async_wait([self = shared_from_this()](beast::error_code cancelled) {
-    if (cancelled || self->ended_) return;
-    self->timer_armed_ = false;
-    self->on_timer();
-  });
-}
-
-void session::on_timer() {
-  if (deadline_ == std::chrono::steady_clock::time_point::max()) return;
-  if (deadline_ > std::chrono::steady_clock::now()) return arm_timer();
+void session::on_deadline() {
   if (!reading_) return end();
   timed_out_ = true;
   beast::error_code ignored;
@@ -252,7 +229,7 @@
   handling_ = false;
   beast::error_code ignored;
   socket_.close(ignored);
-  timer_.cancel();
+  deadline_.cancel();
   if (context_->ended) context_->ended(this);
 }
 
--- a/src/http/session_pvt.h
+++ b/src/http/session_pvt.h
@@ -2,14 +2,13 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
 
+#include "http/deadline_pvt.h"
 #include "http/server.h"
 
 namespace ebonygrade::http {
@@ -53,16 +52,11 @@
   void write(bool keep_alive);
   void on_written(boost::beast::error_code failed);
   void linger();
-  void set_deadline(milliseconds after);
-  void clear_deadline();
-  void arm_timer();
-  void on_timer();
+  void on_deadline();
   void end();
 
   boost::asio::ip::tcp::socket socket_;
-  boost::asio::steady_timer timer_;
-  std::chrono::steady_clock::time_point deadline_;
-  bool timer_armed_ = false;
+  deadline deadline_;
   std::shared_ptr<session_context> context_;
   boost::beast::flat_buffer buffer_;
   std::optional<
