--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -152,8 +152,10 @@
 };
 // Every record that the stream held at some moment after the start was read.
 struct caught_up {};
-// All reachable workers of the shard are fenced under `epoch` and their tasks
-// are known.
+// Every worker of the shard is fenced under `epoch` and its tasks are known, or
+// it has not answered for a whole task lease since `fence_shard`. Until then an
+// idempotent request may still run, under the earlier owner, on a worker that
+// has not answered.
 struct reconciled {
   job::shard_id shard;
   job::epoch epoch = 0;
--- a/src/requests/requests.h
+++ b/src/requests/requests.h
@@ -13,12 +13,18 @@
 //  - An idempotent task is started again only after the earlier attempt was
 //    confirmed stopped, refused or lapsed.
 //  - A repeated id joins the first request and gets its outcome.
+//
+// What it relies on: a request is placed only on workers of its home shard.
+// The next owner of the home fences just these, so a task elsewhere would be
+// unknown to it and be started a second time.
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -30,7 +36,9 @@
 using clock::steady_time;
 
 // Who waits for an outcome: a connection of this daemon's HTTP server, or a
-// daemon that forwarded the request. Opaque here.
+// daemon that forwarded the request. Opaque here. A message that is sent again
+// keeps its token, so that a late copy of a refused one isn't taken for a new
+// submission.
 struct waiter {
   std::string peer;  // Empty for a local connection.
   std::uint64_t token = 0;
@@ -43,9 +51,13 @@
 struct table_options {
   milliseconds task_lease{30000};
   milliseconds outcome_retention{600000};  // Final outcomes are kept so long.
+  milliseconds intent_retention{3600000};  // The same, non-idempotent requests.
+  milliseconds min_retention{30000};       // Even if the table is full.
   milliseconds retry_after{1000};  // Told with not_run for passing causes.
   std::uint32_t max_attempts = 3;  // Of one idempotent task.
   std::size_t max_requests = 200000;
+  std::size_t max_waiters = 64;     // Of one request; more get `pending`.
+  milliseconds stop_timeout{5000};  // A stop without an answer is repeated.
 };
 
 // ---- Events -------------------------------------------------------------
@@ -105,8 +117,8 @@
   job::attempt_key key;
   wire::stop_status status = wire::stop_confirmed;
 };
-// The worker is gone for good or has lost its task table; `lapsed` says that
-// every lease it held has run out.
+// The worker is gone for good or has lost its task table, and every lease
+// that it held has run out.
 struct worker_lost {
   std::string worker;
 };
@@ -114,6 +126,7 @@
 struct task_found {
   wire::task_record task;
   std::string worker;
+  job::shard_id home;  // Of the request.
 };
 // An intent found in a previous owner's stream.
 struct intent_found {
@@ -125,18 +138,33 @@
 struct shard_lost {
   job::shard_id shard;
 };
-// Time passes: deadlines and retention.
+// A home shard is served from now on. `complete` says that every worker on
+// which a request of this home may have been started has answered a fence with
+// its task table. If one has not, a request that is refused here may still
+// have run there, and the refusal is `unknown` for the outcome retention.
+struct home_served {
+  job::shard_id shard;
+  bool complete = true;
+};
+// Another daemon may own our shards without our knowing, as after a pause or
+// while neither the log nor any daemon answers. Ends when the claims were read
+// to the end. Meanwhile a refusal is `unknown`.
+struct ownership_doubted {
+  bool doubted = true;
+};
+// Time passes: deadlines, repeated stops and retention.
 struct tick {};
 
-using event =
-    std::variant<submitted, queried, cancelled, admission_refused, placed,
-                 intent_durable, intent_failed, start_answered,
-                 start_unanswered, task_ended, stop_answered, worker_lost,
-                 task_found, intent_found, shard_lost, tick>;
+using event = std::variant<submitted, queried, cancelled, admission_refused,
+                           placed, intent_durable, intent_failed,
+                           start_answered, start_unanswered, task_ended,
+                           stop_answered, worker_lost, task_found, intent_found,
+                           shard_lost, home_served, ownership_doubted, tick>;
 
 // ---- Effects ------------------------------------------------------------
 
-// Put the tasks of the request into the placement queue.
+// Put the tasks of the request into the placement queue. The payload is left
+// out.
 struct enqueue {
   job::request request;
   std::vector<std::uint32_t> tasks;
@@ -150,6 +178,7 @@
   std::string worker;
   std::string id;
   std::uint32_t task_index = 0;
+  wire::task_end end = wire::task_end_unspecified;  // It never started.
 };
 // Count the resources of a task found running as used on the worker.
 struct adopt_room {
@@ -201,7 +230,7 @@
   starting,     // The start was sent; no answer yet.
   running,      // The worker confirmed the start.
   stopping,     // A stop was sent.
-  ended,        // Final; the answer is in the outcome.
+  ended,        // Over; the answer, if any, is in the outcome.
 };
 
 struct task_state {
@@ -210,7 +239,20 @@
   job::epoch epoch = 0;
   std::uint64_t attempt = 0;
   std::uint32_t attempts = 0;
-  bool may_have_run = false;  // Some start of it is not disproved.
+  bool may_have_run = false;     // Some start of it is not disproved.
+  bool ran_before = false;       // The same, without the present attempt.
+  bool in_queue = false;         // While queued: the placement queue has it.
+  bool lost = false;             // Ended without an answer, ever.
+  steady_time unanswered_since;  // The start had no answer; zero: it had.
+  steady_time stop_sent;
+};
+
+// An attempt found on a worker although a later one of its task runs
+// elsewhere. It is being stopped, and holds room until then.
+struct superseded_attempt {
+  std::string worker;
+  std::uint32_t task_index = 0;
+  std::uint64_t attempt = 0;
 };
 
 struct request_state {
@@ -218,17 +260,31 @@
   bool request_known = false;  // False: only found as an intent or on a worker.
   bool cancel_wanted = false;
   bool intent_written = false;
+  bool restarting = false;  // A gang whose tasks are being stopped for that.
+  job::epoch home_epoch = 0;
+  std::uint32_t restarts = 0;  // Of service tasks; sets their pause.
+  steady_time enqueue_at;      // When refused tasks are enqueued again.
   steady_time submitted;
   steady_time final_at;  // When the outcome became final.
   std::vector<task_state> tasks;
   job::outcome outcome;
+  std::vector<superseded_attempt> superseded;
   std::vector<waiter> waiters;
+  std::vector<waiter> told;  // Were told not_run; bounded.
 };
 
 struct table {
   table_options options;
   std::unordered_map<std::string, request_state> by_id;
   std::uint32_t next_attempt = 1;  // Lower bits of the next attempt.
+  // When to look at a request again. Entries may be stale.
+  std::multimap<steady_time, std::string> timers;
+  // Final requests in the order of final_at.
+  std::deque<std::pair<steady_time, std::string>> finished;
+  // Homes that were served without a complete reconciliation, until when
+  // refusals are in doubt.
+  std::map<job::shard_id, steady_time> doubtful_homes;
+  bool ownership_doubted = false;
 };
 
 // Applies one event. Events for unknown ids or stale attempts change nothing.
