Add the placement engine: order, quotas, index, gangs, preemption

Cause: nothing decided which task starts where. Change: queues by team, class and size; heaps of queues and teams; workers indexed by free room in geometric levels; dominant-resource share under quota with borrowing; ageing; deadlines; bounded queues with a spread time to come back; gangs whole or nothing with one bounded reservation; preemption by checkpoint, then stop; quarantine with a probe back. Contract: set_quota_share is new, because quotas are for the cell and an engine sees only its own workers. A gang larger than `most` is still started in one result.

--- /dev/null
+++ b/src/place/admission.cpp
@@ -0,0 +1,214 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <limits>
+
+#include "place/engine_pvt.h"
+
+namespace ebonygrade::place {
+
+namespace {
+
+constexpr milliseconds kLeastReturn{200};
+constexpr milliseconds kMostReturn{60000};
+constexpr milliseconds kRateWindow{1000};
+constexpr double kLeastRate = 1;       // Starts a second.
+constexpr double kNewRateShare = 0.3;  // Of the last window in the average.
+
+admission refuse(std::string reason, milliseconds retry_after) {
+  admission answer;
+  answer.accepted = false;
+  answer.reason = std::move(reason);
+  answer.retry_after = retry_after;
+  return answer;
+}
+
+// How many tasks of the size an empty worker holds.
+std::int64_t tasks_on(const job::resources& capacity,
+                      const job::resources& need) {
+  const amounts room = to_amounts(capacity);
+  const amounts each = to_amounts(need);
+  std::int64_t most = std::numeric_limits<std::int32_t>::max();
+  for (std::size_t i = 0; i < kResourceCount; ++i) {
+    if (each[i] > 0) most = std::min(most, room[i] / each[i]);
+  }
+  return most;
+}
+
+std::string describe(const job::resources& value) {
+  return fmt::format("{} millicores, {} MB, {} accelerators, {} slots",
+                     value.millicores, value.memory_mb, value.accelerators,
+                     value.slots);
+}
+
+// Says why the job can never run on these workers; empty if it can.
+std::string never_fits(const engine& e, const task_group& group) {
+  std::int64_t room = 0;
+  for (const capacity_group& each : e.capacity_groups) {
+    room += tasks_on(each.capacity, group.per_task) *
+            static_cast<std::int64_t>(each.workers);
+  }
+  if (room == 0) {
+    return fmt::format("no worker is large enough for a task of {}",
+                       describe(group.per_task));
+  }
+  if (group.kind != job::job_class::gang) return {};
+  if (room >= static_cast<std::int64_t>(group.tasks.size())) return {};
+  return fmt::format("the gang has {} tasks; all workers together hold {}",
+                     group.tasks.size(), room);
+}
+
+// Says why the job can never run under its team's quota; empty if it can.
+std::string never_in_quota(const team_state& team, const task_group& group) {
+  if (team.policy.may_borrow) return {};
+  const bool is_gang = group.kind == job::job_class::gang;
+  const std::int64_t together =
+      is_gang ? static_cast<std::int64_t>(group.tasks.size()) : 1;
+  const amounts quota = to_amounts(team.policy.quota);
+  const amounts each = to_amounts(group.per_task);
+  for (std::size_t i = 0; i < kResourceCount; ++i) {
+    if (quota[i] == 0 || each[i] * together <= quota[i]) continue;
+    return fmt::format(
+        "needs more at once than the quota of team {} ({}), which may not "
+        "borrow",
+        team.policy.name, describe(team.policy.quota));
+  }
+  return {};
+}
+
+admission check_limits(engine* e, const team_state& team,
+                       const task_group& group, steady_time now) {
+  const std::size_t count = group.tasks.size();
+  const bundle::class_policy& policy = class_policy_of(*e, group.kind);
+  if (count > team.policy.queue_limit || count > policy.queue_limit) {
+    return refuse("has more tasks than the queue limit of its team or class",
+                  milliseconds(0));
+  }
+  if (team.waiting + count > team.policy.queue_limit) {
+    return refuse(fmt::format("the queue of team {} is full ({} tasks)",
+                              team.policy.name, team.waiting),
+                  spread_return(e, now));
+  }
+  std::size_t waiting = e->class_waiting[static_cast<std::size_t>(group.kind)];
+  if (waiting + count > policy.queue_limit) {
+    return refuse(fmt::format("the queue of class {} is full ({} tasks)",
+                              job::to_string(group.kind), waiting),
+                  spread_return(e, now));
+  }
+  return {};
+}
+
+admission check(engine* e, const task_group& group, steady_time now) {
+  if (e->policy.teams.empty()) {
+    return refuse("no policy bundle is in force yet", spread_return(e, now));
+  }
+  auto found = e->team_by_name.find(group.team);
+  if (found == e->team_by_name.end() || !e->teams[found->second].is_known) {
+    return refuse(
+        fmt::format("team {} is not in the bundle in force", group.team),
+        milliseconds(0));
+  }
+  const team_state& team = e->teams[found->second];
+  if (group.per_task == job::resources{}) {
+    return refuse("the tasks need no resource", milliseconds(0));
+  }
+  if (group.deadline <= now) {
+    return refuse("the deadline has passed", kLeastReturn);
+  }
+  if (e->worker_count == 0) {
+    return refuse("no worker yet", spread_return(e, now));
+  }
+  std::string never = never_fits(*e, group);
+  if (never.empty()) never = never_in_quota(team, group);
+  if (!never.empty()) return refuse(never, milliseconds(0));
+  return check_limits(e, team, group, now);
+}
+
+void add_waiting(engine* e, std::uint32_t job, const task_group& group) {
+  job_state& j = e->jobs[job];
+  std::size_t before = j.waiting.size();
+  // The next task is taken from the back.
+  for (std::size_t i = group.tasks.size(); i > 0; --i) {
+    std::uint32_t task = group.tasks[i - 1];
+    const bool is_repeated =
+        before > 0 &&
+        std::find(j.waiting.begin(), j.waiting.end(), task) != j.waiting.end();
+    if (is_repeated || find_running(*e, job, task) != kNone) continue;
+    j.waiting.push_back(task);
+  }
+  const std::size_t added = j.waiting.size() - before;
+  e->waiting_count += added;
+  e->class_waiting[static_cast<std::size_t>(j.kind)] += added;
+  e->teams[j.team].waiting += added;
+  if (j.queue != kNone) {
+    e->queues[j.queue].tasks += added;
+  } else if (added > 0) {
+    link_job(e, job);
+  }
+}
+
+std::uint32_t make_waiting_job(engine* e, const task_group& group) {
+  std::uint32_t job = make_job(e, group.id);
+  job_state& j = e->jobs[job];
+  j.team = intern_team(e, group.team);
+  j.kind = group.kind;
+  j.idempotent = group.idempotent;
+  j.per_task = group.per_task;
+  j.expected_runtime = group.expected_runtime;
+  j.deadline = group.deadline;
+  j.submitted = group.submitted;
+  return job;
+}
+
+// Lets a class that may preempt look again: more of its tasks wait now.
+void reconsider_preemption(engine* e, std::uint32_t job) {
+  const std::uint32_t queue = e->jobs[job].queue;
+  if (queue == kNone) return;
+  queue_state& q = e->queues[queue];
+  if (q.blocked != block_reason::room) return;
+  if (!class_policy_of(*e, q.kind).may_preempt) return;
+  q.blocked = block_reason::none;
+  update_queue(e, queue);
+}
+
+}  // namespace
+
+milliseconds spread_return(engine* e, steady_time now) {
+  const double rate = std::max(kLeastRate, e->starts_per_second);
+  const std::chrono::duration<double> step(1.0 / rate);
+  e->next_return = std::max(e->next_return, now + kLeastReturn);
+  e->next_return += std::chrono::duration_cast<steady_time::duration>(step);
+  e->next_return = std::min(e->next_return, now + kMostReturn);
+  milliseconds wait =
+      std::chrono::duration_cast<milliseconds>(e->next_return - now);
+  // A fifth more or less, so that callers told the same spread out.
+  const std::int64_t fifth = wait.count() / 5;
+  const std::uint32_t range = static_cast<std::uint32_t>(2 * fifth + 1);
+  return wait + milliseconds(e->random.below(range)) - milliseconds(fifth);
+}
+
+void count_starts(engine* e, std::size_t starts, steady_time now) {
+  e->starts_counted += starts;
+  steady_time::duration span = now - e->rate_since;
+  if (span < kRateWindow) return;
+  const double seconds = std::chrono::duration<double>(span).count();
+  const double rate = static_cast<double>(e->starts_counted) / seconds;
+  e->starts_per_second += kNewRateShare * (rate - e->starts_per_second);
+  e->starts_counted = 0;
+  e->rate_since = now;
+}
+
+admission enqueue(engine& e, const task_group& group, steady_time now) {
+  e.now = std::max(e.now, now);
+  std::uint32_t job = find_job(e, group.id);
+  if (job == kNone) {
+    admission answer = check(&e, group, now);
+    if (!answer.accepted || group.tasks.empty()) return answer;
+    job = make_waiting_job(&e, group);
+  }
+  add_waiting(&e, job, group);
+  reconsider_preemption(&e, job);
+  return {};
+}
+
+}  // namespace ebonygrade::place
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -100,6 +100,11 @@
 // Puts a bundle in force; waiting and running tasks are kept.
 void apply_policy(engine& engine, const bundle::policy& policy);
 
+// The part of each quota that this engine gives out, from 0 to 1: quotas are
+// for the cell, and the engine sees only its own workers. A task larger than
+// that part is started while its team uses nothing here. 1 at first.
+void set_quota_share(engine& engine, double share);
+
 // Workers come and go with their shards. Removing a worker forgets the tasks
 // that hold room there. A leaving worker is given nothing new.
 void add_worker(engine& engine, const worker_spec& worker);
@@ -120,7 +125,8 @@
 void report_usage(engine& engine, std::string_view id, std::uint32_t task_index,
                   const job::resources& used);
 
-// Decides up to `most` starts.
+// Decides up to `most` starts. A gang's starts are all in one result, even if
+// it alone has more tasks than `most`.
 decisions decide(engine& engine, steady_time now, std::size_t most);
 
 // Totals for summaries and metrics.
--- /dev/null
+++ b/src/place/queues.cpp
@@ -0,0 +1,256 @@
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "place/engine_pvt.h"
+
+namespace ebonygrade::place {
+
+namespace {
+
+constexpr milliseconds kLevelRefresh{250};
+// Steps from the tail to an older job's place in its queue; further ahead it
+// goes to the head.
+constexpr int kMaxQueueWalk = 64;
+
+std::int32_t level_of(const engine& e, const queue_state& q) {
+  const bundle::class_policy& policy = class_policy_of(e, q.kind);
+  steady_time::duration waited = e.now - e.jobs[q.head].submitted;
+  std::int64_t raised = std::max<std::int64_t>(0, waited / policy.ageing);
+  return policy.priority + static_cast<std::int32_t>(raised);
+}
+
+std::uint32_t make_queue(engine* e, const shape& key) {
+  auto [found, inserted] = e->queue_by_shape.try_emplace(key, kNone);
+  if (!inserted) return found->second;
+  std::uint32_t queue;
+  if (e->free_queues.empty()) {
+    queue = static_cast<std::uint32_t>(e->queues.size());
+    e->queues.emplace_back();
+  } else {
+    queue = e->free_queues.back();
+    e->free_queues.pop_back();
+  }
+  found->second = queue;
+  queue_state& q = e->queues[queue];
+  // The slot may still be listed as blocked from its earlier use.
+  const bool is_listed = q.is_listed;
+  q = queue_state{};
+  q.is_listed = is_listed;
+  q.team = key.team;
+  q.kind = key.kind;
+  q.need = key.need;
+  return queue;
+}
+
+void free_queue(engine* e, std::uint32_t queue) {
+  queue_state& q = e->queues[queue];
+  e->teams[q.team].queues.erase(e->queue_positions, queue);
+  e->queue_by_shape.erase(shape{q.team, q.kind, q.need});
+  q.blocked = block_reason::none;
+  e->free_queues.push_back(queue);
+  update_ready(e, q.team);
+}
+
+// Links the job before `at`; kNone: at the tail.
+void link_before(engine* e, queue_state* q, std::uint32_t job,
+                 std::uint32_t at) {
+  job_state& j = e->jobs[job];
+  j.next = at;
+  j.previous = at == kNone ? q->tail : e->jobs[at].previous;
+  if (j.previous == kNone) {
+    q->head = job;
+  } else {
+    e->jobs[j.previous].next = job;
+  }
+  if (at == kNone) {
+    q->tail = job;
+  } else {
+    e->jobs[at].previous = job;
+  }
+}
+
+// The job before which one submitted at `submitted` belongs.
+std::uint32_t find_place(const engine& e, const queue_state& q,
+                         steady_time submitted) {
+  std::uint32_t at = kNone;
+  std::uint32_t before = q.tail;
+  for (int i = 0; i < kMaxQueueWalk; ++i) {
+    if (before == kNone || e.jobs[before].submitted <= submitted) return at;
+    at = before;
+    before = e.jobs[before].previous;
+  }
+  return q.head;
+}
+
+bool may_be_ready(const engine& e, const queue_state& q) {
+  switch (q.blocked) {
+    case block_reason::none:
+      return true;
+    case block_reason::room:
+      return e.any_given_back && job::fits(q.need, e.given_back);
+    case block_reason::quota:
+      return e.teams[q.team].has_quota_blocked == false;
+    case block_reason::pause:
+      return e.now >= q.retry_at;
+  }
+  return true;
+}
+
+}  // namespace
+
+std::size_t shape_hash::operator()(const shape& value) const {
+  const std::uint32_t words[] = {
+      value.team,
+      static_cast<std::uint32_t>(value.kind),
+      static_cast<std::uint32_t>(value.need.millicores),
+      static_cast<std::uint32_t>(value.need.memory_mb),
+      static_cast<std::uint32_t>(value.need.accelerators),
+      static_cast<std::uint32_t>(value.need.slots)};
+  return XXH3_64bits(words, sizeof words);
+}
+
+std::uint32_t find_job(const engine& e, std::string_view id) {
+  auto found = e.job_by_id.find(id);
+  return found == e.job_by_id.end() ? kNone : found->second;
+}
+
+std::uint32_t make_job(engine* e, std::string_view id) {
+  std::uint32_t job;
+  if (e->free_jobs.empty()) {
+    job = static_cast<std::uint32_t>(e->jobs.size());
+    e->jobs.emplace_back();
+  } else {
+    job = e->free_jobs.back();
+    e->free_jobs.pop_back();
+  }
+  job_state& j = e->jobs[job];
+  j = job_state{};
+  j.id = id;
+  auto paid = e->preempted_jobs.find(j.id);
+  if (paid != e->preempted_jobs.end()) j.preemptions = paid->second;
+  e->job_by_id.emplace(j.id, job);
+  return job;
+}
+
+void free_job_if_done(engine* e, std::uint32_t job) {
+  job_state& j = e->jobs[job];
+  if (j.queue != kNone || j.running > 0) return;
+  e->job_by_id.erase(j.id);
+  e->free_jobs.push_back(job);
+}
+
+void update_queue(engine* e, std::uint32_t queue) {
+  queue_state& q = e->queues[queue];
+  q.level = level_of(*e, q);
+  if (q.blocked == block_reason::none) {
+    queue_key key{q.level, e->jobs[q.head].submitted};
+    e->teams[q.team].queues.update(e->queue_positions, queue, key);
+  }
+  update_ready(e, q.team);
+}
+
+void link_job(engine* e, std::uint32_t job) {
+  job_state& j = e->jobs[job];
+  j.queue = make_queue(e, shape{j.team, j.kind, j.per_task});
+  queue_state& q = e->queues[j.queue];
+  link_before(e, &q, job, find_place(*e, q, j.submitted));
+  q.tasks += j.waiting.size();
+  if (j.deadline != steady_time::max()) {
+    e->deadlines.update(e->deadline_positions, job, j.deadline);
+  }
+  if (q.head != job) return;
+  // A gang's size differs from that of the head before it.
+  if (q.kind == job::job_class::gang) q.blocked = block_reason::none;
+  update_queue(e, j.queue);
+}
+
+void unlink_job(engine* e, std::uint32_t job) {
+  job_state& j = e->jobs[job];
+  const std::uint32_t queue = j.queue;
+  queue_state& q = e->queues[queue];
+  const bool was_head = q.head == job;
+  if (j.previous == kNone) {
+    q.head = j.next;
+  } else {
+    e->jobs[j.previous].next = j.next;
+  }
+  if (j.next == kNone) {
+    q.tail = j.previous;
+  } else {
+    e->jobs[j.next].previous = j.previous;
+  }
+  j.queue = j.previous = j.next = kNone;
+  e->deadlines.erase(e->deadline_positions, job);
+  if (e->held.job == job) release_reservation(e);
+  if (!e->failed_holds.empty()) e->failed_holds.erase(j.id);
+  if (q.head == kNone) {
+    free_queue(e, queue);
+  } else if (was_head) {
+    if (q.kind == job::job_class::gang) q.blocked = block_reason::none;
+    update_queue(e, queue);
+  }
+}
+
+std::size_t drop_waiting(engine* e, std::uint32_t job) {
+  job_state& j = e->jobs[job];
+  if (j.queue == kNone) return 0;
+  const std::size_t count = j.waiting.size();
+  e->waiting_count -= count;
+  e->class_waiting[static_cast<std::size_t>(j.kind)] -= count;
+  e->teams[j.team].waiting -= count;
+  e->queues[j.queue].tasks -= count;
+  j.waiting.clear();
+  unlink_job(e, job);
+  free_job_if_done(e, job);
+  return count;
+}
+
+void block_queue(engine* e, std::uint32_t queue, block_reason reason) {
+  queue_state& q = e->queues[queue];
+  q.blocked = reason;
+  team_state& team = e->teams[q.team];
+  team.queues.erase(e->queue_positions, queue);
+  if (reason == block_reason::quota) team.has_quota_blocked = true;
+  if (!q.is_listed) {
+    q.is_listed = true;
+    e->blocked_queues.push_back(queue);
+  }
+  update_ready(e, q.team);
+}
+
+void unblock_queues(engine* e) {
+  std::size_t kept = 0;
+  for (std::uint32_t queue : e->blocked_queues) {
+    queue_state& q = e->queues[queue];
+    const bool is_blocked = q.head != kNone && q.blocked != block_reason::none;
+    if (is_blocked && !e->unblock_all && !may_be_ready(*e, q)) {
+      e->blocked_queues[kept++] = queue;
+      continue;
+    }
+    q.is_listed = false;
+    q.blocked = block_reason::none;
+    if (q.head != kNone) update_queue(e, queue);
+  }
+  e->blocked_queues.resize(kept);
+  e->unblock_all = false;
+  e->any_given_back = false;
+  e->given_back = job::resources{};
+}
+
+void refresh_levels(engine* e, bool force) {
+  if (!force && e->now < e->next_level_refresh) return;
+  e->next_level_refresh = e->now + kLevelRefresh;
+  for (std::uint32_t queue = 0; queue < e->queues.size(); ++queue) {
+    const queue_state& q = e->queues[queue];
+    if (q.head == kNone) continue;
+    if (level_of(*e, q) != q.level || force) update_queue(e, queue);
+  }
+}
+
+std::size_t withdraw(engine& e, std::string_view id) {
+  std::uint32_t job = find_job(e, id);
+  return job == kNone ? 0 : drop_waiting(&e, job);
+}
+
+}  // namespace ebonygrade::place
