Add membership from the VM list, heartbeats and rumours

Cause: every daemon needs to know who exists, who is alive and where room is, for less than 2 KB/s also with 200 daemons. Change: pure step functions. The list says who exists, heartbeats between neighbours say who is alive, rumours carry what others may not know. Full mesh in regions of up to 6 daemons; beyond, six neighbours on three hash rings; two border daemons a region speak to other regions. Time runs on the daemon's own running time, so a pause makes nobody silent.

--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,242 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "membership/membership_pvt.h"
+#include "membership/neighbours.h"
+
+namespace ebonygrade::membership {
+
+namespace {
+
+constexpr std::size_t kMaxGuests = 32;  // Neighbours by the others' choice.
+
+std::string region_of(const state& state, const std::string& zone) {
+  for (const zone_place& each : state.settings.zones) {
+    if (each.zone == zone) return each.region;
+  }
+  return {};
+}
+
+std::vector<std::string> listed_in(const state& state,
+                                   const std::string& region, bool only_live) {
+  std::vector<std::string> ids;
+  if (region == state.settings.region && state.self_listed) {
+    ids.push_back(state.settings.self);
+  }
+  for (const auto& [id, daemon] : state.daemons) {
+    if (!daemon.listed || daemon.region != region) continue;
+    if (only_live && (daemon.silent_since || daemon.leaving)) continue;
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+std::set<std::string> all_regions(const state& state) {
+  std::set<std::string> regions;
+  for (const zone_place& each : state.settings.zones) {
+    regions.insert(each.region);
+  }
+  return regions;
+}
+
+// Heard of late, so it counts this daemon among its neighbours.
+bool is_guest(const state& state, const daemon_state& daemon) {
+  if (!daemon.last_direct) return false;
+  return state.running - *daemon.last_direct < 2 * state.settings.silence_limit;
+}
+
+void set_neighbour(state& state, daemon_state& daemon, bool neighbour) {
+  if (neighbour && !daemon.neighbour) daemon.neighbour_since = state.running;
+  daemon.neighbour = neighbour;
+}
+
+void add_borders(const state& state, std::set<std::string>* chosen) {
+  for (const std::string& region : all_regions(state)) {
+    if (region == state.settings.region) continue;
+    std::vector<std::string> borders =
+        border_daemons(listed_in(state, region, true), state.settings.borders);
+    chosen->insert(borders.begin(), borders.end());
+  }
+}
+
+bool is_border(const state& state) {
+  std::vector<std::string> borders = border_daemons(
+      listed_in(state, state.settings.region, true), state.settings.borders);
+  return std::find(borders.begin(), borders.end(), state.settings.self) !=
+         borders.end();
+}
+
+// Start of the time for which the daemon has shown no sign of life.
+running_time quiet_since(const state& state, const daemon_state& daemon) {
+  return std::max({daemon.last_sign, daemon.neighbour_since, state.resumed_at});
+}
+
+void judge_silence(state& state) {
+  for (auto& [id, daemon] : state.daemons) {
+    bool judged_here = daemon.neighbour && daemon.listed &&
+                       daemon.region == state.settings.region;
+    if (!judged_here || daemon.silent_since) continue;
+    running_time since = quiet_since(state, daemon);
+    milliseconds limit =
+        std::max(state.settings.silence_limit, daemon.patience);
+    if (state.running - since < limit) continue;
+    daemon.silent_since = since;
+    spread(state, daemon);
+  }
+}
+
+void forget_unlisted(state& state) {
+  std::erase_if(state.daemons, [&](const auto& entry) {
+    const daemon_state& daemon = entry.second;
+    return !daemon.listed && state.running - quiet_since(state, daemon) >=
+                                 state.settings.silence_limit;
+  });
+}
+
+void advance_time(state& state, steady_time now) {
+  milliseconds gap =
+      std::chrono::duration_cast<milliseconds>(now - state.last_tick);
+  state.last_tick += gap;
+  state.running += std::min(gap, state.settings.pause_gap);
+  if (gap > state.settings.pause_gap) state.resumed_at = state.running;
+}
+
+wire::heartbeat make_heartbeat(const state& state,
+                               const std::vector<wire::rumour>& rumours) {
+  wire::heartbeat heartbeat;
+  heartbeat.set_sequence(state.sequence);
+  heartbeat.set_claims_offset(state.local.claims_offset);
+  heartbeat.set_bundle_roll(state.local.bundle_roll);
+  heartbeat.set_leaving(state.local.leaving || state.self_list_leaving);
+  *heartbeat.mutable_room() = state.local.room;
+  for (const wire::rumour& each : rumours) *heartbeat.add_rumours() = each;
+  return heartbeat;
+}
+
+void add_outgoing(const state& state, bool cross_region,
+                  const wire::heartbeat& heartbeat,
+                  std::vector<outgoing>* messages) {
+  for (const auto& [id, daemon] : state.daemons) {
+    if (!daemon.neighbour || daemon.vm.peer_address().empty()) continue;
+    bool crosses = daemon.region != state.settings.region;
+    if (crosses == cross_region) messages->push_back({id, heartbeat});
+  }
+}
+
+void take_vm(state& state, const wire::daemon_vm& vm) {
+  if (vm.id() == state.settings.self) {
+    state.self_listed = true;
+    state.self_was_listed = true;
+    state.self_list_leaving = vm.state() == wire::leaving;
+    return;
+  }
+  bool known = state.daemons.count(vm.id()) > 0;
+  if (!known && state.daemons.size() >= state.settings.max_daemons) return;
+  daemon_state& daemon = state.daemons[vm.id()];
+  daemon.vm = vm;
+  daemon.region = region_of(state, vm.zone());
+  daemon.listed = true;
+}
+
+}  // namespace
+
+state make_state(options settings, steady_time now) {
+  state made;
+  made.settings = std::move(settings);
+  made.last_tick = now;
+  made.resumed_at = -made.settings.silence_limit;
+  made.last_beat = -made.settings.heartbeat_interval;
+  made.last_cross_beat = -made.settings.cross_region_interval;
+  return made;
+}
+
+void set_local(state& state, local_status local) {
+  state.local = std::move(local);
+}
+
+void apply_list(state& state, const wire::vm_list& list) {
+  if (list.daemons_size() == 0) return;
+  if (state.list_read && list.version() < state.list_version) return;
+  state.list_read = true;
+  state.list_version = list.version();
+  state.self_listed = false;
+  for (auto& [id, daemon] : state.daemons) daemon.listed = false;
+  for (const wire::daemon_vm& vm : list.daemons()) take_vm(state, vm);
+  if (!state.self_listed) state.self_list_leaving = state.self_was_listed;
+  refresh_neighbours(state);
+}
+
+void refresh_neighbours(state& state) {
+  std::set<std::string> chosen = ring_neighbours(
+      state.settings.self, listed_in(state, state.settings.region, false),
+      state.settings.full_mesh_limit, state.settings.rings);
+  state.border = is_border(state);
+  if (state.border) add_borders(state, &chosen);
+  std::size_t guests = 0;
+  for (auto& [id, daemon] : state.daemons) {
+    bool neighbour = chosen.count(id) > 0;
+    if (!neighbour && is_guest(state, daemon) && guests < kMaxGuests) {
+      neighbour = true;
+      ++guests;
+    }
+    set_neighbour(state, daemon, neighbour);
+  }
+}
+
+void apply_heartbeat(state& state, const wire::envelope& message) {
+  const std::string& id = message.from();
+  if (id.empty() || id == state.settings.self) return;
+  bool known = state.daemons.count(id) > 0;
+  if (!known && state.daemons.size() >= state.settings.max_daemons) return;
+  daemon_state& daemon = state.daemons[id];
+  const wire::heartbeat& heartbeat = message.heartbeat();
+  if (message.incarnation() < daemon.incarnation) return;
+  bool same_run = message.incarnation() == daemon.incarnation;
+  if (same_run && heartbeat.sequence() <= daemon.direct_sequence) return;
+  if (!same_run || heartbeat.sequence() > daemon.sequence) {
+    note_sign(state, daemon, message.incarnation(), heartbeat.sequence());
+    daemon.patience = milliseconds(0);
+  }
+  daemon.direct_sequence = heartbeat.sequence();
+  daemon.last_direct = state.running;
+  daemon.claims_offset = heartbeat.claims_offset();
+  daemon.bundle_roll = heartbeat.bundle_roll();
+  daemon.room = heartbeat.room();
+  daemon.region_room = heartbeat.region_room();
+  if (heartbeat.leaving() && !daemon.leaving) {
+    daemon.leaving = true;
+    spread(state, daemon);
+  }
+  for (const wire::rumour& each : heartbeat.rumours()) {
+    apply_rumour(state, each);
+  }
+}
+
+std::vector<outgoing> tick(state& state, steady_time now) {
+  advance_time(state, now);
+  judge_silence(state);
+  forget_unlisted(state);
+  const options& settings = state.settings;
+  milliseconds quiet = state.running - state.last_beat;
+  bool early = state.news && quiet >= settings.news_interval;
+  if (!early && quiet < settings.heartbeat_interval) return {};
+  state.last_beat = state.running;
+  refresh_neighbours(state);
+  ++state.sequence;
+  std::vector<wire::rumour> rumours = take_rumours(state);
+  std::vector<outgoing> messages;
+  wire::heartbeat heartbeat = make_heartbeat(state, rumours);
+  add_outgoing(state, false, heartbeat, &messages);
+  milliseconds cross_quiet = state.running - state.last_cross_beat;
+  if (early || cross_quiet >= settings.cross_region_interval) {
+    state.last_cross_beat = state.running;
+    *heartbeat.mutable_region_room() = estimate_region_room(state);
+    add_outgoing(state, true, heartbeat, &messages);
+  }
+  return messages;
+}
+
+}  // namespace ebonygrade::membership
--- /dev/null
+++ b/src/membership/membership_test.cpp
@@ -0,0 +1,181 @@
+#include "membership/membership.h"
+
+#include <catch2/catch.hpp>
+
+#include "membership/mesh_test.h"
+
+namespace membership = ebonygrade::membership;
+using ebonygrade::clock::milliseconds;
+using membership::mesh;
+
+namespace {
+
+const std::vector<membership::zone_place>& zones() {
+  static const std::vector<membership::zone_place> value{
+      {"sofia-a", "sofia"}, {"sofia-b", "sofia"}, {"plovdiv-a", "plovdiv"}};
+  return value;
+}
+
+// `sofia` daemons s0.. and `plovdiv` daemons p0.., all listed and started.
+mesh make_cell(int sofia, int plovdiv) {
+  mesh cell(zones());
+  for (int i = 0; i < sofia; ++i) {
+    std::string id = "s" + std::to_string(i);
+    cell.start(id, "sofia");
+    cell.list(id, i % 2 == 0 ? "sofia-a" : "sofia-b");
+  }
+  for (int i = 0; i < plovdiv; ++i) {
+    std::string id = "p" + std::to_string(i);
+    cell.start(id, "plovdiv");
+    cell.list(id, "plovdiv-a");
+  }
+  cell.publish();
+  return cell;
+}
+
+bool everyone_sees(
+    mesh& cell, const std::string& id,
+    const std::function<bool(const ebonygrade::ownership::member&)>& holds) {
+  bool all = true;
+  for (auto& [observer, node] : cell.nodes()) {
+    if (observer == id || !node.running) continue;
+    all = all && holds(cell.seen(observer, id));
+  }
+  return all;
+}
+
+bool is_alive(const ebonygrade::ownership::member& member) {
+  return member.silent_for == milliseconds(0) &&
+         member.alive_for > milliseconds(0);
+}
+
+bool is_silent(const ebonygrade::ownership::member& member) {
+  return member.silent_for >= milliseconds(2000);
+}
+
+}  // namespace
+
+TEST_CASE("daemons that run are alive for each other, over both regions") {
+  for (int size : {3, 9, 40}) {
+    mesh cell = make_cell(size, 3);
+    cell.run(milliseconds(60000));
+    for (auto& [id, node] : cell.nodes()) {
+      CHECK(membership::members(node.membership).size() == cell.nodes().size());
+      CHECK(everyone_sees(cell, id, is_alive));
+    }
+  }
+}
+
+TEST_CASE("a dead daemon is silent for everyone soon after the limit") {
+  for (int size : {3, 9, 40}) {
+    mesh cell = make_cell(size, 3);
+    cell.run(milliseconds(60000));
+    cell.at("s1").running = false;
+    cell.run(milliseconds(5000));
+    CHECK(everyone_sees(cell, "s1", is_silent));
+    CHECK(cell.seen("s0", "s1").alive_for == milliseconds(0));
+    CHECK(everyone_sees(cell, "s2", is_alive));
+  }
+}
+
+TEST_CASE("a daemon on the list that never ran becomes silent") {
+  mesh cell = make_cell(9, 3);
+  cell.list("ghost", "sofia-a");
+  cell.publish();
+  cell.run(milliseconds(1000));
+  CHECK(cell.seen("s0", "ghost").alive_for == milliseconds(0));
+  cell.run(milliseconds(4000));
+  CHECK(everyone_sees(cell, "ghost", is_silent));
+}
+
+TEST_CASE("a daemon off the list but still heard is a leaving member") {
+  mesh cell = make_cell(3, 0);
+  cell.run(milliseconds(5000));
+  cell.unlist("s1");
+  cell.publish();
+  cell.run(milliseconds(5000));
+  CHECK(cell.seen("s0", "s1").id == "s1");
+  CHECK(cell.seen("s0", "s1").leaving);
+  CHECK(cell.seen("s1", "s1").leaving);
+  cell.at("s1").running = false;
+  cell.run(milliseconds(5000));
+  CHECK(cell.seen("s0", "s1").id.empty());
+}
+
+TEST_CASE("a daemon that is heard but not listed yet is no member") {
+  mesh cell = make_cell(3, 0);
+  cell.start("s9", "sofia");
+  cell.list("s9", "sofia-a");
+  cell.publish("s9");  // The others' list lags.
+  cell.run(milliseconds(3000));
+  CHECK(cell.seen("s0", "s9").id.empty());
+  cell.publish();
+  cell.run(milliseconds(3000));
+  CHECK(is_alive(cell.seen("s0", "s9")));
+}
+
+TEST_CASE("a new incarnation under an old id starts its life anew") {
+  mesh cell = make_cell(9, 0);
+  cell.run(milliseconds(60000));
+  CHECK(cell.seen("s0", "s1").alive_for > milliseconds(50000));
+  cell.start("s1", "sofia");
+  cell.publish("s1");
+  cell.run(milliseconds(3000));
+  CHECK(everyone_sees(cell, "s1", [](const auto& member) {
+    return is_alive(member) && member.alive_for < milliseconds(3001);
+  }));
+}
+
+TEST_CASE("leaving is told to daemons that aren't neighbours") {
+  mesh cell = make_cell(40, 3);
+  cell.run(milliseconds(5000));
+  membership::local_status status;
+  status.leaving = true;
+  membership::set_local(cell.at("s1").membership, status);
+  cell.run(milliseconds(4000));
+  CHECK(everyone_sees(cell, "s1",
+                      [](const auto& member) { return member.leaving; }));
+}
+
+TEST_CASE("an older list and an empty one are ignored") {
+  mesh cell = make_cell(3, 0);
+  ebonygrade::wire::vm_list empty;
+  empty.set_version(1000);
+  membership::apply_list(cell.at("s0").membership, empty);
+  CHECK(membership::members(cell.at("s0").membership).size() == 3);
+  ebonygrade::wire::vm_list old;
+  old.set_version(0);
+  old.add_daemons()->set_id("s7");
+  membership::apply_list(cell.at("s0").membership, old);
+  CHECK(membership::members(cell.at("s0").membership).size() == 3);
+}
+
+TEST_CASE("the neighbour with the latest bundle roll is named") {
+  mesh cell = make_cell(3, 0);
+  membership::local_status status;
+  status.bundle_roll = 7;
+  membership::set_local(cell.at("s1").membership, status);
+  cell.run(milliseconds(3000));
+  CHECK(membership::later_bundle(cell.at("s0").membership) == "s1");
+  CHECK_FALSE(membership::later_bundle(cell.at("s1").membership));
+}
+
+TEST_CASE("rooms carry their age, other regions come as an estimate") {
+  mesh cell = make_cell(3, 3);
+  membership::local_status status;
+  status.room.mutable_free()->set_slots(10);
+  for (auto& [id, node] : cell.nodes()) {
+    membership::set_local(node.membership, status);
+  }
+  cell.run(milliseconds(10000));
+  int whole_regions = 0;
+  for (auto& [id, node] : cell.nodes()) {
+    for (const membership::room_view& view :
+         membership::rooms(node.membership)) {
+      CHECK(view.age <= milliseconds(2000));
+      CHECK(view.room.free().slots() == (view.whole_region ? 30 : 10));
+      whole_regions += view.whole_region ? 1 : 0;
+    }
+  }
+  CHECK(whole_regions == 8);  // Two borders hear two, in both regions.
+}
