Add routing to the home shard, overflow and retry budgets

Cause: a request may enter anywhere, and a home without room should know where room is. Change: free functions. to_home forwards once at most; overflow draws two of the nearest daemons whose summarised room fits and takes the roomier, counting own offers since the summary; retry_budget is a token bucket a link.

--- /dev/null
+++ b/src/routing/routing_test.cpp
@@ -0,0 +1,187 @@
+#include "routing/routing.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace routing = ebonygrade::routing;
+namespace job = ebonygrade::job;
+namespace membership = ebonygrade::membership;
+namespace ownership = ebonygrade::ownership;
+using ebonygrade::clock::milliseconds;
+using ebonygrade::clock::steady_time;
+
+namespace {
+
+constexpr steady_time kNow{std::chrono::hours(1)};
+constexpr milliseconds kSilence{2000};
+
+// Two regions with four shards; sofia's are owned by "a", but shard 3.
+ownership::claim_table make_claims() {
+  ownership::claim_table claims;
+  claims.regions = {"sofia", "plovdiv"};
+  claims.shards.assign(2, std::vector<ownership::claim_state>(4));
+  for (int shard = 0; shard < 3; ++shard) {
+    claims.shards[0][shard].epoch = 10 + shard;
+    claims.shards[0][shard].owner = "a";
+  }
+  return claims;
+}
+
+std::vector<ownership::member> make_members(milliseconds silence_of_a) {
+  std::vector<ownership::member> members(2);
+  members[0].id = "a";
+  members[0].silent_for = silence_of_a;
+  members[1].id = "b";
+  return members;
+}
+
+routing::decision route(const std::string& self, job::shard_id home,
+                        std::uint32_t hops,
+                        milliseconds silence = milliseconds(0)) {
+  return routing::to_home(make_claims(), home, self, hops,
+                          make_members(silence), kSilence);
+}
+
+membership::room_view make_room(const std::string& id, const std::string& zone,
+                                const std::string& region, int slots) {
+  membership::room_view view;
+  view.id = id;
+  view.zone = zone;
+  view.region = region;
+  view.room.mutable_free()->set_slots(slots);
+  view.room.mutable_largest_free()->set_slots(std::min(slots, 8));
+  return view;
+}
+
+routing::overflow_options make_options() {
+  routing::overflow_options options;
+  options.self = "a";
+  options.zone = "sofia-a";
+  options.region = "sofia";
+  return options;
+}
+
+routing::need slots_needed(std::uint32_t tasks) {
+  routing::need wanted;
+  wanted.per_task.slots = 1;
+  wanted.task_count = tasks;
+  return wanted;
+}
+
+}  // namespace
+
+TEST_CASE("the home is a shard of the wished or the entry region") {
+  ownership::claim_table claims = make_claims();
+  CHECK(routing::home_shard("x", "", "sofia", claims)->region == 0);
+  CHECK(routing::home_shard("x", "plovdiv", "sofia", claims)->region == 1);
+  CHECK(routing::home_shard("x", "", "sofia", claims)->shard ==
+        job::shard_of("x", 4));
+  ebonygrade::error::result<job::shard_id> unknown =
+      routing::home_shard("x", "varna", "sofia", claims);
+  REQUIRE(unknown.has_error());
+  CHECK(unknown.error().detail == "region: unknown: varna");
+}
+
+TEST_CASE("a request is served, forwarded once, or handed back") {
+  CHECK(route("a", {0, 0}, 0).what == routing::verdict::serve);
+  CHECK(route("a", {0, 0}, 1).what == routing::verdict::serve);
+  routing::decision forwarded = route("b", {0, 0}, 0);
+  CHECK(forwarded.what == routing::verdict::forward);
+  CHECK(forwarded.to == "a");
+  CHECK(route("b", {0, 0}, 1).what == routing::verdict::hand_back);
+}
+
+TEST_CASE("without an owner, or with a silent one, a request waits") {
+  CHECK(route("b", {0, 3}, 0).what == routing::verdict::wait);
+  CHECK(route("b", {0, 0}, 0, kSilence).what == routing::verdict::wait);
+  CHECK(route("b", {7, 0}, 0).what == routing::verdict::wait);
+  CHECK(route("b", {0, 9}, 1).what == routing::verdict::hand_back);
+}
+
+TEST_CASE("no request is forwarded more than once, whatever daemons believe") {
+  std::mt19937_64 random(11);
+  const std::vector<std::string> ids{"a", "b", "c", "d"};
+  std::vector<ownership::member> members(4);
+  for (int i = 0; i < 4; ++i) members[i].id = ids[i];
+  for (int round = 0; round < 10000; ++round) {
+    std::size_t at = random() % 4;
+    std::uint32_t hops = 0;
+    while (true) {
+      ownership::claim_table claims = make_claims();
+      claims.shards[0][0].owner = ids[random() % 4];
+      routing::decision next =
+          routing::to_home(claims, {0, 0}, ids[at], hops, members, kSilence);
+      if (next.what != routing::verdict::forward) break;
+      ++hops;
+      at = std::find(ids.begin(), ids.end(), next.to) - ids.begin();
+    }
+    REQUIRE(hops <= routing::kMaxHops);
+  }
+}
+
+TEST_CASE("overflow goes to the nearest daemons with room") {
+  routing::overflow_state state = routing::make_overflow(make_options(), 1);
+  std::vector<membership::room_view> rooms{
+      make_room("near", "sofia-a", "sofia", 4),
+      make_room("region", "sofia-b", "sofia", 100),
+      make_room("far", "plovdiv-a", "plovdiv", 1000)};
+  CHECK(routing::overflow(state, slots_needed(1), rooms, {}, kNow) == "near");
+  CHECK(routing::overflow(state, slots_needed(1), rooms, {"near"}, kNow) ==
+        "region");
+  CHECK_FALSE(routing::overflow(state, slots_needed(1), rooms,
+                                {"near", "region"}, kNow));
+  state.settings.other_regions = true;
+  CHECK(routing::overflow(state, slots_needed(1), rooms, {"near", "region"},
+                          kNow) == "far");
+}
+
+TEST_CASE("offers since a summary count against its room") {
+  routing::overflow_state state = routing::make_overflow(make_options(), 1);
+  std::vector<membership::room_view> rooms{
+      make_room("near", "sofia-a", "sofia", 2)};
+  CHECK(routing::overflow(state, slots_needed(2), rooms, {}, kNow));
+  CHECK_FALSE(routing::overflow(state, slots_needed(1), rooms, {}, kNow));
+  steady_time later = kNow + milliseconds(500);
+  CHECK(routing::overflow(state, slots_needed(1), rooms, {}, later));
+}
+
+TEST_CASE("a gang goes only where all of it fits, old summaries don't count") {
+  routing::overflow_state state = routing::make_overflow(make_options(), 1);
+  std::vector<membership::room_view> rooms{
+      make_room("small", "sofia-a", "sofia", 4),
+      make_room("large", "sofia-b", "sofia", 40)};
+  routing::need gang = slots_needed(10);
+  gang.all_at_once = true;
+  CHECK(routing::overflow(state, gang, rooms, {}, kNow) == "large");
+  for (membership::room_view& each : rooms) each.age = milliseconds(6000);
+  CHECK_FALSE(routing::overflow(state, slots_needed(1), rooms, {}, kNow));
+}
+
+TEST_CASE("the choice is the same for the same seed") {
+  std::vector<membership::room_view> rooms;
+  for (int i = 0; i < 9; ++i) {
+    rooms.push_back(
+        make_room("vm-" + std::to_string(i), "sofia-a", "sofia", 50 + i));
+  }
+  routing::overflow_state one = routing::make_overflow(make_options(), 5);
+  routing::overflow_state two = routing::make_overflow(make_options(), 5);
+  for (int i = 0; i < 100; ++i) {
+    CHECK(routing::overflow(one, slots_needed(1), rooms, {}, kNow) ==
+          routing::overflow(two, slots_needed(1), rooms, {}, kNow));
+  }
+}
+
+TEST_CASE("retries are bounded to a share of the first tries") {
+  routing::retry_options options;
+  routing::retry_budget budget;
+  budget.filled_at = kNow;
+  int retries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    routing::count_first_try(budget, options);
+    while (routing::try_retry(budget, options, kNow)) ++retries;
+  }
+  CHECK(retries <= 110);
+  CHECK(retries >= 100);
+  CHECK_FALSE(routing::try_retry(budget, options, kNow));
+  CHECK(routing::try_retry(budget, options, kNow + milliseconds(4000)));
+}
