Bound the unread bytes of a link and probe it where requests flow

Cause: a queue bounded in messages may still hold a gigabyte, and a link that carries requests but no heartbeats from the core was never judged silent. A malformed address on the VM list threw out of the link. Change: heartbeats and probes are marks in the stream; a reply acknowledges what was sent before it. At most window_bytes (1 MiB; 64 KiB before the first reply) are unread at a peer. The link probes on its own when it sends other messages. ZeroMQ's own heartbeats (every 10 s) are left for idle connections. A connection is a class of its own. Contract: link_options gains idle_heartbeat, window_bytes, unproven_window_bytes. Behaviour for the core is unchanged. Conclusion: memory at a receiver is at most its peers times 1 MiB.

--- /dev/null
+++ b/src/peer/connection.h
@@ -0,0 +1,70 @@
+// The connection to one peer: a DEALER socket with its proof of life and its
+// window of unread bytes. For use inside the peer slice; runs on the link's
+// context.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <zmq.hpp>
+
+#include "peer/link.h"
+#include "peer/silence.h"
+#include "peer/socket.h"
+#include "peer/traffic.h"
+#include "peer/window.h"
+
+namespace ebonygrade::peer {
+
+class connection {
+ public:
+  connection(boost::asio::io_context& context, zmq::context_t& zmq,
+             const link_options& options, peer_address address);
+  ~connection();
+
+  const peer_address& address() const { return address_; }
+  distance where() const { return where_; }
+
+  // Connects anew; what the old socket held is lost. `on_ready` is called
+  // when read() may find something.
+  void open(std::function<void()> on_ready);
+
+  // Sends without waiting. False if there is no connection now or too much is
+  // on its way already. Asks for a reply on its own when none is awaited.
+  bool send(const wire::envelope& message, steady_time now,
+            traffic_counters& traffic);
+
+  // Takes in the replies that have arrived.
+  void read(steady_time now, traffic_counters& traffic);
+
+  bool should_replace(steady_time now) const;
+  // Time without a reply.
+  milliseconds silence(steady_time now) const;
+  // To be called before the connection is opened again for its silence.
+  void note_replaced(std::mt19937_64& random);
+
+ private:
+  bool write(const wire::envelope& message, traffic_counters& traffic);
+  void probe_if_due(steady_time now, traffic_counters& traffic);
+
+  boost::asio::io_context& context_;
+  zmq::context_t& zmq_;
+  const link_options& options_;
+  peer_address address_;
+  distance where_;
+  std::shared_ptr<socket> dealer_;
+  silence_options silence_options_;
+  silence_state silence_;
+  window_options window_options_;
+  window_state window_;
+  steady_time last_probe_;
+  std::uint64_t probes_ = 0;
+};
+
+// A message as one frame.
+zmq::message_t serialise(const wire::envelope& message);
+// False if the frame holds no envelope.
+bool parse(const zmq::message_t& frame, wire::envelope* message);
+
+}  // namespace ebonygrade::peer
--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -8,7 +8,7 @@
 #include <system_error>
 #include <utility>
 
-#include "peer/silence.h"
+#include "peer/connection.h"
 #include "peer/socket.h"
 #include "peer/traffic.h"
 
@@ -23,30 +23,13 @@
 constexpr int kMaxReadsPerTurn = 256;
 constexpr int kReplyQueue = 16;  // Heartbeat replies a peer.
 constexpr std::int64_t kMaxEnvelopeBytes = 64 << 20;
-constexpr milliseconds kMinReconnect{100};  // ZeroMQ's own, when refused.
-constexpr milliseconds kMaxReconnect{2000};
-
-zmq::message_t serialise(const wire::envelope& message) {
-  zmq::message_t frame(message.ByteSizeLong());
-  message.SerializeToArray(frame.data(), static_cast<int>(frame.size()));
-  return frame;
-}
-
-int count(milliseconds value) { return static_cast<int>(value.count()); }
+constexpr int kMaxSockets = 2048;
 
 std::string without_scheme(const std::string& endpoint) {
   constexpr std::string_view kScheme = "tcp://";
   return endpoint.substr(kScheme.size());
 }
 
-// The connection to one peer.
-struct connection {
-  peer_address address;
-  distance where = distance::unknown;
-  std::shared_ptr<socket> dealer;
-  silence_state silence;
-};
-
 }  // namespace
 
 class link::implementation
@@ -62,13 +45,14 @@
         timer_(context),
         full_timer_(context),
         random_(options.incarnation ^ std::hash<std::string>()(options.self)) {
-    zmq_.set(zmq::ctxopt::max_sockets, 2048);
+    zmq_.set(zmq::ctxopt::max_sockets, kMaxSockets);
   }
 
   void start() {
     router_ =
         std::make_shared<socket>(context_, zmq_, zmq::socket_type::router);
-    set_common_options(*router_);
+    router_->raw().set(zmq::sockopt::linger, 0);
+    router_->raw().set(zmq::sockopt::tcp_keepalive, 1);
     router_->raw().set(zmq::sockopt::rcvhwm,
                        static_cast<int>(options_.send_queue));
     router_->raw().set(zmq::sockopt::sndhwm, kReplyQueue);
@@ -92,7 +76,6 @@
     closed_ = true;
     timer_.cancel();
     full_timer_.cancel();
-    for (auto& [id, peer] : peers_) peer.dealer->close();
     peers_.clear();
     router_->close();
   }
@@ -102,13 +85,9 @@
   }
 
  private:
-  // ---- Sockets ----------------------------------------------------------
+  using connection_map = std::map<std::string, std::unique_ptr<connection>>;
 
-  void set_common_options(socket& value) {
-    zmq::socket_t& raw = value.raw();
-    raw.set(zmq::sockopt::linger, 0);
-    raw.set(zmq::sockopt::tcp_keepalive, 1);
-  }
+  // ---- Sockets ----------------------------------------------------------
 
   void bind() {
     try {
@@ -119,100 +98,54 @@
     }
   }
 
-  // Opens a new connection in place of the present one, if any.
-  void connect(connection& peer) {
-    if (peer.dealer) peer.dealer->close();
-    peer.dealer =
-        std::make_shared<socket>(context_, zmq_, zmq::socket_type::dealer);
-    set_common_options(*peer.dealer);
-    zmq::socket_t& raw = peer.dealer->raw();
-    int limit = count(options_.silence_limit);
-    raw.set(zmq::sockopt::sndhwm, static_cast<int>(options_.send_queue));
-    raw.set(zmq::sockopt::rcvhwm, kReplyQueue);
-    raw.set(zmq::sockopt::immediate, true);
-    raw.set(zmq::sockopt::connect_timeout, limit);
-    raw.set(zmq::sockopt::reconnect_ivl, count(kMinReconnect));
-    raw.set(zmq::sockopt::reconnect_ivl_max, count(kMaxReconnect));
-    // Second line of defence, for peers that the core sends no heartbeats.
-    raw.set(zmq::sockopt::heartbeat_ivl, limit);
-    raw.set(zmq::sockopt::heartbeat_timeout, 2 * limit);
-    raw.set(zmq::sockopt::heartbeat_ttl, 3 * limit);
-    raw.connect("tcp://" + peer.address.address);
-    std::string id = peer.address.id;
-    peer.dealer->watch([this, id] { read_dealer(id); });
+  void open(connection& peer) {
+    std::string id = peer.address().id;
+    peer.open([this, id] { read_connection(id); });
   }
 
   // ---- Commands ---------------------------------------------------------
 
   void replace_peers(std::vector<peer_address> wanted) {
-    std::map<std::string, connection> kept;
+    connection_map kept;
     for (peer_address& address : wanted) {
       if (address.id == options_.self || kept.count(address.id) > 0) continue;
       keep_or_open(std::move(address), kept);
     }
-    for (auto& [id, peer] : peers_) peer.dealer->close();
     peers_ = std::move(kept);
   }
 
   // Moves the peer's connection to `kept`, or opens one if it has none to
   // this address.
-  void keep_or_open(peer_address&& address,
-                    std::map<std::string, connection>& kept) {
-    std::map<std::string, connection>::iterator old = peers_.find(address.id);
+  void keep_or_open(peer_address&& address, connection_map& kept) {
+    connection_map::iterator old = peers_.find(address.id);
     std::string id = address.id;
-    if (old != peers_.end() && old->second.address == address) {
+    if (old != peers_.end() && old->second->address() == address) {
       kept.emplace(id, std::move(old->second));
       peers_.erase(old);
       return;
     }
-    connection& peer = kept[id];
-    peer.where = distance_to(options_.zone, options_.region, address);
-    peer.address = std::move(address);
-    connect(peer);
+    std::unique_ptr<connection>& peer = kept[id];
+    peer = std::make_unique<connection>(context_, zmq_, options_,
+                                        std::move(address));
+    open(*peer);
   }
 
   void send_to(send&& wanted) {
-    std::map<std::string, connection>::iterator found = peers_.find(wanted.to);
+    connection_map::iterator found = peers_.find(wanted.to);
     wanted.message.set_from(options_.self);
     wanted.message.set_incarnation(options_.incarnation);
-    if (found == peers_.end() || !send_by(found->second, wanted.message)) {
-      if (wanted.message.has_heartbeat()) return;
-      emit(undeliverable{std::move(wanted.to), std::move(wanted.message)});
-    }
-  }
-
-  bool send_by(connection& peer, const wire::envelope& message) {
-    zmq::message_t frame = serialise(message);
-    std::uint64_t bytes = frame.size();
-    std::vector<zmq::message_t> parts;
-    parts.push_back(std::move(frame));
-    bool sent = peer.dealer->try_send(std::move(parts));
-    if (message.has_heartbeat()) {
-      heartbeat_sent(peer.silence, message.heartbeat().sequence(),
-                     clock_.now());
-    }
-    if (sent) traffic_.count_sent(message.body_case(), peer.where, bytes);
-    read_dealer(peer.address.id);
-    return sent;
+    bool sent = found != peers_.end() &&
+                found->second->send(wanted.message, clock_.now(), traffic_);
+    if (sent || wanted.message.has_heartbeat()) return;
+    emit(undeliverable{std::move(wanted.to), std::move(wanted.message)});
   }
 
   // ---- Receiving --------------------------------------------------------
 
-  void read_dealer(const std::string& id) {
-    std::map<std::string, connection>::iterator found = peers_.find(id);
+  void read_connection(const std::string& id) {
+    connection_map::iterator found = peers_.find(id);
     if (closed_ || found == peers_.end()) return;
-    connection& peer = found->second;
-    std::vector<zmq::message_t> parts;
-    while (peer.dealer->try_read(&parts)) {
-      wire::envelope message;
-      const zmq::message_t& body = parts.back();
-      if (!message.ParseFromArray(body.data(), static_cast<int>(body.size())))
-        continue;
-      traffic_.count_received(message.body_case(), peer.where, body.size());
-      if (!message.has_heartbeat_reply()) continue;
-      reply_received(peer.silence, message.heartbeat_reply().sequence(),
-                     clock_.now());
-    }
+    found->second->read(clock_.now(), traffic_);
   }
 
   void read_router() {
@@ -234,33 +167,36 @@
 
   void receive(std::vector<zmq::message_t>& parts) {
     wire::envelope message;
-    const zmq::message_t& body = parts.back();
-    if (!message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+    if (!parse(parts.back(), &message)) return;
+    traffic_.count_received(message.body_case(), distance_of(message.from()),
+                            parts.back().size());
+    if (message.has_probe()) {
+      answer(parts.front(), message, message.probe().sequence());
       return;
     }
-    traffic_.count_received(message.body_case(), distance_of(message.from()),
-                            body.size());
-    if (message.has_heartbeat()) answer(parts.front(), message);
+    if (message.has_heartbeat()) {
+      answer(parts.front(), message, message.heartbeat().sequence());
+    }
     emit(received{std::move(message)});
   }
 
-  void answer(zmq::message_t& sender, const wire::envelope& heartbeat) {
+  void answer(zmq::message_t& sender, const wire::envelope& message,
+              std::uint64_t sequence) {
     wire::envelope reply;
     reply.set_from(options_.self);
     reply.set_incarnation(options_.incarnation);
-    reply.mutable_heartbeat_reply()->set_sequence(
-        heartbeat.heartbeat().sequence());
+    reply.mutable_heartbeat_reply()->set_sequence(sequence);
     std::vector<zmq::message_t> parts;
     parts.push_back(std::move(sender));
     parts.push_back(serialise(reply));
-    traffic_.count_sent(reply.body_case(), distance_of(heartbeat.from()),
-                        parts.back().size());
-    router_->try_send(std::move(parts));
+    std::uint64_t bytes = parts.back().size();
+    if (!router_->try_send(std::move(parts))) return;
+    traffic_.count_sent(reply.body_case(), distance_of(message.from()), bytes);
   }
 
   distance distance_of(const std::string& id) const {
-    std::map<std::string, connection>::const_iterator found = peers_.find(id);
-    return found == peers_.end() ? distance::unknown : found->second.where;
+    connection_map::const_iterator found = peers_.find(id);
+    return found == peers_.end() ? distance::unknown : found->second->where();
   }
 
   // ---- Reports ----------------------------------------------------------
@@ -310,13 +246,11 @@
 
   void tick() {
     steady_time now = clock_.now();
-    silence_options limits{options_.silence_limit,
-                           options_.max_reconnect_pause};
     for (auto& [id, peer] : peers_) {
-      if (!should_replace(peer.silence, limits, now)) continue;
-      milliseconds silence = silent_for(peer.silence, now);
-      replaced(peer.silence, limits, random_);
-      connect(peer);
+      if (!peer->should_replace(now)) continue;
+      milliseconds silence = peer->silence(now);
+      peer->note_replaced(random_);
+      open(*peer);
       emit(reconnected{id, silence});
     }
     flush_pending();
@@ -335,7 +269,7 @@
   ring::channel<report>& reports_;
   zmq::context_t zmq_;
   std::shared_ptr<socket> router_;
-  std::map<std::string, connection> peers_;
+  connection_map peers_;
   std::deque<report> pending_;
   traffic_counters traffic_;
   boost::asio::steady_timer timer_;
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -3,9 +3,11 @@
 // own; commands come in and reports go out through bounded channels.
 //
 // The core sends heartbeats; the link at the other end answers each one on
-// the connection it came by, and these replies are not reported. A connection
-// whose heartbeats have gone unanswered for `silence_limit` is replaced by a
-// new one, with a growing, jittered pause between replacements. All other
+// the connection it came by, and these replies are not reported. Where other
+// messages are sent, the link adds probes of its own, which are answered
+// likewise. A connection whose heartbeats or probes have gone unanswered for
+// `silence_limit` is replaced by a new one, with a growing, jittered pause
+// between replacements. All other
 // messages travel by the sender's own connection to the receiver, so each
 // connection carries one direction.
 //
@@ -39,8 +41,13 @@
   std::string region;
   milliseconds silence_limit{2000};
   milliseconds max_reconnect_pause{16000};
+  milliseconds idle_heartbeat{10000};  // Of ZeroMQ, on idle connections.
   std::size_t send_queue = 1000;  // Envelopes a peer; further ones are dropped
                                   // and reported.
+  // Bytes a peer that it has not been shown to have read; further messages
+  // are dropped and reported. A single larger message may be sent alone.
+  std::uint64_t window_bytes = 1 << 20;
+  std::uint64_t unproven_window_bytes = 64 << 10;  // Of a new connection.
 };
 
 struct peer_address {
--- a/src/peer/link_test.cpp
+++ b/src/peer/link_test.cpp
@@ -203,7 +203,41 @@
     ++sent;
     return a.undeliverable > 100;
   }));
-  CHECK(sent < 1000);
+  std::uint64_t accepted = sent - a.undeliverable;
+  CHECK(accepted * 100000 <= peer::link_options().window_bytes + 100000);
+}
+
+TEST_CASE("a silent connection is found by the link's own probes") {
+  boost::asio::io_context context;
+  node a(context, "a");
+  node b(context, "b");
+  peer::forwarder between(context, b.link.bound_address());
+  a.know("b", between.address());
+  wait_connected(context, a, b, "b");
+  between.silence_present();
+  REQUIRE(run_until(context, [&] {
+    a.query("b", 1);
+    return a.reconnected >= 1;
+  }));
+  between.close();
+}
+
+TEST_CASE("an address that is none makes messages undeliverable") {
+  boost::asio::io_context context;
+  node a(context, "a");
+  a.know("b", "no address");
+  a.query("b", 1);
+  CHECK(run_until(context, [&] { return a.undeliverable == 1; }));
+}
+
+TEST_CASE("an address in use can't be bound") {
+  boost::asio::io_context context;
+  node a(context, "a");
+  peer::link_options options = node::options("b");
+  options.listen_address = a.link.bound_address();
+  ebonygrade::ring::channel<peer::report> reports(context, 10);
+  CHECK_THROWS_AS(peer::link(context, a.clock, options, reports),
+                  std::system_error);
 }
 
 TEST_CASE("traffic is counted by kind and distance") {
--- a/src/peer/silence.cpp
+++ b/src/peer/silence.cpp
@@ -21,7 +21,7 @@
 void reply_received(silence_state& state, std::uint64_t sequence,
                     steady_time now) {
   state.limit = milliseconds(0);
-  if (sequence >= state.last_sequence) {
+  if (sequence == state.last_sequence) {
     state.since.reset();
   } else {
     state.since = now;
--- a/src/peer/silence.h
+++ b/src/peer/silence.h
@@ -24,15 +24,15 @@
 
 struct silence_state {
   std::optional<steady_time> since;  // Set while a heartbeat is unanswered.
-  std::uint64_t last_sequence = 0;   // Of the latest heartbeat.
+  std::uint64_t last_sequence = 0;   // Of the latest heartbeat or probe.
   milliseconds limit{0};             // Present limit; 0: not set yet.
 };
 
-// A heartbeat was sent, or could not be sent.
+// A heartbeat or probe was sent, or could not be sent.
 void heartbeat_sent(silence_state& state, std::uint64_t sequence,
                     steady_time now);
 
-// A reply to heartbeat `sequence` arrived on this connection.
+// A reply to heartbeat or probe `sequence` arrived on this connection.
 void reply_received(silence_state& state, std::uint64_t sequence,
                     steady_time now);
 
--- a/src/peer/socket.cpp
+++ b/src/peer/socket.cpp
@@ -1,9 +1,22 @@
 #include "peer/socket.h"
 
+#include <cerrno>
 #include <utility>
 
 namespace ebonygrade::peer {
 
+namespace {
+
+// Calls `operation` until no signal interrupts it. False if it failed.
+template <typename F>
+bool repeat_interrupted(F&& operation) {
+  int result = operation();
+  while (result < 0 && zmq_errno() == EINTR) result = operation();
+  return result >= 0;
+}
+
+}  // namespace
+
 socket::socket(boost::asio::io_context& context, zmq::context_t& zmq,
                zmq::socket_type type)
     : socket_(zmq, type), descriptor_(context, socket_.get(zmq::sockopt::fd)) {}
@@ -28,9 +41,13 @@
 
 bool socket::try_send(std::vector<zmq::message_t> parts) {
   for (std::size_t i = 0; i < parts.size(); ++i) {
-    zmq::send_flags flags = zmq::send_flags::dontwait;
-    if (i + 1 < parts.size()) flags = flags | zmq::send_flags::sndmore;
-    if (!socket_.send(parts[i], flags)) return false;
+    int flags = ZMQ_DONTWAIT;
+    if (i + 1 < parts.size()) flags |= ZMQ_SNDMORE;
+    if (!repeat_interrupted([&] {
+          return zmq_msg_send(parts[i].handle(), socket_.handle(), flags);
+        })) {
+      return false;
+    }
   }
   return true;
 }
@@ -40,7 +57,11 @@
   bool more = true;
   while (more) {
     zmq::message_t part;
-    if (!socket_.recv(part, zmq::recv_flags::dontwait)) return false;
+    if (!repeat_interrupted([&] {
+          return zmq_msg_recv(part.handle(), socket_.handle(), ZMQ_DONTWAIT);
+        })) {
+      return false;
+    }
     more = part.more();
     parts->push_back(std::move(part));
   }
--- /dev/null
+++ b/src/peer/window.cpp
@@ -0,0 +1,50 @@
+#include "peer/window.h"
+
+#include <algorithm>
+
+namespace ebonygrade::peer {
+
+namespace {
+
+constexpr std::size_t kMaxMarks = 64;
+constexpr std::uint64_t kMarksPerWindow = 4;
+
+std::uint64_t open_bytes(const window_state& state,
+                         const window_options& options) {
+  return state.proven ? options.bytes : options.unproven_bytes;
+}
+
+}  // namespace
+
+bool has_room(const window_state& state, const window_options& options,
+              std::uint64_t bytes) {
+  std::uint64_t unread = state.sent - state.acknowledged;
+  return unread == 0 || unread + bytes <= open_bytes(state, options);
+}
+
+bool wants_mark(const window_state& state, const window_options& options) {
+  std::uint64_t marked = state.acknowledged;
+  if (!state.marks.empty()) marked = state.marks.back().sent_before;
+  return state.sent - marked >= open_bytes(state, options) / kMarksPerWindow;
+}
+
+void count_sent(window_state& state, std::uint64_t bytes) {
+  state.sent += bytes;
+}
+
+void mark_sent(window_state& state, std::uint64_t sequence) {
+  if (state.marks.size() >= kMaxMarks) state.marks.pop_front();
+  state.marks.push_back({sequence, state.sent});
+}
+
+void mark_answered(window_state& state, std::uint64_t sequence) {
+  state.proven = true;
+  std::deque<window_state::mark>::iterator found = std::find_if(
+      state.marks.begin(), state.marks.end(),
+      [sequence](const auto& each) { return each.sequence == sequence; });
+  if (found == state.marks.end()) return;
+  state.acknowledged = found->sent_before;
+  state.marks.erase(state.marks.begin(), found + 1);
+}
+
+}  // namespace ebonygrade::peer
