--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/core_pvt.h"
+#include "events/events.h"
 
 namespace ebonygrade::core {
 
@@ -26,6 +27,23 @@
   return index ? options.regions[*index].name : std::string();
 }
 
+membership::state make_membership(const clock::clock& clock,
+                                  const core_options& options) {
+  membership::options settings;
+  settings.self = options.self;
+  settings.incarnation = options.incarnation;
+  settings.region = region_of(options, options.zone);
+  for (const region& each : options.regions) {
+    for (const std::string& zone : each.zones) {
+      settings.zones.push_back({zone, each.name});
+    }
+  }
+  settings.heartbeat_interval = options.heartbeat_interval;
+  settings.cross_region_interval = 2 * options.heartbeat_interval;
+  settings.silence_limit = options.silence_limit;
+  return membership::make_state(settings, clock.now());
+}
+
 }  // namespace
 
 core_state::core_state(const clock::clock& clock, const core_options& options,
@@ -37,8 +55,10 @@
       workers(outputs.workers),
       platform(outputs.platform),
       peers(outputs.peers),
-      ownership(
-          ownership::make_state(options.ownership, make_claims(options))) {
+      ownership(ownership::make_state(options.ownership, make_claims(options))),
+      membership(make_membership(clock, options)),
+      last_log_sign(clock.now()),
+      last_tick(clock.now()) {
   requests.options = options.requests;
   entry.options = options.entry;
   intents.flush_interval = options.intent_flush_interval;
@@ -80,6 +100,46 @@
          !state.draining;
 }
 
+// Sets the gauges and prints every measurement.
+std::string metrics_text(core_state& state) {
+  place::room total;
+  std::size_t owned = 0;
+  for (const std::vector<shard_runtime>& region : state.shards) {
+    for (const shard_runtime& shard : region) {
+      if (shard.engine == nullptr) continue;
+      const place::room room = place::summarise(*shard.engine);
+      total.free += room.free;
+      total.queued += room.queued;
+      total.running += room.running;
+      total.workers += room.workers;
+      ++owned;
+    }
+  }
+  metrics::registry& measured = state.metrics;
+  measured.set(metrics::gauge::ready, is_ready(state) ? 1 : 0);
+  measured.set(metrics::gauge::draining, state.draining ? 1 : 0);
+  measured.set(metrics::gauge::shards_owned, static_cast<double>(owned));
+  measured.set(metrics::gauge::workers_known,
+               static_cast<double>(state.shard_of_worker.size()));
+  measured.set(metrics::gauge::workers_fenced,
+               static_cast<double>(total.workers));
+  measured.set(metrics::gauge::tasks_queued, static_cast<double>(total.queued));
+  measured.set(metrics::gauge::tasks_running,
+               static_cast<double>(total.running));
+  measured.set(metrics::gauge::requests_kept,
+               static_cast<double>(state.requests.by_id.size()));
+  measured.set(metrics::gauge::bundle_roll,
+               static_cast<double>(state.registry.roll));
+  measured.set(metrics::gauge::bundle_version,
+               static_cast<double>(state.registry.in_force));
+  measured.set(metrics::gauge::log_reachable, state.log_reachable ? 1 : 0);
+  measured.set(metrics::gauge::free_millicores, total.free.millicores);
+  measured.set(metrics::gauge::free_memory_mb, total.free.memory_mb);
+  measured.set(metrics::gauge::free_accelerators, total.free.accelerators);
+  measured.set(metrics::gauge::free_slots, total.free.slots);
+  return measured.to_text();
+}
+
 class scheduler::implementation {
  public:
   implementation(boost::asio::io_context& context, const clock::clock& clock,
@@ -88,7 +148,6 @@
         state_(clock, options, outputs),
         tick_timer_(context),
         slow_timer_(context),
-        heartbeat_timer_(context),
         drain_timer_(context) {}
 
   void start() {
@@ -96,7 +155,6 @@
     state_.platform.send(platform::follow{kBundlesStream, 0});
     schedule_tick();
     schedule_slow_tick();
-    schedule_heartbeat();
   }
 
   void handle(api::command&& command) {
@@ -119,6 +177,16 @@
   void handle(peer::report&& report) {
     if (const peer::received* received = std::get_if<peer::received>(&report)) {
       on_peer_message(state_, received->message);
+    } else if (const peer::traffic* traffic =
+                   std::get_if<peer::traffic>(&report)) {
+      count_traffic(*traffic);
+    } else if (const peer::reconnected* reconnected =
+                   std::get_if<peer::reconnected>(&report)) {
+      state_.metrics.add(metrics::counter::peer_reconnects);
+      events::emit(events::id::peer_reconnected, "link", reconnected->to,
+                   "silent for {} ms", reconnected->silent_for.count());
+    } else {
+      state_.metrics.add(metrics::counter::messages_dropped);
     }
     decide_soon();
   }
@@ -135,7 +203,6 @@
   void close() {
     tick_timer_.cancel();
     slow_timer_.cancel();
-    heartbeat_timer_.cancel();
     drain_timer_.cancel();
     closed_ = true;
   }
@@ -153,7 +220,7 @@
   void on(api::list_bundles&& command) { on_list_bundles(state_, command); }
   void on(api::show_cell&& command) { on_show_cell(state_, command); }
   void on(api::show_metrics&& command) {
-    state_.api.send(api::text_reply{command.token, ""});
+    state_.api.send(api::text_reply{command.token, metrics_text(state_)});
   }
   void on(api::drain&& command) {
     begin_drain();
@@ -213,6 +280,10 @@
     if (call->purpose == call_purpose::read_intents) {
       on_intents_read(state_, *call, report.token);
     }
+    if (call->purpose == call_purpose::resolve_doubt) {
+      state_.ownership_doubted = false;
+      apply_request(state_, requests::ownership_doubted{false});
+    }
   }
 
   // A read is repeated until it succeeds: nothing may be given out on a guess.
@@ -231,6 +302,12 @@
 
   void on(platform::log_reachable&& report) {
     state_.log_reachable = report.reachable;
+    if (report.reachable) state_.last_log_sign = state_.clock.now();
+    if (report.reachable) {
+      events::emit(events::id::log_up, "log", "", "");
+    } else {
+      events::emit(events::id::log_down, report.cause);
+    }
   }
 
   std::optional<platform_call> take_call(std::uint64_t token) {
@@ -241,6 +318,20 @@
     return call;
   }
 
+  void count_traffic(const peer::traffic& traffic) {
+    metrics::traffic_label label;
+    label.kind = traffic.kind;
+    label.link = metrics::link_distance::same_region;
+    if (traffic.link == "zone") label.link = metrics::link_distance::same_zone;
+    if (traffic.link == "cross_region") {
+      label.link = metrics::link_distance::cross_region;
+    }
+    label.way = metrics::direction::sent;
+    state_.metrics.add_bytes(label, traffic.sent_bytes);
+    label.way = metrics::direction::received;
+    state_.metrics.add_bytes(label, traffic.received_bytes);
+  }
+
   // ---- Time ---------------------------------------------------------------
 
   // Decides once after all events that are ready now.
@@ -280,8 +371,11 @@
     slow_timer_.async_wait([this](boost::system::error_code failed) {
       if (failed || closed_) return;
       apply_request(state_, requests::tick{});
-      if (state_.list_known) {
-        apply_ownership(state_, ownership::tick{present_members(state_)});
+      update_doubt(state_);
+      tick_membership(state_);
+      if (state_.list_known && membership::is_settled(state_.membership)) {
+        apply_ownership(
+            state_, ownership::tick{membership::members(state_.membership)});
       }
       check_takeovers(state_);
       tick_operations(state_);
@@ -289,20 +383,10 @@
     });
   }
 
-  void schedule_heartbeat() {
-    heartbeat_timer_.expires_after(state_.options.heartbeat_interval);
-    heartbeat_timer_.async_wait([this](boost::system::error_code failed) {
-      if (failed || closed_) return;
-      send_heartbeats(state_);
-      schedule_heartbeat();
-    });
-  }
-
   void begin_drain() {
     if (state_.draining) return;
     state_.draining = true;
     ready_.store(false);
-    send_heartbeats(state_);
     apply_ownership(state_, ownership::drain{});
   }
 
@@ -331,7 +415,6 @@
   core_state state_;
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer slow_timer_;
-  boost::asio::steady_timer heartbeat_timer_;
   boost::asio::steady_timer drain_timer_;
   std::atomic<bool> ready_{false};
   bool decision_pending_ = false;
--- a/src/core/core_pvt.h
+++ b/src/core/core_pvt.h
@@ -15,6 +15,8 @@
 #include "bundle/bundle.h"
 #include "core/core.h"
 #include "intents/intents.h"
+#include "membership/membership.h"
+#include "metrics/registry.h"
 #include "place/place.h"
 #include "ring/outbox.h"
 
@@ -33,14 +35,6 @@
   bool fenced = false;  // Its tasks are known and it may be given work.
 };
 
-// A run of a daemon that has owned a shard, whose intents may matter.
-struct past_owner {
-  std::string daemon;
-  std::uint64_t incarnation = 0;
-
-  friend auto operator<=>(const past_owner&, const past_owner&) = default;
-};
-
 enum class takeover_phase { none, reconciling, serving, quiescing };
 
 // What this daemon holds for one shard.
@@ -52,7 +46,6 @@
   std::map<std::string, worker_entry> workers;
   std::set<std::uint64_t> unread_intents;  // Tokens of reads on their way.
   std::size_t starts_in_flight = 0;
-  std::set<past_owner> past_owners;
 };
 
 enum class call_purpose {
@@ -61,6 +54,7 @@
   confirm_claims,  // Claims read after an append of intents.
   read_intents,    // Of a past owner, during a takeover.
   append_operation,
+  resolve_doubt,  // Claims read after a pause or isolation.
 };
 
 // A call to the platform that awaits its report.
@@ -78,19 +72,6 @@
   steady_time give_up_at;
 };
 
-// A daemon of the cell as the list and its heartbeats show it.
-struct member_entry {
-  wire::daemon_vm vm;
-  std::string region;
-  bool listed = false;
-  bool leaving = false;
-  std::uint64_t incarnation = 0;
-  std::optional<steady_time> first_heard;  // Of the present unbroken series.
-  steady_time last_heard;
-  steady_time first_listed;
-  std::uint64_t bundle_roll = 0;
-};
-
 struct core_state {
   core_state(const clock::clock& clock, const core_options& options,
              const core_outputs& outputs);
@@ -110,19 +91,22 @@
   bundle::registry registry;
   std::optional<bundle::policy> policy;
   std::vector<std::vector<shard_runtime>> shards;  // By region, then shard.
-  std::map<std::string, member_entry> members;     // Without this daemon.
+  membership::state membership;
+  metrics::registry metrics;
+  std::vector<peer::peer_address> linked_peers;
   wire::vm_list list;
   std::unordered_map<std::string, job::shard_id> shard_of_worker;
   std::unordered_map<std::uint64_t, platform_call> calls;
   std::map<std::uint64_t, operation> operations;  // By writer sequence.
   std::uint64_t next_token = 1;
   std::uint64_t next_sequence = 1;
-  std::uint64_t heartbeat_sequence = 0;
-  wire::task_end ended_as = wire::task_end_unspecified;
   bool list_known = false;
   bool log_reachable = false;
   bool claims_known = false;
   bool draining = false;
+  bool ownership_doubted = false;
+  steady_time last_log_sign;  // Last time that the log answered.
+  steady_time last_tick;
 };
 
 shard_runtime& runtime(core_state& state, job::shard_id shard);
@@ -141,7 +125,9 @@
 void on_intents_read(core_state& state, const platform_call& call,
                      std::uint64_t token);
 void check_takeovers(core_state& state);
-std::vector<ownership::member> present_members(const core_state& state);
+// Ends the doubt about ownership that a pause or isolation raised, once the
+// claims were read to their end.
+void update_doubt(core_state& state);
 
 // ---- serving.cpp: requests of owned shards ------------------------------
 
@@ -161,7 +147,8 @@
 void on_entry_reply(core_state& state, const requests::reply& reply);
 void tick_entry(core_state& state);
 void on_peer_message(core_state& state, const wire::envelope& message);
-void send_heartbeats(core_state& state);
+// Sends the heartbeats due and asks for a later bundle that a peer has.
+void tick_membership(core_state& state);
 void send_to_peer(core_state& state, const std::string& to,
                   wire::envelope message);
 
@@ -178,8 +165,8 @@
 void on_bundle_from_peer(core_state& state,
                          const wire::bundle_snapshot& snapshot);
 void tick_operations(core_state& state);
-// Puts the policy in force into every engine, with each team's quota scaled
-// to the shard's part of the cell's capacity.
+// Puts the policy in force into every engine, with the shard's part of each
+// quota.
 void spread_policy(core_state& state);
 void refuse(core_state& state, std::uint64_t token, int status,
             std::string_view error, std::string_view field = {});
--- a/src/core/entering.cpp
+++ b/src/core/entering.cpp
@@ -93,6 +93,7 @@
     if (open != state.entry.open.end()) open->second.acknowledged = true;
     return;
   }
+  state.metrics.add(metrics::counter::requests_forwarded);
   dispatch_to_peer(state, effect.token, request, effect.to);
 }
 
@@ -191,24 +192,6 @@
                                            {from, message.token(), false}});
 }
 
-void on_heartbeat(core_state& state, const wire::envelope& message) {
-  const steady_time now = state.clock.now();
-  member_entry& member = state.members[message.from()];
-  const bool was_silent =
-      !member.first_heard ||
-      now - member.last_heard > state.options.silence_limit ||
-      member.incarnation != message.incarnation();
-  if (was_silent) member.first_heard = now;
-  member.incarnation = message.incarnation();
-  member.last_heard = now;
-  member.leaving = message.heartbeat().leaving();
-  member.bundle_roll = message.heartbeat().bundle_roll();
-  if (member.bundle_roll <= state.registry.roll) return;
-  wire::envelope want;
-  want.mutable_bundle_want()->set_roll(state.registry.roll);
-  send_to_peer(state, message.from(), std::move(want));
-}
-
 void on_bundle_want(core_state& state, const std::string& from,
                     const wire::bundle_want& message) {
   if (state.registry.roll <= message.roll()) return;
@@ -223,9 +206,11 @@
 }  // namespace
 
 void on_submit(core_state& state, api::submit&& command) {
+  state.metrics.add(metrics::counter::requests_submitted);
   error::result<job::request> parsed =
       job::parse_request(command.request, state.clock.now());
   if (parsed.has_error()) {
+    state.metrics.add(metrics::counter::requests_malformed);
     const std::string& detail = parsed.error().detail;
     refuse(state, command.token, 400, detail,
            detail.substr(0, detail.find(':')));
@@ -308,7 +293,7 @@
 void on_peer_message(core_state& state, const wire::envelope& message) {
   switch (message.body_case()) {
     case wire::envelope::kHeartbeat:
-      on_heartbeat(state, message);
+      membership::apply_heartbeat(state.membership, message);
       return;
     case wire::envelope::kForward:
       on_forward(state, message.from(), message.forward());
@@ -339,18 +324,24 @@
   }
 }
 
-void send_heartbeats(core_state& state) {
-  ++state.heartbeat_sequence;
-  for (const auto& [id, member] : state.members) {
-    if (!member.listed) continue;
+void tick_membership(core_state& state) {
+  membership::local_status local;
+  local.claims_offset = state.ownership.claims.next_offset;
+  local.bundle_roll = state.registry.roll;
+  local.leaving = state.draining;
+  membership::set_local(state.membership, local);
+  for (membership::outgoing& each :
+       membership::tick(state.membership, state.clock.now())) {
     wire::envelope message;
-    wire::heartbeat& heartbeat = *message.mutable_heartbeat();
-    heartbeat.set_sequence(state.heartbeat_sequence);
-    heartbeat.set_claims_offset(state.ownership.claims.next_offset);
-    heartbeat.set_bundle_roll(state.registry.roll);
-    heartbeat.set_leaving(state.draining);
-    send_to_peer(state, id, std::move(message));
+    *message.mutable_heartbeat() = std::move(each.heartbeat);
+    send_to_peer(state, each.to, std::move(message));
   }
+  const std::optional<std::string> later =
+      membership::later_bundle(state.membership);
+  if (!later) return;
+  wire::envelope want;
+  want.mutable_bundle_want()->set_roll(state.registry.roll);
+  send_to_peer(state, *later, std::move(want));
 }
 
 void send_to_peer(core_state& state, const std::string& to,
--- a/src/core/governing.cpp
+++ b/src/core/governing.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/core_pvt.h"
+#include "events/events.h"
 
 namespace ebonygrade::core {
 
@@ -25,6 +26,7 @@
   const std::uint64_t call = state.next_token++;
   state.calls[call] = {
       call_purpose::append_operation, {}, kBundlesStream, sequence};
+  state.metrics.add(metrics::counter::log_appends);
   state.platform.send(
       platform::append{call, kBundlesStream, std::move(record)});
 }
@@ -48,7 +50,15 @@
 void adopt_policy_in_force(core_state& state) {
   error::result<bundle::policy> parsed =
       bundle::parse(state.registry.in_force_text);
-  if (parsed.has_error()) return;
+  if (parsed.has_error()) {
+    events::emit(events::id::bundle_refused, "adopt bundle", "",
+                 "version {}: {}", state.registry.in_force,
+                 parsed.error().detail);
+    return;
+  }
+  events::emit(events::id::bundle_in_force, "adopt bundle", "",
+               "version {} roll {}", state.registry.in_force,
+               state.registry.roll);
   state.policy = std::move(*parsed);
   spread_policy(state);
 }
@@ -112,29 +122,20 @@
   return total;
 }
 
-// Part of `quota` for a shard with `part` of `whole`, rounded up; 0 stays 0,
-// which means unlimited.
-std::int32_t scale(std::int32_t quota, std::int32_t part, std::int32_t whole) {
-  if (quota == 0 || whole <= 0) return quota;
-  const std::int64_t scaled =
-      (static_cast<std::int64_t>(quota) * part + whole - 1) / whole;
-  return static_cast<std::int32_t>(std::max<std::int64_t>(1, scaled));
-}
-
-bundle::policy scaled_policy(const bundle::policy& policy,
-                             const job::resources& part,
-                             const job::resources& whole) {
-  bundle::policy scaled = policy;
-  for (auto& [name, team] : scaled.teams) {
-    job::resources& quota = team.quota;
-    quota.millicores =
-        scale(quota.millicores, part.millicores, whole.millicores);
-    quota.memory_mb = scale(quota.memory_mb, part.memory_mb, whole.memory_mb);
-    quota.accelerators =
-        scale(quota.accelerators, part.accelerators, whole.accelerators);
-    quota.slots = scale(quota.slots, part.slots, whole.slots);
+// The largest part that the shard has of any resource of the cell.
+double quota_share(const job::resources& part, const job::resources& whole) {
+  const std::pair<std::int32_t, std::int32_t> components[] = {
+      {part.millicores, whole.millicores},
+      {part.memory_mb, whole.memory_mb},
+      {part.accelerators, whole.accelerators},
+      {part.slots, whole.slots}};
+  double share = 0;
+  for (const auto& [of_shard, of_cell] : components) {
+    if (of_cell > 0) {
+      share = std::max(share, static_cast<double>(of_shard) / of_cell);
+    }
   }
-  return scaled;
+  return std::min(1.0, share);
 }
 
 void add_shards(const core_state& state, wire::cell_status& status) {
@@ -251,7 +252,7 @@
   status.set_workers(static_cast<std::uint32_t>(total.workers));
   status.set_queued(static_cast<std::uint32_t>(total.queued));
   status.set_running(static_cast<std::uint32_t>(total.running));
-  for (const auto& [id, member] : state.members) {
+  for (const auto& [id, member] : state.membership.daemons) {
     if (member.listed) status.add_peers(id);
   }
   state.api.send(std::move(reply));
@@ -303,8 +304,8 @@
       for (const auto& [name, entry] : shard.workers) {
         part += job::from_wire(entry.vm.capacity());
       }
-      place::apply_policy(*shard.engine,
-                          scaled_policy(*state.policy, part, whole));
+      place::set_quota_share(*shard.engine, quota_share(part, whole));
+      place::apply_policy(*shard.engine, *state.policy);
     }
   }
   state.requests.options.task_lease = state.policy->placement.task_lease;
--- a/src/core/owning.cpp
+++ b/src/core/owning.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/core_pvt.h"
+#include "events/events.h"
 
 namespace ebonygrade::core {
 
@@ -16,13 +17,18 @@
   return shard;
 }
 
+std::string name_of(const core_state& state, job::shard_id shard) {
+  return state.options.regions[shard.region].name + "/" +
+         std::to_string(shard.shard);
+}
+
 void watch_worker(core_state& state, const shard_runtime& shard,
                   const wire::worker_vm& vm) {
   state.workers.send(worker::watch{vm.id(), vm.address(), shard.epoch});
 }
 
 void read_intents_of(core_state& state, job::shard_id id,
-                     const past_owner& owner) {
+                     const ownership::earlier_owner& owner) {
   const std::uint64_t token = state.next_token++;
   const std::string stream =
       intents::stream_name(owner.daemon, owner.incarnation);
@@ -47,7 +53,11 @@
     state.shard_of_worker[vm.id()] = fence.shard;
     watch_worker(state, shard, vm);
   }
-  for (const past_owner& owner : shard.past_owners) {
+  if (!fence.previous.owner.empty()) {
+    read_intents_of(state, fence.shard,
+                    {fence.previous.owner, fence.previous.incarnation});
+  }
+  for (const ownership::earlier_owner& owner : fence.previous.earlier) {
     read_intents_of(state, fence.shard, owner);
   }
   spread_policy(state);
@@ -56,6 +66,8 @@
 
 void drop_runtime(core_state& state, job::shard_id id) {
   shard_runtime& shard = runtime(state, id);
+  events::emit(events::id::shard_dropped, "handover", "", "shard {} epoch {}",
+               name_of(state, id), shard.epoch);
   for (const auto& [name, entry] : shard.workers) {
     state.workers.send(worker::forget{name});
     state.shard_of_worker.erase(name);
@@ -69,16 +81,22 @@
   apply_request(state, requests::shard_lost{id});
 }
 
-bool workers_known(const core_state& state, const shard_runtime& shard) {
-  const milliseconds limit =
-      state.options.requests.task_lease + state.options.isolation_limit;
-  if (state.clock.now() - shard.takeover_started >= limit) return true;
+bool all_fenced(const shard_runtime& shard) {
   for (const auto& [name, entry] : shard.workers) {
     if (!entry.fenced) return false;
   }
   return true;
 }
 
+// Whether no idempotent request can still run, unknown to this daemon, on a
+// worker of the shard.
+bool workers_known(const core_state& state, const shard_runtime& shard) {
+  const milliseconds limit =
+      state.options.requests.task_lease + state.options.isolation_limit;
+  if (state.clock.now() - shard.takeover_started >= limit) return true;
+  return all_fenced(shard);
+}
+
 void check_quiesced(core_state& state, job::shard_id id) {
   shard_runtime& shard = runtime(state, id);
   if (shard.phase != takeover_phase::quiescing) return;
@@ -102,7 +120,7 @@
     place::set_leaving(*shard.engine, spec.id, true);
   }
   for (const wire::task_record& task : reply.tasks()) {
-    apply_request(state, requests::task_found{task, spec.id});
+    apply_request(state, requests::task_found{task, spec.id, id});
   }
   spread_policy(state);
   check_takeovers(state);
@@ -131,6 +149,7 @@
   if (found == state.shard_of_worker.end()) return;
   shard_runtime& shard = runtime(state, found->second);
   if (report.epoch != shard.epoch) return;
+  state.metrics.add(metrics::counter::worker_fences);
   admit_worker(state, found->second, shard.workers[report.worker],
                report.reply);
 }
@@ -139,6 +158,8 @@
   const auto found = state.shard_of_worker.find(report.worker);
   if (found == state.shard_of_worker.end()) return;
   const job::shard_id id = found->second;
+  events::emit(events::id::worker_superseded, "start", report.worker,
+               "shard {} has epoch {}", name_of(state, id), report.epoch);
   apply_ownership(state, ownership::fenced_by_worker{id, report.epoch});
 }
 
@@ -152,6 +173,8 @@
   shard_runtime& shard = runtime(state, id);
   const auto entry = shard.workers.find(report.worker);
   if (entry == shard.workers.end() || !entry->second.fenced) return;
+  events::emit(events::id::worker_unreachable, report.cause.step, report.worker,
+               "silent for {} ms", report.silent_for.count());
   lose_worker(state, id, report.worker);
   state.workers.send(worker::forget{report.worker});
   watch_worker(state, shard, entry->second.vm);
@@ -161,6 +184,9 @@
   const auto found = state.shard_of_worker.find(report.worker);
   if (found == state.shard_of_worker.end()) return;
   const job::shard_id id = found->second;
+  state.metrics.add(metrics::counter::worker_reboots);
+  events::emit(events::id::worker_rebooted, "events", report.worker, "shard {}",
+               name_of(state, id));
   lose_worker(state, id, report.worker);
   state.workers.send(worker::forget{report.worker});
   shard_runtime& shard = runtime(state, id);
@@ -182,6 +208,7 @@
 }
 
 void on_report(core_state& state, worker::start_unanswered&& report) {
+  state.metrics.add(metrics::counter::starts_unanswered);
   apply_request(state, requests::start_unanswered{report.key});
   note_start_done(state, report.worker);
 }
@@ -220,7 +247,12 @@
 }
 
 void on_effect(core_state& state, const ownership::serve_shard& effect) {
-  runtime(state, effect.shard).phase = takeover_phase::serving;
+  shard_runtime& shard = runtime(state, effect.shard);
+  shard.phase = takeover_phase::serving;
+  apply_request(state, requests::home_served{effect.shard, all_fenced(shard)});
+  events::emit(events::id::shard_serving, "takeover", "",
+               "shard {} epoch {} workers {}", name_of(state, effect.shard),
+               effect.epoch, shard.workers.size());
 }
 
 void on_effect(core_state& state, const ownership::quiesce_shard& effect) {
@@ -232,36 +264,12 @@
   drop_runtime(state, effect.shard);
 }
 
-void note_past_owners(core_state& state, const wire::record& record) {
-  for (const wire::shard_claim& claim : record.claim().shards()) {
-    const std::optional<std::uint16_t> region =
-        region_index(state, claim.region());
-    if (!region || claim.shard() >= state.options.shards_per_region) continue;
-    const job::shard_id id{*region, static_cast<std::uint16_t>(claim.shard())};
-    runtime(state, id).past_owners.insert(
-        {record.writer().daemon(), record.writer().incarnation()});
-  }
-}
-
 void update_members(core_state& state, const wire::vm_list& list) {
-  for (auto& [id, member] : state.members) member.listed = false;
-  for (const wire::daemon_vm& vm : list.daemons()) {
-    if (vm.id() == state.options.self) continue;
-    member_entry& member = state.members[vm.id()];
-    if (member.vm.id().empty()) member.first_listed = state.clock.now();
-    member.vm = vm;
-    member.listed = true;
-    const std::optional<std::uint16_t> region =
-        region_of_zone(state.options, vm.zone());
-    member.region = region ? state.options.regions[*region].name : "";
-  }
-  peer::set_peers command;
-  for (const auto& [id, member] : state.members) {
-    if (!member.listed) continue;
-    command.peers.push_back(
-        {id, member.vm.peer_address(), member.vm.zone(), member.region});
-  }
-  state.peers.send(std::move(command));
+  membership::apply_list(state.membership, list);
+  std::vector<peer::peer_address> peers = membership::peers(state.membership);
+  if (peers == state.linked_peers) return;
+  state.linked_peers = peers;
+  state.peers.send(peer::set_peers{std::move(peers)});
 }
 
 void update_workers(core_state& state, const wire::vm_list& list) {
@@ -303,8 +311,10 @@
 }
 
 void on_claim_records(core_state& state, const platform::records& records) {
+  if (records.first > state.ownership.claims.next_offset) {
+    apply_ownership(state, ownership::records_expired{records.first});
+  }
   for (std::size_t i = 0; i < records.entries.size(); ++i) {
-    note_past_owners(state, records.entries[i]);
     apply_ownership(
         state, ownership::record_read{records.entries[i], records.offsets[i]});
   }
@@ -349,26 +359,20 @@
   }
 }
 
-std::vector<ownership::member> present_members(const core_state& state) {
+void update_doubt(core_state& state) {
   const steady_time now = state.clock.now();
-  std::vector<ownership::member> members;
-  members.push_back({state.options.self, state.region, state.draining,
-                     milliseconds::max(), milliseconds(0)});
-  for (const auto& [id, entry] : state.members) {
-    ownership::member member;
-    member.id = id;
-    member.region = entry.region;
-    member.leaving = entry.leaving || entry.vm.state() == wire::leaving;
-    const steady_time since =
-        entry.first_heard ? entry.last_heard : entry.first_listed;
-    member.silent_for = std::chrono::duration_cast<milliseconds>(now - since);
-    if (entry.first_heard) {
-      member.alive_for =
-          std::chrono::duration_cast<milliseconds>(now - *entry.first_heard);
-    }
-    members.push_back(member);
-  }
-  return members;
+  const bool paused = now - state.last_tick > state.options.pause_limit;
+  state.last_tick = now;
+  const bool isolated =
+      !state.log_reachable &&
+      now - state.last_log_sign > state.options.isolation_limit;
+  if (!paused && !isolated) return;
+  if (state.ownership_doubted) return;
+  state.ownership_doubted = true;
+  apply_request(state, requests::ownership_doubted{true});
+  const std::uint64_t token = state.next_token++;
+  state.calls[token] = {call_purpose::resolve_doubt, {}, kClaimsStream, 0};
+  state.platform.send(platform::read_to_end{token, kClaimsStream});
 }
 
 }  // namespace ebonygrade::core
--- a/src/core/serving.cpp
+++ b/src/core/serving.cpp
@@ -57,7 +57,7 @@
 void on_effect(core_state& state, const requests::release_room& effect) {
   place::engine* engine = engine_of_worker(state, effect.worker);
   if (engine == nullptr) return;
-  place::task_ended(*engine, effect.id, effect.task_index, state.ended_as,
+  place::task_ended(*engine, effect.id, effect.task_index, effect.end,
                     state.clock.now());
 }
 
@@ -85,6 +85,7 @@
   if (found != state.shard_of_worker.end()) {
     ++runtime(state, found->second).starts_in_flight;
   }
+  state.metrics.add(metrics::counter::starts_sent);
   state.workers.send(worker::start{effect.worker, effect.epoch, effect.task});
 }
 
@@ -92,6 +93,7 @@
   const auto found = state.shard_of_worker.find(effect.worker);
   if (found == state.shard_of_worker.end()) return;
   const job::epoch epoch = runtime(state, found->second).epoch;
+  state.metrics.add(metrics::counter::stops_sent);
   state.workers.send(
       worker::stop{effect.worker, epoch, effect.key, wire::stop});
 }
@@ -108,16 +110,12 @@
   send_to_peer(state, effect.to.peer, std::move(message));
 }
 
-void on_effect(core_state&, const requests::task_started&) {}
-
-void on_effect(core_state&, const requests::request_final&) {}
+void on_effect(core_state& state, const requests::task_started& effect) {
+  state.metrics.record_wait({effect.team, effect.kind}, effect.waited);
+}
 
-wire::task_end end_of(const requests::event& event) {
-  if (const requests::task_ended* ended =
-          std::get_if<requests::task_ended>(&event)) {
-    return ended->end;
-  }
-  return wire::task_end_unspecified;
+void on_effect(core_state& state, const requests::request_final& effect) {
+  state.metrics.record_outcome({effect.team, effect.kind}, effect.outcome);
 }
 
 void stop_for_preemption(core_state& state,
@@ -144,6 +142,7 @@
                                                      each.retry_after});
   }
   for (const place::preemption& each : decisions.preemptions) {
+    state.metrics.add(metrics::counter::preemptions);
     stop_for_preemption(state, each);
   }
 }
@@ -151,11 +150,9 @@
 }  // namespace
 
 void apply_request(core_state& state, const requests::event& event) {
-  const wire::task_end end = end_of(event);
   const std::vector<requests::effect> effects =
       requests::step(state.requests, event, state.clock.now());
   for (const requests::effect& effect : effects) {
-    state.ended_as = end;
     std::visit([&state](const auto& each) { on_effect(state, each); }, effect);
   }
 }
@@ -167,8 +164,11 @@
       const std::size_t most =
           std::min(kMaxStartsPerDecision, state.workers.free_space() / 2);
       if (most == 0) return;
-      carry_out(state, place::decide(*shard.engine, state.clock.now(), most),
-                shard.epoch);
+      const steady_time begun = state.clock.now();
+      const place::decisions decisions =
+          place::decide(*shard.engine, begun, most);
+      state.metrics.record_decision(state.clock.now() - begun);
+      carry_out(state, decisions, shard.epoch);
     }
   }
 }
@@ -186,6 +186,7 @@
   const std::string stream =
       intents::stream_name(state.options.self, state.options.incarnation);
   state.calls[token] = {call_purpose::append_intents, {}, stream, 0};
+  state.metrics.add(metrics::counter::log_appends);
   state.platform.send(platform::append{token, stream, std::move(record)});
 }
 
--- a/src/requests/recovery.cpp
+++ b/src/requests/recovery.cpp
@@ -6,19 +6,6 @@
 
 namespace {
 
-job::job_class from_wire(wire::job_class kind) {
-  switch (kind) {
-    case wire::service:
-      return job::job_class::service;
-    case wire::gang:
-      return job::job_class::gang;
-    case wire::urgent:
-      return job::job_class::urgent;
-    default:
-      return job::job_class::batch;
-  }
-}
-
 request_state& find_or_add(const context& at, const std::string& id,
                            const job::shard_id& home) {
   auto [position, added] = at.requests.by_id.try_emplace(id);
@@ -34,7 +21,7 @@
 
 void describe_from_task(request_state& request, const wire::task_record& task) {
   request.request.team = task.team();
-  request.request.kind = from_wire(task.class_());
+  request.request.kind = job::class_from_wire(task.class_());
   request.request.idempotent = task.idempotent();
   request.request.per_task = job::from_wire(task.resources());
 }
--- a/src/requests/starts.cpp
+++ b/src/requests/starts.cpp
@@ -11,20 +11,6 @@
 constexpr int kCounterBits = 24;
 constexpr std::uint32_t kCounterMask = (1U << kCounterBits) - 1;
 
-wire::job_class to_wire(job::job_class kind) {
-  switch (kind) {
-    case job::job_class::service:
-      return wire::service;
-    case job::job_class::batch:
-      return wire::batch;
-    case job::job_class::gang:
-      return wire::gang;
-    case job::job_class::urgent:
-      return wire::urgent;
-  }
-  return wire::job_class_unspecified;
-}
-
 std::uint64_t next_attempt(table& requests, job::epoch epoch) {
   std::uint32_t counter = requests.next_attempt;
   requests.next_attempt = (counter + 1) & kCounterMask;
@@ -48,7 +34,7 @@
       static_cast<std::uint32_t>(at.requests.options.task_lease.count()));
   start.set_payload(wanted.payload);
   start.set_team(wanted.team);
-  start.set_class_(to_wire(wanted.kind));
+  start.set_class_(job::to_wire(wanted.kind));
   at.effects.push_back(send_start{task.worker, task.epoch, std::move(start)});
 }
 
