--- a/src/settings/value.cpp
+++ b/src/settings/value.cpp
@@ -43,24 +43,6 @@
   return value;
 }
 
-std::optional<milliseconds> parse_duration(std::string_view text) {
-  struct suffix {
-    std::string_view text;
-    std::int64_t milliseconds;
-  };
-  constexpr suffix kSuffixes[] = {{"ms", 1}, {"s", 1000}, {"m", 60000}};
-  for (const suffix& each : kSuffixes) {
-    if (!text.ends_with(each.text)) continue;
-    text.remove_suffix(each.text.size());
-    std::optional<std::int64_t> count = parse_whole<std::int64_t>(text);
-    if (!count) return std::nullopt;
-    std::int64_t most = std::numeric_limits<std::int64_t>::max();
-    if (*count < 0 || *count > most / each.milliseconds) return std::nullopt;
-    return milliseconds(*count * each.milliseconds);
-  }
-  return std::nullopt;
-}
-
 // "an integer from 1 to 9 tasks"
 std::string range_text(const key_spec& spec, std::string_view kind) {
   if (spec.type == value_type::duration) {
@@ -160,6 +142,24 @@
   }
 }
 
+std::optional<milliseconds> parse_duration(std::string_view text) {
+  struct suffix {
+    std::string_view text;
+    std::int64_t milliseconds;
+  };
+  constexpr suffix kSuffixes[] = {{"ms", 1}, {"s", 1000}, {"m", 60000}};
+  for (const suffix& each : kSuffixes) {
+    if (!text.ends_with(each.text)) continue;
+    text.remove_suffix(each.text.size());
+    std::optional<std::int64_t> count = parse_whole<std::int64_t>(text);
+    if (!count) return std::nullopt;
+    std::int64_t most = std::numeric_limits<std::int64_t>::max();
+    if (*count < 0 || *count > most / each.milliseconds) return std::nullopt;
+    return milliseconds(*count * each.milliseconds);
+  }
+  return std::nullopt;
+}
+
 std::optional<endpoint> parse_endpoint(std::string_view text) {
   std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return std::nullopt;
--- a/src/settings/value.h
+++ b/src/settings/value.h
@@ -1,6 +1,7 @@
 // Converts the text of one setting to its value.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +19,9 @@
 // repeated, or there is none.
 bool parse_names(std::string_view text, std::vector<std::string>* names);
 
+// Reads an integer with the suffix ms, s or m; nothing if it is none.
+std::optional<milliseconds> parse_duration(std::string_view text);
+
 // An IP address in numbers and a port.
 struct endpoint {
   std::string ip;  // In its shortest form.
