--- a/src/core/entering.cpp
+++ b/src/core/entering.cpp
@@ -333,6 +333,7 @@
       on_bundle_from_peer(state, message.bundle());
       return;
     case wire::envelope::kHeartbeatReply:
+    case wire::envelope::kProbe:
     case wire::envelope::BODY_NOT_SET:
       return;
   }
