--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -47,6 +47,15 @@
   pending_->owner->answer(std::move(reply));
 }
 
+void responder::drop() const {
+  if (std::exchange(pending_->answered, true)) return;
+  pending_->owner->close();
+}
+
+std::uint64_t responder::connection() const {
+  return pending_->owner->number();
+}
+
 bool responder::abandoned() const { return pending_->owner->caller_gone(); }
 
 class server::implementation
@@ -142,7 +151,7 @@
     if (sessions_.size() >= limit + kMaxRefusedConnections) return;
     bool refused = sessions_.size() >= limit;
     std::shared_ptr<session> opened =
-        std::make_shared<session>(std::move(socket), shared_);
+        std::make_shared<session>(std::move(socket), ++accepted_, shared_);
     sessions_.emplace(opened.get(), opened);
     if (refused) {
       opened->run_refused();
@@ -185,6 +194,7 @@
   std::shared_ptr<session_context> shared_;
   std::unordered_map<session*, std::shared_ptr<session>> sessions_;
   std::function<void()> stopped_;
+  std::uint64_t accepted_ = 0;
   std::uint16_t port_ = 0;
 };
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -48,8 +48,12 @@
  public:
   explicit responder(std::shared_ptr<session> session);
   void operator()(response&& reply) const;
+  // Closes the connection without an answer.
+  void drop() const;
   // True once the caller has closed its connection; an answer is then lost.
   bool abandoned() const;
+  // Number of the connection, counted from 1 in the order of acceptance.
+  std::uint64_t connection() const;
 
  private:
   struct pending;
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -153,6 +153,17 @@
   CHECK(contains(caller.receive_until("no answer"), "500"));
 }
 
+TEST_CASE("a connection may be dropped without an answer") {
+  fixture f;
+  f.answer_later = true;
+  raw_caller caller = f.call();
+  caller.send(post("x"));
+  f.run_until([&] { return !f.waiting.empty(); });
+  CHECK(f.waiting[0].connection() == 1);
+  f.waiting[0].drop();
+  CHECK(caller.receive_all().empty());
+}
+
 TEST_CASE("a caller that leaves is noticed") {
   fixture f;
   f.answer_later = true;
--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -49,9 +49,10 @@
 
 }  // namespace
 
-session::session(asio::ip::tcp::socket socket,
+session::session(asio::ip::tcp::socket socket, std::uint64_t number,
                  std::shared_ptr<session_context> context)
     : socket_(std::move(socket)),
+      number_(number),
       deadline_(socket_.get_executor(), [this] { on_deadline(); }),
       context_(std::move(context)),
       buffer_(context_->options.max_header_bytes +
--- a/src/http/session_pvt.h
+++ b/src/http/session_pvt.h
@@ -24,7 +24,7 @@
 
 class session : public std::enable_shared_from_this<session> {
  public:
-  session(boost::asio::ip::tcp::socket socket,
+  session(boost::asio::ip::tcp::socket socket, std::uint64_t number,
           std::shared_ptr<session_context> context);
 
   // Serves requests until the connection ends.
@@ -39,6 +39,7 @@
   // Writes the answer to the request in hand.
   void answer(response&& reply);
   bool caller_gone() const { return caller_gone_; }
+  std::uint64_t number() const { return number_; }
 
  private:
   void wait_for_request();
@@ -56,6 +57,7 @@
   void end();
 
   boost::asio::ip::tcp::socket socket_;
+  std::uint64_t number_;
   deadline deadline_;
   std::shared_ptr<session_context> context_;
   boost::beast::flat_buffer buffer_;
