Keep a returning owner among its own earlier owners

A daemon that lost a shard and claimed it again was erased from the list of earlier owners, so it didn't read its own intents of the earlier epoch; the requests that it had started then are forgotten with the shard, and a non-idempotent one could be started again. Found by the model in spec/ (assertion runs <= 1 violated; the mutant OWN_INTENTS_NOT_READ keeps it).

--- a/src/ownership/claim_table.cpp
+++ b/src/ownership/claim_table.cpp
@@ -64,7 +64,6 @@
     return false;
   }
   remember_owner(state, {state.owner, state.incarnation});
-  std::erase(state.earlier, claimant);
   state.epoch = offset + 1;
   state.owner = claimant.daemon;
   state.incarnation = claimant.incarnation;
@@ -94,8 +93,6 @@
   for (const wire::writer& each : stated.earlier_owners()) {
     remember_owner(adopted, {each.daemon(), each.incarnation()});
   }
-  std::erase(adopted.earlier,
-             earlier_owner{adopted.owner, adopted.incarnation});
   state = std::move(adopted);
 }
 
--- a/src/ownership/claim_table_test.cpp
+++ b/src/ownership/claim_table_test.cpp
@@ -75,6 +75,15 @@
   CHECK(state_of(table).incarnation == 9);
 }
 
+TEST_CASE("an owner that returns is among its own earlier owners") {
+  ownership::claim_table table = make_table();
+  ownership::apply(table, claim_by("a", 1, 0), 0);
+  ownership::apply(table, claim_by("b", 1, 1), 1);
+  ownership::apply(table, claim_by("a", 1, 2), 2);
+  std::vector<ownership::earlier_owner> expected{{"a", 1}, {"b", 1}};
+  CHECK(state_of(table).earlier == expected);
+}
+
 TEST_CASE("claims of unknown regions and shards are ignored") {
   ownership::claim_table table = make_table();
   wire::record record = claim_by("a", 1, 0);
--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -41,7 +41,9 @@
   // Offset + 1 of the last record that states the owner; while the epoch is
   // 0, of the last one that names the shard. 0: none.
   std::uint64_t stated = 0;
-  std::vector<earlier_owner> earlier;  // Oldest first, without the owner.
+  // Oldest first. Holds the owner too if it owned the shard before: what it
+  // started then is forgotten with the shard.
+  std::vector<earlier_owner> earlier;
 
   friend bool operator==(const claim_state&, const claim_state&) = default;
 };
