--- a/src/settings/keys.cpp
+++ b/src/settings/keys.cpp
@@ -194,6 +194,16 @@
   return fmt::format("{}", fmt::join(value, ", "));
 }
 
+// "1 to 9 tasks", the choices, or "-".
+std::string range_of(const key_spec& spec) {
+  if (!spec.choices.empty()) return std::string(spec.choices);
+  if (spec.unit.empty()) return "-";
+  if (spec.type == value_type::duration) {
+    return fmt::format("{:.0f}ms to {:.0f}ms", spec.least, spec.most);
+  }
+  return fmt::format("{:.15g} to {:.15g} {}", spec.least, spec.most, spec.unit);
+}
+
 }  // namespace
 
 std::string_view to_string(value_type type) {
@@ -225,4 +235,13 @@
       spec.target);
 }
 
+std::string documentation_row(const key_spec& spec) {
+  std::string fallback = default_text(spec);
+  if (fallback.empty()) fallback = "unset";
+  if (spec.required) fallback = "required";
+  return fmt::format("| `{}` | {} | {} | {} | {} |", spec.key,
+                     to_string(spec.type), fallback, range_of(spec),
+                     spec.description);
+}
+
 }  // namespace ebonygrade::settings
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -153,6 +153,10 @@
 // Default of a key as it is written in a file; empty if there is none.
 std::string default_text(const key_spec& spec);
 
+// The key's row in docs/CONFIG.md: "| `KEY` | type | default | range |
+// meaning |".
+std::string documentation_row(const key_spec& spec);
+
 // ---- Reading ------------------------------------------------------------
 
 // `value` may be used only if there are no problems. Each problem's peer is
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -175,3 +175,20 @@
     CHECK(ebonygrade::settings::parse(text, "cell.ini").problems.empty());
   }
 }
+
+TEST_CASE("docs/CONFIG.md has the row of each key in its section") {
+  std::ifstream file(std::string(DOCS_DIR) + "/CONFIG.md");
+  std::vector<std::string> rows;
+  std::string section;
+  std::string line;
+  while (std::getline(file, line)) {
+    if (line.starts_with("## [")) section = line.substr(3);
+    if (line.starts_with("| `")) rows.push_back(section + line);
+  }
+  std::vector<std::string> expected;
+  for (const key_spec& spec : ebonygrade::settings::keys()) {
+    expected.push_back("[" + std::string(spec.section) + "]" +
+                       documentation_row(spec));
+  }
+  CHECK(rows == expected);
+}
--- a/src/settings/value.cpp
+++ b/src/settings/value.cpp
@@ -49,8 +49,8 @@
     return fmt::format("{} from {:.0f}ms to {:.0f}ms", kind, spec.least,
                        spec.most);
   }
-  return fmt::format("{} from {} to {} {}", kind, spec.least, spec.most,
-                     spec.unit);
+  return fmt::format("{} from {:.15g} to {:.15g} {}", kind, spec.least,
+                     spec.most, spec.unit);
 }
 
 bool in_range(const key_spec& spec, double value) {
--- a/src/tool/request_verbs.cpp
+++ b/src/tool/request_verbs.cpp
@@ -139,6 +139,23 @@
   }
 }
 
+// Asks each daemon why a request waits, as only the owner of its home shard
+// knows. Empty if none of those named does.
+std::string ask_owner(exchange& daemons, std::string_view id,
+                      std::string_view region) {
+  call call =
+      make_call("explain", http::verb::get,
+                request_target(id, "/explain", region, milliseconds(0)));
+  for (std::size_t i = 0; i < daemons.daemon_count(); ++i) {
+    call_report report = daemons.send_to(i, call);
+    if (!report.reply || report.reply->result() != http::status::ok) continue;
+    std::string text = report.reply->body();
+    while (text.ends_with('\n')) text.pop_back();
+    return text;
+  }
+  return {};
+}
+
 }  // namespace
 
 int submit(const invocation& command, const output& to) {
@@ -202,15 +219,20 @@
 
 int explain(const invocation& command, const output& to) {
   exchange daemons(command, to);
-  exchange_result answer =
-      daemons.send(make_call("explain", http::verb::get,
-                             request_target(command.positional[0], "/explain",
-                                            command.region, milliseconds(0))));
+  const std::string& id = command.positional[0];
+  exchange_result answer = daemons.send(
+      make_call("explain", http::verb::get,
+                request_target(id, "", command.region, milliseconds(0))));
   if (!answer.reply) return answer.exit_code;
-  std::string text = answer.reply->body();
-  while (text.ends_with('\n')) text.pop_back();
+  wire::request_status status;
+  if (!read_reply(*answer.reply, command, to, &status)) return kExitUnknown;
+  std::string text = outcome_line(status);
+  if (status.outcome().kind() == wire::pending) {
+    std::string why = ask_owner(daemons, id, command.region);
+    if (!why.empty()) text += "\n" + why;
+  }
   if (command.json) {
-    to.out << "{\"id\": " << json_string(command.positional[0])
+    to.out << "{\"id\": " << json_string(id)
            << ", \"explanation\": " << json_string(text) << "}\n";
   } else {
     to.out << text << "\n";
--- a/src/tool/tool_test.cpp
+++ b/src/tool/tool_test.cpp
@@ -181,6 +181,23 @@
   CHECK(requests[2].target() == "/v1/requests/b");
 }
 
+TEST_CASE("explain finds the daemon that knows why a request waits") {
+  http::response pending = outcome_reply(http::status::accepted, wire::pending);
+  auto with = [&](const http::response& explanation) {
+    return [&, explanation](const http::request& request) {
+      return mentions(std::string(request.target()), "/explain") ? explanation
+                                                                 : pending;
+    };
+  };
+  fake_daemon other(with(
+      http::error_response(http::status::misdirected_request, "ask entry-2")));
+  fake_daemon owner(with(http::text_response(
+      http::status::ok, "text/plain", "waits: quota of team t is used up\n")));
+  ran result = run({"explain", "job"}, {other.address(), owner.address()});
+  CHECK(result.exit_code == tool::kExitDone);
+  CHECK(result.out == "job: pending\nwaits: quota of team t is used up\n");
+}
+
 TEST_CASE("a roll names the version in force, and tells a lost race") {
   fake_daemon daemon([](const http::request& request) {
     if (request.method() == http::verb::get) {
