--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -192,3 +192,13 @@
   }
   CHECK(rows == expected);
 }
+
+TEST_CASE("the example settings are valid") {
+  for (const char* name : {"zora", "instituto"}) {
+    load_report report = ebonygrade::settings::load(
+        std::string(DOCS_DIR) + "/../examples/" + name + "/entry-1.ini");
+    for (const failure& each : report.problems) UNSCOPED_INFO(to_string(each));
+    CHECK(report.problems.empty());
+    CHECK(report.value.cell.name == name);
+  }
+}
