--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -295,14 +295,14 @@
       return;
     }
     state_.calls[report.token] = *call;
-    state_.platform.send(platform::read_to_end{report.token, call->stream});
+    failed_reads_.push_back({report.token, call->stream});
   }
 
   void on(platform::list_read&& report) { on_list(state_, report.list); }
 
   void on(platform::log_reachable&& report) {
     state_.log_reachable = report.reachable;
-    if (report.reachable) state_.last_log_sign = state_.clock.now();
+    state_.last_log_sign = state_.clock.now();
     if (report.reachable) {
       events::emit(events::id::log_up, "log", "", "");
     } else {
@@ -310,6 +310,13 @@
     }
   }
 
+  void repeat_failed_reads() {
+    for (platform::read_to_end& each : failed_reads_) {
+      state_.platform.send(std::move(each));
+    }
+    failed_reads_.clear();
+  }
+
   std::optional<platform_call> take_call(std::uint64_t token) {
     const auto found = state_.calls.find(token);
     if (found == state_.calls.end()) return std::nullopt;
@@ -379,6 +386,7 @@
       }
       check_takeovers(state_);
       tick_operations(state_);
+      repeat_failed_reads();
       schedule_slow_tick();
     });
   }
@@ -417,6 +425,7 @@
   boost::asio::steady_timer slow_timer_;
   boost::asio::steady_timer drain_timer_;
   std::atomic<bool> ready_{false};
+  std::vector<platform::read_to_end> failed_reads_;
   bool decision_pending_ = false;
   bool closed_ = false;
   steady_time drain_until_;
--- a/src/core/governing.cpp
+++ b/src/core/governing.cpp
@@ -12,7 +12,7 @@
 wire::record new_record(core_state& state) {
   wire::record record;
   record.mutable_writer()->set_daemon(state.options.self);
-  record.mutable_writer()->set_incarnation(state.options.incarnation);
+  record.mutable_writer()->set_incarnation(state.ownership.options.incarnation);
   record.mutable_writer()->set_sequence(state.next_sequence++);
   return record;
 }
@@ -107,7 +107,8 @@
       bundle::apply(state.registry, record, offset);
   if (state.registry.roll != roll_before) adopt_policy_in_force(state);
   if (record.writer().daemon() != state.options.self) return;
-  if (record.writer().incarnation() != state.options.incarnation) return;
+  if (record.writer().incarnation() != state.ownership.options.incarnation)
+    return;
   const auto found = state.operations.find(record.writer().sequence());
   if (found == state.operations.end()) return;
   answer_operation(state, found->second, record, offset, result);
--- a/src/core/owning.cpp
+++ b/src/core/owning.cpp
@@ -272,6 +272,23 @@
   state.peers.send(peer::set_peers{std::move(peers)});
 }
 
+// Whether the other daemons, as far as they are heard, know of no claim that
+// this daemon has not read. Without other daemons nobody can have claimed.
+bool peers_confirm_claims(const core_state& state) {
+  bool others = false;
+  bool heard = false;
+  for (const auto& [id, member] : state.membership.daemons) {
+    if (!member.listed) continue;
+    others = true;
+    if (!member.last_direct || member.silent_since) continue;
+    heard = true;
+    if (member.claims_offset > state.ownership.claims.next_offset) {
+      return false;
+    }
+  }
+  return heard || !others;
+}
+
 void update_workers(core_state& state, const wire::vm_list& list) {
   std::set<std::string> listed;
   for (const wire::worker_vm& vm : list.workers()) {
@@ -363,10 +380,11 @@
   const steady_time now = state.clock.now();
   const bool paused = now - state.last_tick > state.options.pause_limit;
   state.last_tick = now;
-  const bool isolated =
+  const bool cut_off =
       !state.log_reachable &&
-      now - state.last_log_sign > state.options.isolation_limit;
-  if (!paused && !isolated) return;
+      now - state.last_log_sign > state.options.isolation_limit &&
+      !peers_confirm_claims(state);
+  if (!paused && !cut_off) return;
   if (state.ownership_doubted) return;
   state.ownership_doubted = true;
   apply_request(state, requests::ownership_doubted{true});
--- a/src/core/serving.cpp
+++ b/src/core/serving.cpp
@@ -180,11 +180,11 @@
     return;
   }
   record.mutable_writer()->set_daemon(state.options.self);
-  record.mutable_writer()->set_incarnation(state.options.incarnation);
+  record.mutable_writer()->set_incarnation(state.ownership.options.incarnation);
   record.mutable_writer()->set_sequence(state.next_sequence++);
   const std::uint64_t token = state.next_token++;
-  const std::string stream =
-      intents::stream_name(state.options.self, state.options.incarnation);
+  const std::string stream = intents::stream_name(
+      state.options.self, state.ownership.options.incarnation);
   state.calls[token] = {call_purpose::append_intents, {}, stream, 0};
   state.metrics.add(metrics::counter::log_appends);
   state.platform.send(platform::append{token, stream, std::move(record)});
