--- a/src/tool/arguments.cpp
+++ b/src/tool/arguments.cpp
@@ -135,9 +135,8 @@
   tool::verb verb = definition.verb;
   if (verb == verb::submit) add_submit_options(&options);
   if (is_any_of(verb, {verb::submit, verb::status})) {
-    options.add_options("Waiting")(
-        "wait", "wait so long for the final outcome",
-        cxxopts::value<std::string>()->implicit_value("60s"), "TIME");
+    options.add_options("Waiting")("wait", "wait so long for the final outcome",
+                                   cxxopts::value<std::string>(), "TIME");
   }
   if (is_any_of(verb,
                 {verb::submit, verb::status, verb::cancel, verb::explain})) {
--- a/src/tool/tool_test.cpp
+++ b/src/tool/tool_test.cpp
@@ -98,7 +98,7 @@
   answer.set_output("no\x01");
   fake_daemon daemon(
       always(http::json_response(http::status::ok, http::to_json(status))));
-  ran result = submit({daemon.address()}, {"--wait"});
+  ran result = submit({daemon.address()}, {"--wait=60s"});
   CHECK(result.exit_code == tool::kExitTaskFailed);
   CHECK(mentions(result.out, "task 0: failed with exit code 3: 3 bytes"));
 }
@@ -159,7 +159,7 @@
     return http::json_response(http::status::ok, http::to_json(status));
   });
   ran result =
-      submit({daemon.address()}, {"--count=20", "--parallel=4", "--wait"});
+      submit({daemon.address()}, {"--count=20", "--parallel=4", "--wait=60s"});
   CHECK(result.exit_code == tool::kExitRefused);
   CHECK(result.out ==
         "job: 20 requests, 20 attempts, 19 answered, 1 not run\n");
