Give the links between daemons their region

Cause: link_options got a field region that to_link_options left empty, so bytes within a region were counted as cross_region. Change: the region of the daemon's zone is passed; the mapping test checks it.

--- a/src/settings/options.cpp
+++ b/src/settings/options.cpp
@@ -1,5 +1,7 @@
 #include "settings/options.h"
 
+#include <optional>
+
 namespace ebonygrade::settings {
 
 worker::adapter_options to_adapter_options(const settings& value) {
@@ -32,6 +34,9 @@
   options.incarnation = incarnation;
   options.listen_address = value.daemon.peer_address;
   options.zone = value.daemon.zone;
+  std::optional<std::uint16_t> region =
+      region_of_zone(value.cell, value.daemon.zone);
+  if (region) options.region = value.cell.regions[*region].name;
   options.silence_limit = value.peer.silence_limit;
   options.max_reconnect_pause = value.peer.max_reconnect_pause;
   options.send_queue = static_cast<std::size_t>(value.peer.send_queue);
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -75,6 +75,7 @@
   CHECK(to_client_options(report.value).call_timeout == milliseconds(3000));
   CHECK(to_client_options(report.value).appends_per_second == 2.5);
   CHECK(to_link_options(report.value, 7).incarnation == 7);
+  CHECK(to_link_options(report.value, 7).region == "sofia");
   CHECK(to_ownership_options(report.value, 7).self == "entry-1");
   CHECK(to_adapter_options(report.value).task_lease == milliseconds(30000));
   CHECK(to_table_options(report.value).max_attempts == 3);
