--- a/scripts/cell.bash
+++ b/scripts/cell.bash
@@ -1,9 +1,10 @@
 # Functions that start and stop a small cell on the loopback interface: the
 # stand-ins for the platform and the workers, and daemons in two regions.
-# Sourced by scripts/demo; the caller has set -euo pipefail.
+# Sourced by scripts/demo and testsuite cases; the caller has set -euo pipefail.
 #
 #   cell_begin            makes the folder $cell_dir for settings and logs
 #   cell_start            starts everything; sets $cell_addresses
+#   cell_roll FILE        puts a bundle in force; the cell is ready then
 #   cell_stop             stops the daemons gracefully, then the stand-ins
 #   cell_kill             ends whatever still runs; for traps
 
@@ -130,6 +131,18 @@
     { echo "the daemons do not answer; see $cell_dir" >&2; return 1; }
 }
 
+# cell_roll FILE: puts a bundle in force and waits until the cell is ready.
+cell_roll() {
+  local version
+  version=$("$cell_tool" bundle publish "$1" --as ana --json \
+    "${cell_addresses[@]}" | sed -n 's/.*"version":"\([0-9]*\)".*/\1/p')
+  "$cell_tool" bundle approve "$version" --as ivo "${cell_addresses[@]}" \
+    >/dev/null
+  "$cell_tool" bundle roll "$version" --as ana "${cell_addresses[@]}" >/dev/null
+  cell_wait_for "$cell_start_limit_s" cell_is_ready ||
+    { echo "the cell is not ready; see $cell_dir" >&2; return 1; }
+}
+
 # Whether each daemon answers.
 cell_answers() {
   local count
