Name request fields in refusals as the wire does

Cause: job::parse_request said perTask.slots where the JSON reader says per_task.slots, so a client saw two names for one field. Change: the names of wire/job.proto in both.

--- a/src/job/job.cpp
+++ b/src/job/job.cpp
@@ -43,10 +43,10 @@
     std::int32_t most;
   };
   const component components[] = {
-      {"perTask.millicores", value.millicores(), kMaxMillicores},
-      {"perTask.memoryMb", value.memory_mb(), kMaxMemoryMb},
-      {"perTask.accelerators", value.accelerators(), kMaxAccelerators},
-      {"perTask.slots", value.slots(), kMaxSlots},
+      {"per_task.millicores", value.millicores(), kMaxMillicores},
+      {"per_task.memory_mb", value.memory_mb(), kMaxMemoryMb},
+      {"per_task.accelerators", value.accelerators(), kMaxAccelerators},
+      {"per_task.slots", value.slots(), kMaxSlots},
   };
   for (const component& each : components) {
     std::string reason = check_amount(each.amount, each.most);
@@ -54,7 +54,7 @@
   }
   resources parsed = from_wire(value);
   if (parsed == resources{}) {
-    return bad_field("perTask", "needs at least one resource");
+    return bad_field("per_task", "needs at least one resource");
   }
   return parsed;
 }
@@ -161,7 +161,7 @@
   }
   if (value.team().empty()) return bad_field("team", "is empty");
   if (value.task_count() > kMaxTasksPerRequest) {
-    return bad_field("taskCount", "must be at most 10000");
+    return bad_field("task_count", "must be at most 10000");
   }
   if (value.payload().size() > kMaxPayloadBytes) {
     return bad_field("payload", "is larger than 1 MiB");
--- a/src/job/job_test.cpp
+++ b/src/job/job_test.cpp
@@ -54,17 +54,17 @@
   }
   SECTION("negative resource") {
     message.mutable_per_task()->set_memory_mb(-1);
-    CHECK(parse_error(message) == "perTask.memoryMb: must not be negative");
+    CHECK(parse_error(message) == "per_task.memory_mb: must not be negative");
   }
   SECTION("absurd resource") {
     message.mutable_per_task()->set_millicores(
         std::numeric_limits<std::int32_t>::max());
     CHECK(parse_error(message) ==
-          "perTask.millicores: must be at most 1000000");
+          "per_task.millicores: must be at most 1000000");
   }
   SECTION("no resource") {
     message.clear_per_task();
-    CHECK(parse_error(message) == "perTask: needs at least one resource");
+    CHECK(parse_error(message) == "per_task: needs at least one resource");
   }
   SECTION("no class") {
     message.clear_class_();
