Write every event of the catalogue; fill its counters and gauges

Cause: ten events, five counters and three gauges of the catalogues were written by no code, and no test saw it. Change: src/core/observing.cpp tells readiness, silent daemons, claims won and lost, failed appends, overload and bad requests, and holds metrics_text; ebonygraded tells refused settings as events unless it only checks them.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -100,46 +100,6 @@
          !state.draining;
 }
 
-// Sets the gauges and prints every measurement.
-std::string metrics_text(core_state& state) {
-  place::room total;
-  std::size_t owned = 0;
-  for (const std::vector<shard_runtime>& region : state.shards) {
-    for (const shard_runtime& shard : region) {
-      if (shard.engine == nullptr) continue;
-      const place::room room = place::summarise(*shard.engine);
-      total.free += room.free;
-      total.queued += room.queued;
-      total.running += room.running;
-      total.workers += room.workers;
-      ++owned;
-    }
-  }
-  metrics::registry& measured = state.metrics;
-  measured.set(metrics::gauge::ready, is_ready(state) ? 1 : 0);
-  measured.set(metrics::gauge::draining, state.draining ? 1 : 0);
-  measured.set(metrics::gauge::shards_owned, static_cast<double>(owned));
-  measured.set(metrics::gauge::workers_known,
-               static_cast<double>(state.shard_of_worker.size()));
-  measured.set(metrics::gauge::workers_fenced,
-               static_cast<double>(total.workers));
-  measured.set(metrics::gauge::tasks_queued, static_cast<double>(total.queued));
-  measured.set(metrics::gauge::tasks_running,
-               static_cast<double>(total.running));
-  measured.set(metrics::gauge::requests_kept,
-               static_cast<double>(state.requests.by_id.size()));
-  measured.set(metrics::gauge::bundle_roll,
-               static_cast<double>(state.registry.roll));
-  measured.set(metrics::gauge::bundle_version,
-               static_cast<double>(state.registry.in_force));
-  measured.set(metrics::gauge::log_reachable, state.log_reachable ? 1 : 0);
-  measured.set(metrics::gauge::free_millicores, total.free.millicores);
-  measured.set(metrics::gauge::free_memory_mb, total.free.memory_mb);
-  measured.set(metrics::gauge::free_accelerators, total.free.accelerators);
-  measured.set(metrics::gauge::free_slots, total.free.slots);
-  return measured.to_text();
-}
-
 class scheduler::implementation {
  public:
   implementation(boost::asio::io_context& context, const clock::clock& clock,
@@ -238,6 +198,7 @@
   }
 
   void on(platform::append_failed&& report) {
+    observe_failed_append(state_, report);
     const std::optional<platform_call> call = take_call(report.token);
     if (!call) return;
     if (call->purpose == call_purpose::append_intents) {
@@ -369,6 +330,7 @@
       decide(state_);
       flush_outputs();
       ready_.store(is_ready(state_));
+      observe(state_);
       schedule_tick();
     });
   }
--- a/src/core/core_pvt.h
+++ b/src/core/core_pvt.h
@@ -105,7 +105,9 @@
   bool claims_known = false;
   bool draining = false;
   bool ownership_doubted = false;
-  steady_time last_log_sign;  // Last time that the log answered.
+  bool was_ready = false;                // As last told by an event.
+  std::set<std::string> silent_daemons;  // As last told by an event.
+  steady_time last_log_sign;             // Last time that the log answered.
   steady_time last_tick;
 };
 
@@ -171,4 +173,21 @@
 void refuse(core_state& state, std::uint64_t token, int status,
             std::string_view error, std::string_view field = {});
 
+// ---- observing.cpp: events and metrics ----------------------------------
+
+// Tells by events what changed since the last call: readiness, silent daemons.
+void observe(core_state& state);
+// Tells what became of the claims of a record, if they are this daemon's own.
+// Called after the record was applied.
+void observe_claims(core_state& state, const wire::record& record,
+                    std::uint64_t offset);
+void observe_failed_append(core_state& state,
+                           const platform::append_failed& report);
+// A request was refused: for a passing lack of room, or because of `detail`.
+void observe_overload(core_state& state, const std::string& id,
+                      const std::string& reason);
+void observe_bad_request(core_state& state, const std::string& detail);
+// Sets the gauges and prints every measurement.
+std::string metrics_text(core_state& state);
+
 }  // namespace ebonygrade::core
--- a/src/core/entering.cpp
+++ b/src/core/entering.cpp
@@ -210,8 +210,8 @@
   error::result<job::request> parsed =
       job::parse_request(command.request, state.clock.now());
   if (parsed.has_error()) {
-    state.metrics.add(metrics::counter::requests_malformed);
     const std::string& detail = parsed.error().detail;
+    observe_bad_request(state, detail);
     refuse(state, command.token, 400, detail,
            detail.substr(0, detail.find(':')));
     return;
@@ -219,6 +219,7 @@
   const std::optional<job::shard_id> home =
       home_of(state, parsed->id, command.request.region());
   if (!home) {
+    observe_bad_request(state, "region: is not one of the cell's");
     refuse(state, command.token, 400, "region: is not one of the cell's",
            "region");
     return;
--- /dev/null
+++ b/src/core/observing.cpp
@@ -0,0 +1,133 @@
+// Events and metrics of what the core thread sees.
+#include <algorithm>
+#include <utility>
+
+#include "core/core_pvt.h"
+#include "events/events.h"
+
+namespace ebonygrade::core {
+
+namespace {
+
+std::string shard_text(const wire::shard_claim& shard) {
+  return shard.region() + "/" + std::to_string(shard.shard());
+}
+
+void observe_readiness(core_state& state) {
+  const bool ready = is_ready(state);
+  if (ready == state.was_ready) return;
+  state.was_ready = ready;
+  if (ready) {
+    events::emit(events::id::ready, "start", "", "bundle version {}",
+                 state.registry.in_force);
+  } else {
+    events::emit(events::id::not_ready, "drain", "", "");
+  }
+}
+
+void observe_silence(core_state& state) {
+  for (const auto& [id, daemon] : state.membership.daemons) {
+    if (!daemon.silent_since) {
+      state.silent_daemons.erase(id);
+    } else if (state.silent_daemons.insert(id).second) {
+      events::emit(events::id::peer_silent, "heartbeat", id, "");
+    }
+  }
+}
+
+std::size_t count_alive(const core_state& state) {
+  std::size_t alive = 1;
+  for (const auto& [id, daemon] : state.membership.daemons) {
+    if (daemon.alive_since && !daemon.silent_since) ++alive;
+  }
+  return alive;
+}
+
+}  // namespace
+
+void observe(core_state& state) {
+  observe_readiness(state);
+  observe_silence(state);
+}
+
+void observe_claims(core_state& state, const wire::record& record,
+                    std::uint64_t offset) {
+  if (record.writer().daemon() != state.options.self) return;
+  if (record.writer().incarnation() != state.options.incarnation) return;
+  for (const wire::shard_claim& shard : record.claim().shards()) {
+    const std::optional<std::uint16_t> region =
+        region_index(state, shard.region());
+    if (!region || shard.shard() >= state.shards[*region].size()) continue;
+    const ownership::claim_state& now =
+        state.ownership.claims.shards[*region][shard.shard()];
+    if (now.epoch == offset + 1) {
+      state.metrics.add(metrics::counter::claims_won);
+      events::emit(events::id::claim_won, "claim", "", "shard {} epoch {}",
+                   shard_text(shard), now.epoch);
+    } else {
+      state.metrics.add(metrics::counter::claims_lost);
+      events::emit(events::id::claim_lost, "claim", now.owner,
+                   "shard {} has epoch {}", shard_text(shard), now.epoch);
+    }
+  }
+}
+
+void observe_failed_append(core_state& state,
+                           const platform::append_failed& report) {
+  state.metrics.add(metrics::counter::log_append_failures);
+  events::emit(events::id::append_failed, report.cause);
+}
+
+void observe_overload(core_state& state, const std::string& id,
+                      const std::string& reason) {
+  state.metrics.add(metrics::counter::requests_refused_overload);
+  events::emit(events::id::overload_refused, "admit", "", "{}: {}", id, reason);
+}
+
+void observe_bad_request(core_state& state, const std::string& detail) {
+  state.metrics.add(metrics::counter::requests_malformed);
+  events::emit(events::id::bad_request, "submit", "", "{}", detail);
+}
+
+std::string metrics_text(core_state& state) {
+  place::room total;
+  std::size_t owned = 0;
+  for (const std::vector<shard_runtime>& region : state.shards) {
+    for (const shard_runtime& shard : region) {
+      if (shard.engine == nullptr) continue;
+      const place::room room = place::summarise(*shard.engine);
+      total.free += room.free;
+      total.queued += room.queued;
+      total.running += room.running;
+      total.workers += room.workers;
+      ++owned;
+    }
+  }
+  metrics::registry& measured = state.metrics;
+  measured.set(metrics::gauge::ready, is_ready(state) ? 1 : 0);
+  measured.set(metrics::gauge::draining, state.draining ? 1 : 0);
+  measured.set(metrics::gauge::shards_owned, static_cast<double>(owned));
+  measured.set(metrics::gauge::workers_known,
+               static_cast<double>(state.shard_of_worker.size()));
+  measured.set(metrics::gauge::workers_fenced,
+               static_cast<double>(total.workers));
+  measured.set(metrics::gauge::tasks_queued, static_cast<double>(total.queued));
+  measured.set(metrics::gauge::tasks_running,
+               static_cast<double>(total.running));
+  measured.set(metrics::gauge::requests_kept,
+               static_cast<double>(state.requests.by_id.size()));
+  measured.set(metrics::gauge::daemons_alive,
+               static_cast<double>(count_alive(state)));
+  measured.set(metrics::gauge::bundle_roll,
+               static_cast<double>(state.registry.roll));
+  measured.set(metrics::gauge::bundle_version,
+               static_cast<double>(state.registry.in_force));
+  measured.set(metrics::gauge::log_reachable, state.log_reachable ? 1 : 0);
+  measured.set(metrics::gauge::free_millicores, total.free.millicores);
+  measured.set(metrics::gauge::free_memory_mb, total.free.memory_mb);
+  measured.set(metrics::gauge::free_accelerators, total.free.accelerators);
+  measured.set(metrics::gauge::free_slots, total.free.slots);
+  return measured.to_text();
+}
+
+}  // namespace ebonygrade::core
--- a/src/core/owning.cpp
+++ b/src/core/owning.cpp
@@ -150,6 +150,8 @@
   shard_runtime& shard = runtime(state, found->second);
   if (report.epoch != shard.epoch) return;
   state.metrics.add(metrics::counter::worker_fences);
+  events::emit(events::id::worker_fenced, "takeover", report.worker, "epoch {}",
+               report.epoch);
   admit_worker(state, found->second, shard.workers[report.worker],
                report.reply);
 }
@@ -334,6 +336,7 @@
   for (std::size_t i = 0; i < records.entries.size(); ++i) {
     apply_ownership(
         state, ownership::record_read{records.entries[i], records.offsets[i]});
+    observe_claims(state, records.entries[i], records.offsets[i]);
   }
   if (records.at_end && !state.claims_known) {
     state.claims_known = true;
--- a/src/core/serving.cpp
+++ b/src/core/serving.cpp
@@ -41,6 +41,9 @@
   const place::admission admission = place::enqueue(
       *shard.engine, to_group(effect, state.clock.now()), state.clock.now());
   if (admission.accepted) return;
+  if (admission.retry_after > milliseconds(0)) {
+    observe_overload(state, effect.request.id, admission.reason);
+  }
   apply_request(state,
                 requests::admission_refused{effect.request.id, admission.reason,
                                             admission.retry_after});
--- a/src/ebonygraded/main.cpp
+++ b/src/ebonygraded/main.cpp
@@ -34,6 +34,21 @@
   return options;
 }
 
+// Tells what is wrong with the settings: to whoever checks them as messages,
+// to whoever reads the log of a daemon that was to start as events.
+void report(const std::vector<failure>& problems, bool check_only) {
+  const clocks::system_clock clock;
+  if (!check_only) events::start("info", clock);
+  for (const failure& each : problems) {
+    if (check_only) {
+      std::cerr << "ebonygraded: " << to_string(each) << "\n";
+    } else {
+      events::emit(events::id::settings_refused, each);
+    }
+  }
+  if (!check_only) events::stop();
+}
+
 // Runs until the daemon has drained or was told to end at once.
 int run(const settings::settings& value) {
   const clocks::system_clock clock;
@@ -102,11 +117,12 @@
   }
   const settings::load_report loaded =
       settings::load(arguments["config"].as<std::string>());
-  for (const failure& each : loaded.problems) {
-    std::cerr << "ebonygraded: " << to_string(each) << "\n";
+  const bool check_only = arguments.count("check-config") > 0;
+  if (!loaded.problems.empty()) {
+    report(loaded.problems, check_only);
+    return kExitBadSettings;
   }
-  if (!loaded.problems.empty()) return kExitBadSettings;
-  if (arguments.count("check-config") > 0) {
+  if (check_only) {
     std::cout << "settings are valid\n";
     return kExitOk;
   }
--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -74,7 +74,7 @@
                "The shard's workers are reconciled; it takes work.", "none"},
     definition{id::shard_dropped, "shard_dropped", level::info,
                "This daemon no longer owns the shard.", "daemon"},
-    definition{id::worker_fenced, "worker_fenced", level::info,
+    definition{id::worker_fenced, "worker_fenced", level::debug,
                "The worker accepted the shard's epoch.", "worker"},
     definition{id::worker_unreachable, "worker_unreachable", level::warning,
                "The worker does not answer; it gets no work.", "worker"},
@@ -99,9 +99,9 @@
     definition{id::peer_reconnected, "peer_reconnected", level::info,
                "A silent connection to a daemon was replaced.", "daemon"},
     definition{id::overload_refused, "overload_refused", level::warning,
-               "A request was refused because a queue is full.", "caller"},
+               "A request was refused because a queue is full.", "none"},
     definition{id::bad_request, "bad_request", level::info,
-               "A request was refused because of its content.", "caller"},
+               "A request was refused because of its content.", "none"},
 };
 
 // The definition of an event.
--- a/src/events/events_test.cpp
+++ b/src/events/events_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <set>
@@ -97,6 +98,22 @@
   }
 }
 
+TEST_CASE("every event of the catalogue is written by the code") {
+  std::string code;
+  std::filesystem::path source = SOURCE_DIR;
+  for (const std::filesystem::directory_entry& each :
+       std::filesystem::recursive_directory_iterator(source)) {
+    bool own = each.path().parent_path() == source / "events";
+    if (own || each.path().extension() != ".cpp") continue;
+    std::ifstream file(each.path());
+    code.append(std::istreambuf_iterator<char>(file), {});
+  }
+  for (const definition& each : kCatalogue) {
+    INFO(each.name);
+    CHECK(mentions(code, "events::id::" + std::string(each.name) + ","));
+  }
+}
+
 TEST_CASE("docs/EVENTS.md has the rows of the catalogue and no others") {
   std::ifstream file(std::string(DOCS_DIR) + "/EVENTS.md");
   std::set<std::string> rows;
