--- a/src/tool/exposition.cpp
+++ b/src/tool/exposition.cpp
@@ -89,6 +89,12 @@
   return *at;
 }
 
+// Whether the value numbers something: the latest counts, not the sum.
+bool is_ordinal(std::string_view name) {
+  return name == "ebonygrade_bundle_roll" ||
+         name == "ebonygrade_bundle_version";
+}
+
 void add_outcome(const sample& from, outcome_counts* counts) {
   std::string outcome = label_value(from, "outcome");
   std::uint64_t value = static_cast<std::uint64_t>(from.value);
@@ -123,7 +129,9 @@
     traffic_key key{label_value(from, "kind"), label_value(from, "link")};
     add_traffic(from, &total->traffic[key]);
   } else if (from.labels.empty()) {
-    total->scalars[from.name] += from.value;
+    double& scalar = total->scalars[from.name];
+    scalar = is_ordinal(from.name) ? std::max(scalar, from.value)
+                                   : scalar + from.value;
   }
 }
 
--- a/src/tool/exposition.h
+++ b/src/tool/exposition.h
@@ -68,7 +68,8 @@
   std::map<team_and_class, wait_summary> waits;
   std::map<team_and_class, outcome_counts> outcomes;
   std::map<traffic_key, traffic_bytes> traffic;
-  std::map<std::string, double> scalars;  // Counters and gauges by name.
+  // Counters and gauges by name; of a bundle's version and roll the latest.
+  std::map<std::string, double> scalars;
 };
 
 // Adds one daemon's samples.
--- a/src/tool/exposition_test.cpp
+++ b/src/tool/exposition_test.cpp
@@ -7,6 +7,7 @@
 using ebonygrade::job::job_class;
 using ebonygrade::metrics::counter;
 using ebonygrade::metrics::direction;
+using ebonygrade::metrics::gauge;
 using ebonygrade::metrics::link_distance;
 using ebonygrade::metrics::registry;
 using ebonygrade::tool::add_samples;
@@ -39,6 +40,8 @@
   two.add_bytes({"forward", link_distance::same_zone, direction::received}, 6);
   one.add(counter::starts_sent, 3);
   two.add(counter::starts_sent, 4);
+  one.set(gauge::bundle_version, 7);
+  two.set(gauge::bundle_version, 5);
   cell_metrics total;
   add_samples(samples_of(one), &total);
   add_samples(samples_of(two), &total);
@@ -53,6 +56,7 @@
   CHECK(total.traffic.at({"forward", "zone"}).sent == 5);
   CHECK(total.traffic.at({"forward", "zone"}).received == 6);
   CHECK(total.scalars.at("ebonygrade_starts_sent_total") == 7);
+  CHECK(total.scalars.at("ebonygrade_bundle_version") == 7);
   CHECK(metrics_text(total).find("ops") != std::string::npos);
   CHECK(metrics_json(total).find("\"team\": \"a \\\"b\\\"\"") !=
         std::string::npos);
