--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -46,6 +46,7 @@
 // Position in a stream that is followed.
 struct followed {
   std::uint64_t position = 0;
+  bool at_end = false;  // Only then a read may wait for more records.
   std::unique_ptr<http::client> connection;
   std::unique_ptr<boost::asio::steady_timer> timer;
   backoff pause{milliseconds(0)};
@@ -231,13 +232,13 @@
       return;
     }
     followed& stream = streams_.at(name);
+    const milliseconds wait =
+        stream.at_end ? options_.follow_wait : milliseconds(0);
     stream.connection->call(
         "read " + name,
-        http::json_request(http::verb::get,
-                           read_target(name, stream.position, kReadBatch,
-                                       options_.follow_wait)),
-        options_.follow_wait + kPollMargin,
-        [this, name](http::call_result&& result) {
+        http::json_request(http::verb::get, read_target(name, stream.position,
+                                                        kReadBatch, wait)),
+        wait + kPollMargin, [this, name](http::call_result&& result) {
           on_followed(name, std::move(result));
         });
   }
@@ -285,6 +286,7 @@
     note_reachable(true, {});
     stream.pause.reset();
     stream.position = report_records(name, stream.position, *reply);
+    stream.at_end = stream.position >= reply->next();
     finish_awaited(name, stream.position);
     read_followed(name);
   }
