Mend two double runs that random schedules found in the requests step

- A start refused as fenced made the table forget the request while another of its tasks ran; the same id, handed in again before the daemon had read the new claim, was started a second time.
The home is now closed to submissions under that epoch: `wrong_owner`.
- A worker's table may list an ended and a later running attempt of a gang task; both became answers.
A later attempt now replaces the earlier answer, and a final outcome no longer changes.

--- a/src/requests/ends.cpp
+++ b/src/requests/ends.cpp
@@ -10,13 +10,14 @@
 // The pause before a service task is replaced doubles up to so many times.
 constexpr std::uint32_t kMaxRestartDoublings = 5;
 
-void record_answer(request_state& request, const task_ended& input) {
-  wire::task_answer* answer = request.outcome.add_answers();
-  answer->set_task_index(input.key.task_index);
-  answer->set_end(input.end);
-  answer->set_exit_code(input.exit_code);
-  answer->set_output(input.output);
-  answer->set_worker(input.worker);
+void record_answer(request_state& request, task_state& task,
+                   const task_ended& input) {
+  wire::task_answer answer;
+  answer.set_end(input.end);
+  answer.set_exit_code(input.exit_code);
+  answer.set_output(input.output);
+  answer.set_worker(input.worker);
+  set_answer(request, task, std::move(answer));
 }
 
 void release(const context& at, const request_state& request, task_state& task,
@@ -93,6 +94,7 @@
   }
   request.outcome.clear_answers();
   for (task_state& task : request.tasks) {
+    task.has_answer = false;
     make_waiting(task);
   }
   enqueue_waiting(at, request);
@@ -116,7 +118,7 @@
                  const task_ended& input) {
   task.lost = false;
   task.phase = task_phase::ended;
-  record_answer(request, input);
+  record_answer(request, task, input);
   conclude(at, request);
 }
 
@@ -147,11 +149,33 @@
 
 }  // namespace
 
+void remove_answer(request_state& request, task_state& task) {
+  if (!task.has_answer) return;
+  task.has_answer = false;
+  std::uint32_t index = index_of(request, task);
+  google::protobuf::RepeatedPtrField<wire::task_answer>* answers =
+      request.outcome.mutable_answers();
+  for (int i = 0; i < answers->size(); ++i) {
+    if (answers->Get(i).task_index() != index) continue;
+    answers->DeleteSubrange(i, 1);
+    return;
+  }
+}
+
+void set_answer(request_state& request, task_state& task,
+                wire::task_answer answer) {
+  if (is_final(request) && request.outcome.kind() != wire::unknown) return;
+  remove_answer(request, task);
+  answer.set_task_index(index_of(request, task));
+  *request.outcome.add_answers() = std::move(answer);
+  task.has_answer = true;
+}
+
 void end_task(request_state& request, task_state& task, wire::task_end end) {
   task.phase = task_phase::ended;
-  wire::task_answer* answer = request.outcome.add_answers();
-  answer->set_task_index(index_of(request, task));
-  answer->set_end(end);
+  wire::task_answer answer;
+  answer.set_end(end);
+  set_answer(request, task, std::move(answer));
 }
 
 void end_waiting(const context& at, request_state& request) {
@@ -228,7 +252,7 @@
     return;
   }
   task.phase = task_phase::ended;
-  record_answer(request, input);
+  record_answer(request, task, input);
   conclude(at, request);
 }
 
--- a/src/requests/recovery.cpp
+++ b/src/requests/recovery.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "requests/step_pvt.h"
@@ -35,6 +36,7 @@
 void adopt_running(const context& at, request_state& request, task_state& task,
                    const task_found& input) {
   at.effects.push_back(adopt_room{input.worker, input.task});
+  if (!is_final(request)) remove_answer(request, task);
   task.phase = task_phase::running;
   task.worker = input.worker;
   task.epoch = input.task.epoch();
@@ -56,6 +58,8 @@
 
 void adopt_ended(const context& at, request_state& request, task_state& task,
                  const task_found& input) {
+  bool is_new = input.task.key().attempt() > task.attempt;
+  if (task.phase == task_phase::ended && !task.lost && !is_new) return;
   task.may_have_run = true;
   task.ran_before = true;
   task.attempt = input.task.key().attempt();
@@ -65,12 +69,12 @@
   if (request.request.idempotent && (!is_result || is_service)) return;
   task.phase = task_phase::ended;
   task.lost = false;
-  wire::task_answer* answer = request.outcome.add_answers();
-  answer->set_task_index(input.task.key().task_index());
-  answer->set_end(input.task.end());
-  answer->set_exit_code(input.task.exit_code());
-  answer->set_output(input.task.output());
-  answer->set_worker(input.worker);
+  wire::task_answer answer;
+  answer.set_end(input.task.end());
+  answer.set_exit_code(input.task.exit_code());
+  answer.set_output(input.task.output());
+  answer.set_worker(input.worker);
+  set_answer(request, task, std::move(answer));
   conclude(at, request);
 }
 
@@ -117,7 +121,7 @@
       supersede(at, request, {task.worker, key.task_index(), task.attempt});
     }
     adopt_running(at, request, task, input);
-  } else if (!is_active(task) && task.phase != task_phase::ended) {
+  } else if (!is_active(task) && key.attempt() >= task.attempt) {
     adopt_ended(at, request, task, input);
   }
 }
@@ -201,6 +205,8 @@
   if (found == at.requests.by_id.end()) return;
   request_state& request = found->second;
   withdraw_waiting(at, request);
+  job::epoch& fenced = at.requests.fenced_homes[request.request.home];
+  fenced = std::max(fenced, request.home_epoch);
   for (const waiter& each : request.waiters) {
     at.effects.push_back(reply{each, id, job::outcome(), true});
   }
--- a/src/requests/recovery_test.cpp
+++ b/src/requests/recovery_test.cpp
@@ -122,6 +122,18 @@
   CHECK(find<release_room>()->worker == "w2");
 }
 
+TEST_CASE_METHOD(requests_fixture, "a later attempt replaces a found answer") {
+  wire::task_record later = record_of("a", 0, true);
+  later.mutable_key()->set_attempt(9 << 24);
+  step(task_found{record_of("a", 0, true, wire::completed), "w1", kHome});
+  step(task_found{later, "w2", kHome});
+  submit(make_request("a"));
+  CHECK(count<reply>() == 0);
+  end(job::from_wire(later.key()));
+  REQUIRE(replied() == wire::answered);
+  CHECK(find<reply>()->outcome.answers_size() == 1);
+}
+
 TEST_CASE_METHOD(requests_fixture, "callers of a lost shard are sent on") {
   run(make_request("a"));
   submit(make_request("b"), 2);
--- a/src/requests/requests.cpp
+++ b/src/requests/requests.cpp
@@ -64,7 +64,18 @@
   }
 }
 
+bool is_fenced(const context& at, const submitted& input) {
+  auto found = at.requests.fenced_homes.find(input.request.home);
+  return found != at.requests.fenced_homes.end() &&
+         input.epoch <= found->second;
+}
+
 void on_submitted(const context& at, const submitted& input) {
+  if (is_fenced(at, input)) {
+    at.effects.push_back(
+        reply{input.from, input.request.id, job::outcome(), true});
+    return;
+  }
   request_state* known = find_request(at, input.request.id);
   if (known != nullptr && !known->request_known) {
     join_found(at, *known, input);
--- a/src/requests/requests.h
+++ b/src/requests/requests.h
@@ -243,6 +243,7 @@
   bool ran_before = false;       // The same, without the present attempt.
   bool in_queue = false;         // While queued: the placement queue has it.
   bool lost = false;             // Ended without an answer, ever.
+  bool has_answer = false;       // The outcome holds an answer of it.
   steady_time unanswered_since;  // The start had no answer; zero: it had.
   steady_time stop_sent;
 };
@@ -284,6 +285,9 @@
   // Homes that were served without a complete reconciliation, until when
   // refusals are in doubt.
   std::map<job::shard_id, steady_time> doubtful_homes;
+  // Homes of which a worker has shown a later epoch than this. Requests of
+  // them are not taken until the home is owned under a later one.
+  std::map<job::shard_id, job::epoch> fenced_homes;
   bool ownership_doubted = false;
 };
 
--- a/src/requests/starts_test.cpp
+++ b/src/requests/starts_test.cpp
@@ -132,6 +132,12 @@
   REQUIRE(count<reply>() == 1);
   CHECK(find<reply>()->wrong_owner);
   CHECK(state.by_id.empty());
+  // What it started is forgotten, so nothing is taken under this epoch.
+  submit(make_request("a"), 2);
+  REQUIRE(count<reply>() == 1);
+  CHECK(find<reply>()->wrong_owner);
+  step(submitted{make_request("a"), {"", 3, true}, kEpoch + 1});
+  CHECK(count<enqueue>() == 1);
 }
 
 TEST_CASE_METHOD(requests_fixture, "a lost worker's idempotent tasks go on") {
--- a/src/requests/step_pvt.h
+++ b/src/requests/step_pvt.h
@@ -76,6 +76,11 @@
 
 // ---- ends.cpp: how tasks end ---------------------------------------------
 
+// Puts the task's answer into the outcome, in place of an earlier one. A final
+// outcome doesn't change, unless it is `unknown`.
+void set_answer(request_state& request, task_state& task,
+                wire::task_answer answer);
+void remove_answer(request_state& request, task_state& task);
 // Ends a task that gave no result.
 void end_task(request_state& request, task_state& task, wire::task_end end);
 // Ends every task that no worker has, without another start.
