Plan reservations ahead, let short tasks in; larger tasks first by policy

Cause: after three reservations in vain a job's workers were kept from all others until it started. Change: a patient job's reservation is planned for the earliest time at which enough running tasks should have ended; tasks that should end before it may use the workers. Where packing comes first (weight 0.5 and above) larger tasks go first within a priority level.

--- a/bench/place_bench.cpp
+++ b/bench/place_bench.cpp
@@ -2,8 +2,11 @@
 // "name value unit" a line; the seeds and the clock are fixed, so all figures
 // but speed and memory repeat exactly.
 //
-//   place_bench [PART ...]   parts: speed memory cancel monday errors failing
-//                            fairness overload; all by default
+//   place_bench [--root DIR] [PART ...]
+//
+// Parts: speed memory cancel monday errors failing fairness overload; all by
+// default. Bundles are read from DIR/bundles; DIR is the source folder by
+// default.
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -23,9 +26,13 @@
 
 constexpr double kUrgentTargetMs = 6900;
 
+std::string& root() {
+  static std::string folder = EBONYGRADE_SOURCE_DIR;
+  return folder;
+}
+
 bundle::policy load_bundle(const std::string& name) {
-  std::ifstream in(std::string(EBONYGRADE_SOURCE_DIR) + "/bundles/" + name +
-                   ".ini");
+  std::ifstream in(root() + "/bundles/" + name + ".ini");
   std::ostringstream text;
   text << in.rdbuf();
   error::result<bundle::policy> parsed = bundle::parse(text.str());
@@ -192,7 +199,11 @@
     {"fairness", measure_fairness},    {"overload", measure_overload},
 };
 
-int run(const std::vector<std::string>& wanted) {
+int run(std::vector<std::string> wanted) {
+  if (wanted.size() >= 2 && wanted[0] == "--root") {
+    root() = wanted[1];
+    wanted.erase(wanted.begin(), wanted.begin() + 2);
+  }
   for (const part& each : kParts) {
     if (!wanted.empty() &&
         std::find(wanted.begin(), wanted.end(), each.name) == wanted.end()) {
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -148,7 +148,7 @@
   const double backlog = options.backlog_minutes * 60 * cores(where);
   double work = 0;
   for (int i = 0; work < backlog; ++i) {
-    jobs.push_back(i % 20 == 0 ? make.gang(kStart, options.declared_error)
+    jobs.push_back(i % 40 == 0 ? make.gang(kStart, options.declared_error)
                                : make.batch(kStart, options.declared_error));
     work += core_seconds(jobs.back());
   }
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -31,7 +31,7 @@
 
 struct monday_options {
   std::uint64_t seed = 1;
-  double backlog_minutes = 10;  // Work waiting at the start.
+  double backlog_minutes = 15;  // Work waiting at the start.
   double urgent_per_second = 100;
   milliseconds horizon{600000};
   double declared_error = 1;  // Declared run times are off up to so much.
--- a/src/place/engine_pvt.h
+++ b/src/place/engine_pvt.h
@@ -108,12 +108,16 @@
   steady_time retry_at;    // With block_reason::pause.
 };
 
+// Within a level, where packing comes first, larger tasks go first: small ones
+// fill what they leave. Otherwise `size` is 0 and the older job goes first.
 struct queue_key {
   std::int32_t level = 0;
+  float size = 0;  // Dominant share of the capacity that one task needs.
   steady_time submitted;
 
   bool operator<(const queue_key& other) const {
     if (level != other.level) return level > other.level;
+    if (size != other.size) return size > other.size;
     return submitted < other.submitted;
   }
 };
@@ -174,7 +178,7 @@
 // Workers kept free for one job that needs more room than there is.
 struct reservation {
   std::uint32_t job = kNone;
-  std::int32_t level = 0;
+  steady_time ready_at;  // When the room should be there.
   steady_time until;
   std::vector<std::uint32_t> workers;
 };
@@ -265,6 +269,8 @@
 std::uint32_t intern_team(engine* e, std::string_view name);
 // Recomputes the share of one team, or of all after capacity changed.
 void update_share(engine* e, std::uint32_t team);
+// Largest share of the cell's capacity that the amount is of any resource.
+double dominant_share(const engine& e, const amounts& amount);
 void update_all_shares(engine* e);
 // Puts the team at its place among the teams that are ready.
 void update_ready(engine* e, std::uint32_t team);
--- a/src/place/queues.cpp
+++ b/src/place/queues.cpp
@@ -144,7 +144,10 @@
   queue_state& q = e->queues[queue];
   q.level = level_of(*e, q);
   if (q.blocked == block_reason::none) {
-    queue_key key{q.level, e->jobs[q.head].submitted};
+    queue_key key{q.level, 0, e->jobs[q.head].submitted};
+    if (e->policy.placement.packing_weight >= kPackingFirst) {
+      key.size = static_cast<float>(dominant_share(*e, to_amounts(q.need)));
+    }
     e->teams[q.team].queues.update(e->queue_positions, queue, key);
   }
   update_ready(e, q.team);
--- a/src/place/reservation.cpp
+++ b/src/place/reservation.cpp
@@ -6,9 +6,11 @@
 
 namespace {
 
-// After so many reservations in vain a job's next one is renewed until the
-// job starts, and lets no shorter task in.
+// After so many reservations in vain a job's next one may be planned further
+// ahead than the hold time, and is renewed until the job starts.
 constexpr std::uint32_t kPatience = 3;
+// Furthest plan, in hold times; beyond it all tasks are taken to end.
+constexpr int kMaxPlanHolds = 64;
 // A job of independent tasks waits so many hold times before it reserves.
 constexpr int kSingleTaskHolds = 4;
 
@@ -92,6 +94,28 @@
   return chosen;
 }
 
+struct plan {
+  steady_time ready_at;
+  std::vector<std::uint32_t> workers;  // Empty: none found.
+};
+
+// The earliest plan, in steps that double. A job that was not patient for
+// long enough is planned for one hold time only.
+plan make_plan(const engine& e, const job_state& j) {
+  const milliseconds hold = e.policy.placement.gang_hold;
+  plan made;
+  const int most = is_persistent(e, j) ? kMaxPlanHolds : 1;
+  for (int holds = 1; holds <= most; holds *= 2) {
+    made.ready_at = e.now + holds * hold;
+    made.workers = choose_workers(e, j, made.ready_at, false);
+    if (!made.workers.empty()) return made;
+  }
+  if (is_persistent(e, j)) {
+    made.workers = choose_workers(e, j, made.ready_at, true);
+  }
+  return made;
+}
+
 void note_failed_hold(engine* e, const job_state& j) {
   hold_history& history = e->failed_holds[j.id];
   ++history.failed;
@@ -103,16 +127,16 @@
 void consider_reservation(engine* e, std::uint32_t job) {
   const job_state& j = e->jobs[job];
   if (!may_reserve_now(*e, j)) return;
-  const steady_time until = e->now + e->policy.placement.gang_hold;
-  std::vector<std::uint32_t> chosen =
-      choose_workers(*e, j, until, is_persistent(*e, j));
-  if (chosen.empty()) {
+  plan made = make_plan(*e, j);
+  if (made.workers.empty()) {
     note_failed_hold(e, j);
     return;
   }
   e->held.job = job;
-  e->held.until = until;
-  e->held.workers = std::move(chosen);
+  e->held.ready_at = made.ready_at;
+  e->held.until =
+      std::max(made.ready_at, e->now + e->policy.placement.gang_hold);
+  e->held.workers = std::move(made.workers);
   for (std::uint32_t worker : e->held.workers) {
     e->workers[worker].held = true;
     refresh_worker(e, worker);
@@ -146,9 +170,8 @@
   if (e.held.job == job) return true;
   const job_state& holder = e.jobs[e.held.job];
   if (level > e.queues[holder.queue].level) return true;
-  if (is_persistent(e, holder)) return false;
   const milliseconds runtime = estimate_runtime(e, e.jobs[job]);
-  return runtime.count() > 0 && e.now + runtime <= e.held.until;
+  return runtime.count() > 0 && e.now + runtime <= e.held.ready_at;
 }
 
 }  // namespace ebonygrade::place
--- a/src/place/room_index.cpp
+++ b/src/place/room_index.cpp
@@ -123,7 +123,7 @@
   const grid& g = grids_[which];
   std::uint32_t rows =
       g.occupied_rows & from_level(level(s->query->need.millicores));
-  const bool fullest_first = s->query->packing_weight >= 0.5;
+  const bool fullest_first = s->query->packing_weight >= kPackingFirst;
   while (rows != 0 && s->seen < s->most) {
     std::uint32_t cpu_level = static_cast<std::uint32_t>(
         fullest_first ? std::countr_zero(rows) : 31 - std::countl_zero(rows));
@@ -136,7 +136,7 @@
                             search* s, random_source* random) {
   std::uint32_t bits = grids_[which].rows[cpu_level] &
                        from_level(level(s->query->need.memory_mb));
-  const bool fullest_first = s->query->packing_weight >= 0.5;
+  const bool fullest_first = s->query->packing_weight >= kPackingFirst;
   while (bits != 0 && s->seen < s->most) {
     std::uint32_t memory_level = static_cast<std::uint32_t>(
         fullest_first ? std::countr_zero(bits) : 31 - std::countl_zero(bits));
--- a/src/place/room_index_pvt.h
+++ b/src/place/room_index_pvt.h
@@ -17,6 +17,9 @@
 
 namespace ebonygrade::place {
 
+// From this packing weight on, packing goes before waiting.
+inline constexpr double kPackingFirst = 0.5;
+
 // Workers that anyone may use, and those reserved for one job.
 enum class section : std::uint8_t { open, held };
 
--- a/src/place/teams.cpp
+++ b/src/place/teams.cpp
@@ -31,14 +31,18 @@
   return team;
 }
 
-void update_share(engine* e, std::uint32_t team) {
-  team_state& t = e->teams[team];
+double dominant_share(const engine& e, const amounts& amount) {
   double dominant = 0;
   for (std::size_t i = 0; i < kResourceCount; ++i) {
     dominant =
-        std::max(dominant, static_cast<double>(t.used[i]) * e->per_capacity[i]);
+        std::max(dominant, static_cast<double>(amount[i]) * e.per_capacity[i]);
   }
-  t.share = static_cast<float>(dominant / t.policy.weight);
+  return dominant;
+}
+
+void update_share(engine* e, std::uint32_t team) {
+  team_state& t = e->teams[team];
+  t.share = static_cast<float>(dominant_share(*e, t.used) / t.policy.weight);
 }
 
 void update_all_shares(engine* e) {
