Restrict failing workers beyond the quarantine's cap instead of sparing them

Cause: with 5 of 48 workers failing and a cap of 4 the fifth got full load: 16,755 failed attempts in 120 s and 71% of tasks completed. A worker that fails at once is free at once and draws more work. Change: a worker that may not be quarantined takes one task at a time, after all others, until one completes. Any idempotent task may go there; one that can't be repeated only after a wait of quarantine_time, so that a fault of all workers doesn't stop it for good. Gangs never do.

--- a/bench/driver.cpp
+++ b/bench/driver.cpp
@@ -96,12 +96,16 @@
       spec.zone = "z" + std::to_string(i / 16);
       spec.capacity = where_.capacity;
       scheduler_.add_worker(spec);
-      const int failing =
-          static_cast<int>(std::lround(options_.failing_workers * 100));
-      is_failing_[spec.id] = (i * 37 + 5) % 100 < failing;
+      is_failing_[spec.id] = is_failing(i);
     }
   }
 
+  // Spaces the failing workers evenly.
+  bool is_failing(int worker) const {
+    const double share = options_.failing_workers;
+    return std::ceil((worker + 1) * share) > std::ceil(worker * share);
+  }
+
   void end_tasks() {
     while (!ends_.empty() && ends_.top().at <= now_) {
       const end_event event = ends_.top();
--- a/bench/place_bench.cpp
+++ b/bench/place_bench.cpp
@@ -123,7 +123,7 @@
   bundle::policy policy = load_bundle(where.name);
   const workload jobs = steady(where, 0.7, horizon, 5);
   bundle::policy without = policy;
-  without.placement.max_quarantined = 0;
+  without.placement.quarantine_failures = 1000000;
   driver_options options;
   options.horizon = horizon;
   options.failing_workers = 0.1;
--- a/src/place/decide.cpp
+++ b/src/place/decide.cpp
@@ -32,6 +32,14 @@
   block_queue(e, queue, block_reason::pause);
 }
 
+// From when on the job may use workers on probation, which may fail what they
+// are given: at once if it can be repeated, else after a wait. Gangs never.
+steady_time probe_from(const engine& e, const job_state& j) {
+  if (j.kind == job::job_class::gang) return steady_time::max();
+  if (j.idempotent) return steady_time::min();
+  return j.submitted + e.policy.placement.quarantine_time;
+}
+
 bool may_try_gang(engine* e) {
   if (e->now - e->gang_tries_since >= kGangTriesSpan) {
     e->gang_tries_since = e->now;
@@ -61,6 +69,9 @@
   if (worker == kNone) {
     consider_preemption(e, queue, out);
     consider_reservation(e, job);
+    const steady_time probe_at = probe_from(*e, e->jobs[job]);
+    e->queues[queue].retry_at =
+        probe_at > e->now ? probe_at : steady_time::max();
     block_queue(e, queue, block_reason::room);
     return;
   }
@@ -103,7 +114,7 @@
   query.need = j.per_task;
   query.packing_weight = e->policy.placement.packing_weight;
   query.use_held = may_use_held(*e, job, level);
-  query.may_probe = j.idempotent && j.kind == job::job_class::batch;
+  query.may_probe = e->now >= probe_from(*e, j);
   if (class_policy_of(*e, j.kind).spread) query.spread = j.spread.get();
   return e->rooms.find(query, &e->random);
 }
--- a/src/place/engine_pvt.h
+++ b/src/place/engine_pvt.h
@@ -105,7 +105,7 @@
   std::int32_t level = 0;
   block_reason blocked = block_reason::none;
   bool is_listed = false;  // In engine::blocked_queues.
-  steady_time retry_at;    // With block_reason::pause.
+  steady_time retry_at;    // When blocked by room or pause.
 };
 
 // Within a level, where packing comes first, larger tasks go first: small ones
--- a/src/place/policy_test.cpp
+++ b/src/place/policy_test.cpp
@@ -193,6 +193,31 @@
   CHECK(cell.decide().starts.size() == 8);
 }
 
+TEST_CASE("with all workers failing, work goes on one task at a time") {
+  test_cell cell;
+  cell.policy.placement.quarantine_failures = 1;
+  cell.policy.placement.quarantine_time = milliseconds(1000);
+  cell.policy.placement.max_quarantined = 0;
+  cell.apply();
+  cell.add_workers(2, {4000, 4096, 0, 0});
+  for (int i = 0; i < 8; ++i) {
+    std::string id = "j" + std::to_string(i);
+    cell.submit(id, {.need = {1000, 1, 0, 0}});
+    if (cell.decide().starts.size() == 1) cell.end(id, 0, wire::failed);
+  }
+  cell.submit("once", {.kind = job::job_class::urgent,
+                       .need = {1000, 1, 0, 0},
+                       .idempotent = false});
+  CHECK(cell.decide().starts.empty());
+  cell.advance(milliseconds(1000));
+  cell.submit("many", {.tasks = 8, .need = {1000, 1, 0, 0}});
+  decisions made = cell.decide();
+  REQUIRE(made.starts.size() == 2);
+  CHECK(made.starts[0].id == "once");
+  cell.end("once", 0);
+  CHECK(cell.decide().starts.size() == 4);
+}
+
 TEST_CASE("a job that fails everywhere does not eject the workers") {
   test_cell cell;
   cell.policy.placement.quarantine_failures = 2;
--- a/src/place/queues.cpp
+++ b/src/place/queues.cpp
@@ -88,7 +88,8 @@
     case block_reason::none:
       return true;
     case block_reason::room:
-      return e.any_given_back && job::fits(q.need, e.given_back);
+      return e.now >= q.retry_at ||
+             (e.any_given_back && job::fits(q.need, e.given_back));
     case block_reason::quota:
       return e.teams[q.team].has_quota_blocked == false;
     case block_reason::pause:
--- a/src/place/room_index.cpp
+++ b/src/place/room_index.cpp
@@ -11,6 +11,7 @@
 constexpr int kCandidates = 16;        // Workers that fit and are scored.
 constexpr int kSpreadCandidates = 64;  // The same for a job that spreads.
 constexpr std::uint32_t kUnit = 64;    // Millicores or MB of the first level.
+constexpr std::uint32_t kProbationRank = 1U << 31;  // After all others.
 constexpr std::uint32_t kHasSlots = 1;
 constexpr std::uint32_t kHasAccelerators = 2;
 constexpr std::uint32_t kHeld = 4;
@@ -183,10 +184,10 @@
   // What stays free counts for or against; lopsided rests always against.
   float fullness = 1.0F - 2.0F * static_cast<float>(query.packing_weight);
   float score = fullness * (cpu + memory) - std::fabs(cpu - memory);
-  std::uint32_t rank = 0;
+  std::uint32_t rank = r.on_probation ? kProbationRank : 0;
   if (query.spread != nullptr) {
     const spread_counts& counts = *query.spread;
-    if (r.zone < counts.zones.size()) rank = counts.zones[r.zone] << 16;
+    if (r.zone < counts.zones.size()) rank += counts.zones[r.zone] << 16;
     if (r.rack < counts.racks.size()) rank += counts.racks[r.rack];
   }
   bool better = s->best == kNone || rank < s->spread_rank ||
--- a/src/place/workers.cpp
+++ b/src/place/workers.cpp
@@ -58,18 +58,33 @@
   return static_cast<double>(e.quarantined.size() + 1) <= most;
 }
 
+// Where no more workers may be quarantined, a worker takes one task at a time
+// until one completes.
+void restrict_worker(engine* e, std::uint32_t worker) {
+  worker_state& w = e->workers[worker];
+  w.health = worker_health::probation;
+  w.probing = false;
+  refresh_worker(e, worker);
+  note_given_back(e, worker);
+}
+
 // The first time or again after a failed probe, then for twice as long.
 void quarantine(engine* e, std::uint32_t worker, steady_time now) {
   worker_state& w = e->workers[worker];
-  const bool is_repeated = w.health == worker_health::probation;
-  if (!is_repeated && !may_quarantine(*e)) return;
+  const bool is_listed = std::find(e->quarantined.begin(), e->quarantined.end(),
+                                   worker) != e->quarantined.end();
+  if (!is_listed && !may_quarantine(*e)) {
+    restrict_worker(e, worker);
+    return;
+  }
+  const bool is_repeated = w.quarantine_time.count() > 0;
   w.quarantine_time = is_repeated
                           ? std::min(kMostQuarantine, 2 * w.quarantine_time)
                           : e->policy.placement.quarantine_time;
   w.quarantined_until = now + w.quarantine_time;
   w.health = worker_health::quarantined;
   w.probing = false;
-  if (!is_repeated) e->quarantined.push_back(worker);
+  if (!is_listed) e->quarantined.push_back(worker);
   refresh_worker(e, worker);
 }
 
@@ -78,6 +93,7 @@
   w.health = worker_health::healthy;
   w.failures = 0;
   w.probing = false;
+  w.quarantine_time = milliseconds(0);
   std::erase(e->quarantined, worker);
   refresh_worker(e, worker);
   note_given_back(e, worker);
