Make resource arithmetic inline

Cause: the placement search calls fits() for each worker it looks at; as a call into another library it was 2% of the time by itself and kept the loop from being optimised. Change: fits, += and -= of job::resources are inline in job.h.

--- a/src/job/job.cpp
+++ b/src/job/job.cpp
@@ -76,28 +76,6 @@
 
 }  // namespace
 
-resources& resources::operator+=(const resources& other) {
-  millicores += other.millicores;
-  memory_mb += other.memory_mb;
-  accelerators += other.accelerators;
-  slots += other.slots;
-  return *this;
-}
-
-resources& resources::operator-=(const resources& other) {
-  millicores -= other.millicores;
-  memory_mb -= other.memory_mb;
-  accelerators -= other.accelerators;
-  slots -= other.slots;
-  return *this;
-}
-
-bool fits(const resources& need, const resources& room) {
-  return need.millicores <= room.millicores &&
-         need.memory_mb <= room.memory_mb &&
-         need.accelerators <= room.accelerators && need.slots <= room.slots;
-}
-
 resources from_wire(const wire::resources& value) {
   return {value.millicores(), value.memory_mb(), value.accelerators(),
           value.slots()};
--- a/src/job/job.h
+++ b/src/job/job.h
@@ -29,13 +29,29 @@
   std::int32_t accelerators = 0;
   std::int32_t slots = 0;
 
-  resources& operator+=(const resources& other);
-  resources& operator-=(const resources& other);
+  resources& operator+=(const resources& other) {
+    millicores += other.millicores;
+    memory_mb += other.memory_mb;
+    accelerators += other.accelerators;
+    slots += other.slots;
+    return *this;
+  }
+  resources& operator-=(const resources& other) {
+    millicores -= other.millicores;
+    memory_mb -= other.memory_mb;
+    accelerators -= other.accelerators;
+    slots -= other.slots;
+    return *this;
+  }
   friend bool operator==(const resources&, const resources&) = default;
 };
 
 // True if every component of `need` is at most that of `room`.
-bool fits(const resources& need, const resources& room);
+inline bool fits(const resources& need, const resources& room) {
+  return need.millicores <= room.millicores &&
+         need.memory_mb <= room.memory_mb &&
+         need.accelerators <= room.accelerators && need.slots <= room.slots;
+}
 resources from_wire(const wire::resources& value);
 wire::resources to_wire(const resources& value);
 
