--- a/bench/speed.cpp
+++ b/bench/speed.cpp
@@ -128,7 +128,11 @@
   fmt::print("speed.{}.cycles {:.0f} 1/s\n", name, count / whole.count());
 }
 
-std::size_t bytes_in_use() { return mallinfo2().uordblks; }
+// Of the heap and of large blocks mapped by themselves.
+std::size_t bytes_in_use() {
+  const struct mallinfo2 info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
 
 place::engine_ptr small_engine(int workers) {
   place::engine_ptr engine = place::make_engine({.seed = 5});
--- a/src/place/explain.cpp
+++ b/src/place/explain.cpp
@@ -28,6 +28,24 @@
   return "is waiting";
 }
 
+// What tasks of the team and class were seen to use, if anything was.
+std::string learned(const engine& e, const job_state& j) {
+  const experience& seen =
+      e.teams[j.team].seen[static_cast<std::size_t>(j.kind)];
+  std::string text;
+  const milliseconds runtime = estimate_runtime(e, j);
+  if (runtime.count() > 0) {
+    text += fmt::format("; its tasks are expected to run for {:.1f} s",
+                        std::chrono::duration<double>(runtime).count());
+  }
+  if (seen.use_ratio[0] > 0) {
+    text +=
+        fmt::format("; such tasks use {:.0f}% of the processors they ask for",
+                    100 * seen.use_ratio[0]);
+  }
+  return text;
+}
+
 }  // namespace
 
 std::string explain(const engine& e, std::string_view id, steady_time now) {
@@ -55,6 +73,7 @@
     text +=
         fmt::format("; {} workers are reserved for it", e.held.workers.size());
   }
+  text += learned(e, j);
   if (!team.is_known) {
     text += "; its team is no longer in the bundle in force";
   }
--- a/src/place/place_test.cpp
+++ b/src/place/place_test.cpp
@@ -185,6 +185,9 @@
   cell.decide();
   CHECK_THAT(explain(*cell.engine, "a", cell.now),
              Catch::Matchers::Contains("no worker has room now"));
+  report_usage(*cell.engine, "a", 0, {400, 1, 0, 0});
+  CHECK_THAT(explain(*cell.engine, "a", cell.now),
+             Catch::Matchers::Contains("use 40% of the processors"));
   CHECK_THAT(explain(*cell.engine, "x", cell.now),
              Catch::Matchers::Contains("not waiting"));
 }
