Within a priority level, put the earlier deadline first

Change: of queues at one level (and size, where packing comes first) the one whose oldest job has the earlier deadline goes first.

--- a/src/place/engine_pvt.h
+++ b/src/place/engine_pvt.h
@@ -113,11 +113,13 @@
 struct queue_key {
   std::int32_t level = 0;
   float size = 0;  // Dominant share of the capacity that one task needs.
+  steady_time deadline;
   steady_time submitted;
 
   bool operator<(const queue_key& other) const {
     if (level != other.level) return level > other.level;
     if (size != other.size) return size > other.size;
+    if (deadline != other.deadline) return deadline < other.deadline;
     return submitted < other.submitted;
   }
 };
--- a/src/place/queues.cpp
+++ b/src/place/queues.cpp
@@ -145,7 +145,8 @@
   queue_state& q = e->queues[queue];
   q.level = level_of(*e, q);
   if (q.blocked == block_reason::none) {
-    queue_key key{q.level, 0, e->jobs[q.head].submitted};
+    const job_state& head = e->jobs[q.head];
+    queue_key key{q.level, 0, head.deadline, head.submitted};
     if (e->policy.placement.packing_weight >= kPackingFirst) {
       key.size = static_cast<float>(dominant_share(*e, to_amounts(q.need)));
     }
