--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -75,6 +75,7 @@
   CHECK(to_client_options(report.value).call_timeout == milliseconds(3000));
   CHECK(to_client_options(report.value).appends_per_second == 2.5);
   CHECK(to_link_options(report.value, 7).incarnation == 7);
+  CHECK(to_link_options(report.value, 7).region == "sofia");
   CHECK(to_ownership_options(report.value, 7).self == "entry-1");
   CHECK(to_adapter_options(report.value).task_lease == milliseconds(30000));
   CHECK(to_table_options(report.value).max_attempts == 3);
@@ -175,3 +176,30 @@
     CHECK(ebonygrade::settings::parse(text, "cell.ini").problems.empty());
   }
 }
+
+TEST_CASE("docs/CONFIG.md has the row of each key in its section") {
+  std::ifstream file(std::string(DOCS_DIR) + "/CONFIG.md");
+  std::vector<std::string> rows;
+  std::string section;
+  std::string line;
+  while (std::getline(file, line)) {
+    if (line.starts_with("## [")) section = line.substr(3);
+    if (line.starts_with("| `")) rows.push_back(section + line);
+  }
+  std::vector<std::string> expected;
+  for (const key_spec& spec : ebonygrade::settings::keys()) {
+    expected.push_back("[" + std::string(spec.section) + "]" +
+                       documentation_row(spec));
+  }
+  CHECK(rows == expected);
+}
+
+TEST_CASE("the example settings are valid") {
+  for (const char* name : {"zora", "instituto"}) {
+    load_report report = ebonygrade::settings::load(
+        std::string(DOCS_DIR) + "/../examples/" + name + "/entry-1.ini");
+    for (const failure& each : report.problems) UNSCOPED_INFO(to_string(each));
+    CHECK(report.problems.empty());
+    CHECK(report.value.cell.name == name);
+  }
+}
