--- /dev/null
+++ b/bench/figure.h
@@ -0,0 +1,15 @@
+// Output of the benchmarks: one line "NAME VALUE UNIT" a figure.
+#pragma once
+
+#include <fmt/format.h>
+
+#include <string_view>
+
+namespace ebonygrade::bench {
+
+inline void print_figure(std::string_view name, double value,
+                         std::string_view unit) {
+  fmt::print("{} {:.6g} {}\n", name, value, unit);
+}
+
+}  // namespace ebonygrade::bench
--- /dev/null
+++ b/bench/routing_rules.cpp
@@ -0,0 +1,242 @@
+#include <algorithm>
+#include <chrono>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "cell_bench.h"
+#include "figure.h"
+#include "routing/routing.h"
+
+namespace ebonygrade::bench {
+
+namespace {
+
+using clock::milliseconds;
+using clock::steady_time;
+
+constexpr int kDaemons = 12;  // In one zone; a third of them hold busy homes.
+constexpr int kSlots = 384;   // A daemon: 48 workers of 8.
+constexpr double kMeanRuntimeMs = 2000;
+constexpr double kLoad = 0.8;
+constexpr int kMaxTries = 3;
+constexpr milliseconds kRun{60000};
+constexpr milliseconds kWarmUp{15000};
+constexpr milliseconds kSample{100};
+constexpr steady_time kStart{std::chrono::hours(1)};
+
+struct finish {
+  steady_time at;
+  int daemon = 0;
+  int slots = 0;
+  bool operator>(const finish& other) const { return at > other.at; }
+};
+
+struct outcome_counts {
+  double offers = 0;
+  double wrong_offers = 0;  // The daemon had no room after all.
+  double jobs = 0;
+  double overflowed = 0;
+  double waiting = 0;  // Found no room anywhere.
+  double imbalance_sum = 0;
+  double samples = 0;
+};
+
+// Daemons whose jobs overflow to each other by summaries of a given age.
+struct overflow_trial {
+  routing::rule choice = routing::rule::random;
+  milliseconds refresh{0};
+  bool remember_offers = true;
+  std::mt19937_64 random{42};
+  std::vector<int> used = std::vector<int>(kDaemons, 0);
+  std::vector<int> shown = std::vector<int>(kDaemons, 0);  // In summaries.
+  std::vector<steady_time> shown_at =
+      std::vector<steady_time>(kDaemons, kStart);
+  std::vector<routing::overflow_state> states;
+  std::priority_queue<finish, std::vector<finish>, std::greater<finish>> ends;
+  outcome_counts counts;
+};
+
+std::string daemon_name(int index) { return "vm-" + std::to_string(index); }
+constexpr int kBusyHomes = kDaemons / 3;
+
+overflow_trial make_trial(routing::rule choice, milliseconds refresh,
+                          bool remember_offers) {
+  overflow_trial made;
+  made.choice = choice;
+  made.refresh = refresh;
+  made.remember_offers = remember_offers;
+  for (int i = 0; i < kDaemons; ++i) {
+    routing::overflow_options options;
+    options.self = daemon_name(i);
+    options.zone = "zone";
+    options.region = "region";
+    options.choice = choice;
+    if (!remember_offers) options.max_remembered = 0;
+    made.states.push_back(routing::make_overflow(options, 100 + i));
+    if (refresh.count() > 0) {
+      made.shown_at[i] -= milliseconds(made.random() % refresh.count());
+    }
+  }
+  return made;
+}
+
+void refresh_summaries(overflow_trial& trial, steady_time now) {
+  for (int i = 0; i < kDaemons; ++i) {
+    if (now - trial.shown_at[i] < trial.refresh) continue;
+    trial.shown_at[i] = now;
+    trial.shown[i] = trial.used[i];
+  }
+}
+
+std::vector<membership::room_view> make_views(const overflow_trial& trial,
+                                              steady_time now) {
+  std::vector<membership::room_view> views;
+  for (int i = 0; i < kDaemons; ++i) {
+    membership::room_view view;
+    view.id = daemon_name(i);
+    view.zone = "zone";
+    view.region = "region";
+    view.room.mutable_free()->set_slots(kSlots - trial.shown[i]);
+    view.room.mutable_largest_free()->set_slots(
+        std::min(8, kSlots - trial.shown[i]));
+    view.age =
+        std::chrono::duration_cast<milliseconds>(now - trial.shown_at[i]);
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
+void run_tasks(overflow_trial& trial, int daemon, int tasks, steady_time now) {
+  std::exponential_distribution<double> runtime(1 / kMeanRuntimeMs);
+  trial.used[daemon] += tasks;
+  for (int i = 0; i < tasks; ++i) {
+    std::chrono::microseconds length(
+        static_cast<std::int64_t>(1000 * runtime(trial.random)));
+    trial.ends.push({now + length, daemon, 1});
+  }
+}
+
+// Offers what found no room at home to others.
+int place_elsewhere(overflow_trial& trial, int home, int tasks,
+                    steady_time now) {
+  std::vector<std::string> tried;
+  routing::need wanted;
+  wanted.per_task.slots = 1;
+  while (tasks > 0 && tried.size() < kMaxTries) {
+    refresh_summaries(trial, now);
+    wanted.task_count = tasks;
+    std::optional<std::string> to = routing::overflow(
+        trial.states[home], wanted, make_views(trial, now), tried, now);
+    if (!to) break;
+    tried.push_back(*to);
+    ++trial.counts.offers;
+    int target = std::stoi(to->substr(3));
+    int taken = std::min(tasks, kSlots - trial.used[target]);
+    if (taken == 0) ++trial.counts.wrong_offers;
+    run_tasks(trial, target, taken, now);
+    tasks -= taken;
+  }
+  return tasks;
+}
+
+void submit(overflow_trial& trial, int home, int tasks, steady_time now) {
+  ++trial.counts.jobs;
+  int local = std::min(tasks, kSlots - trial.used[home]);
+  run_tasks(trial, home, local, now);
+  if (local == tasks) return;
+  ++trial.counts.overflowed;
+  int left = place_elsewhere(trial, home, tasks - local, now);
+  if (left > 0) ++trial.counts.waiting;
+}
+
+// Heavy-tailed: 1 to 64 tasks, 6.4 on average.
+int draw_job_size(std::mt19937_64& random) {
+  std::discrete_distribution<int> power({40, 20, 15, 10, 8, 5, 2});
+  return 1 << power(random);
+}
+
+// Imbalance among the daemons that others overflow to.
+void sample(overflow_trial& trial) {
+  double sum = 0;
+  double most = 0;
+  for (int i = kBusyHomes; i < kDaemons; ++i) {
+    sum += trial.used[i];
+    most = std::max<double>(most, trial.used[i]);
+  }
+  trial.counts.imbalance_sum += most / (sum / (kDaemons - kBusyHomes));
+  ++trial.counts.samples;
+}
+
+void end_tasks(overflow_trial& trial, steady_time now) {
+  while (!trial.ends.empty() && trial.ends.top().at <= now) {
+    trial.used[trial.ends.top().daemon] -= trial.ends.top().slots;
+    trial.ends.pop();
+  }
+}
+
+// A third of the homes get most of the work: shards differ in size.
+int draw_home(std::mt19937_64& random) {
+  std::uniform_real_distribution<double> unit(0, 1);
+  bool busy = unit(random) < 0.45;
+  std::uniform_int_distribution<int> pick(0,
+                                          busy ? kBusyHomes - 1 : kDaemons - 1);
+  return pick(random);
+}
+
+void run_trial(overflow_trial& trial) {
+  constexpr double kMeanSize = 0.4 + 0.4 + 0.6 + 0.8 + 1.28 + 1.6 + 1.28;
+  double jobs_per_ms = kLoad * kDaemons * kSlots / kMeanRuntimeMs / kMeanSize;
+  std::exponential_distribution<double> gap_ms(jobs_per_ms);
+  steady_time now = kStart;
+  steady_time next_sample = kStart + kWarmUp;
+  bool warm = false;
+  while (now < kStart + kRun) {
+    now += std::chrono::microseconds(
+        static_cast<std::int64_t>(1000 * gap_ms(trial.random)));
+    end_tasks(trial, now);
+    if (!warm && now >= kStart + kWarmUp) {
+      warm = true;
+      trial.counts = outcome_counts{};
+    }
+    if (now >= next_sample) {
+      sample(trial);
+      next_sample += kSample;
+    }
+    submit(trial, draw_home(trial.random), draw_job_size(trial.random), now);
+  }
+}
+
+void measure(const std::string& rule, routing::rule choice,
+             milliseconds refresh, bool remember_offers) {
+  overflow_trial trial = make_trial(choice, refresh, remember_offers);
+  run_trial(trial);
+  std::string name = "routing." + rule + ".summaries_" +
+                     std::to_string(refresh.count()) + "ms" +
+                     (remember_offers ? "" : ".offers_forgotten");
+  const outcome_counts& counts = trial.counts;
+  print_figure(name + ".imbalance", counts.imbalance_sum / counts.samples,
+               "max/mean");
+  print_figure(name + ".hops", counts.offers / counts.overflowed,
+               "offers/overflowed_job");
+  print_figure(name + ".wrong_offers",
+               100 * counts.wrong_offers / std::max(1.0, counts.offers), "%");
+  print_figure(name + ".no_room", 100 * counts.waiting / counts.jobs,
+               "%_of_jobs");
+}
+
+}  // namespace
+
+void measure_routing_rules() {
+  for (int refresh : {0, 500, 1000, 2000}) {
+    for (bool remember : {true, false}) {
+      milliseconds age(refresh);
+      measure("random", routing::rule::random, age, remember);
+      measure("least_loaded", routing::rule::least_loaded, age, remember);
+      measure("two_choices", routing::rule::two_choices, age, remember);
+    }
+  }
+}
+
+}  // namespace ebonygrade::bench
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -100,9 +100,8 @@
   }
 
   void handle(api::command&& command) {
-    std::visit(
-        [this](auto&& each) { on(std::forward<decltype(each)>(each)); },
-        std::move(command));
+    std::visit([this](auto&& each) { on(std::forward<decltype(each)>(each)); },
+               std::move(command));
     decide_soon();
   }
 
@@ -112,15 +111,13 @@
   }
 
   void handle(platform::report&& report) {
-    std::visit(
-        [this](auto&& each) { on(std::forward<decltype(each)>(each)); },
-        std::move(report));
+    std::visit([this](auto&& each) { on(std::forward<decltype(each)>(each)); },
+               std::move(report));
     decide_soon();
   }
 
   void handle(peer::report&& report) {
-    if (const peer::received* received =
-            std::get_if<peer::received>(&report)) {
+    if (const peer::received* received = std::get_if<peer::received>(&report)) {
       on_peer_message(state_, received->message);
     }
     decide_soon();
@@ -343,10 +340,11 @@
   std::function<void(std::size_t)> drain_done_;
 };
 
-scheduler::scheduler(boost::asio::io_context& context, const clock::clock& clock,
-           const core_options& options, const core_outputs& outputs)
-    : implementation_(std::make_unique<implementation>(context, clock, options,
-                                                       outputs)) {}
+scheduler::scheduler(boost::asio::io_context& context,
+                     const clock::clock& clock, const core_options& options,
+                     const core_outputs& outputs)
+    : implementation_(
+          std::make_unique<implementation>(context, clock, options, outputs)) {}
 
 scheduler::~scheduler() = default;
 
@@ -363,7 +361,8 @@
 void scheduler::handle(peer::report&& report) {
   implementation_->handle(std::move(report));
 }
-void scheduler::drain(milliseconds limit, std::function<void(std::size_t)> done) {
+void scheduler::drain(milliseconds limit,
+                      std::function<void(std::size_t)> done) {
   implementation_->drain(limit, std::move(done));
 }
 bool scheduler::ready() const { return implementation_->ready(); }
--- a/src/core/entering.cpp
+++ b/src/core/entering.cpp
@@ -170,8 +170,8 @@
 
 void on_peer_query(core_state& state, const std::string& from,
                    const wire::query& message) {
-  if (epoch_served(state, home_of(state, message.request_id(),
-                                  message.region())) == 0) {
+  if (epoch_served(
+          state, home_of(state, message.request_id(), message.region())) == 0) {
     reply_wrong_owner(state, from, message.token());
     return;
   }
@@ -182,8 +182,8 @@
 
 void on_peer_cancel(core_state& state, const std::string& from,
                     const wire::cancel& message) {
-  if (epoch_served(state, home_of(state, message.request_id(),
-                                  message.region())) == 0) {
+  if (epoch_served(
+          state, home_of(state, message.request_id(), message.region())) == 0) {
     reply_wrong_owner(state, from, message.token());
     return;
   }
--- a/src/core/governing.cpp
+++ b/src/core/governing.cpp
@@ -23,8 +23,8 @@
   state.operations[sequence] = {token, version,
                                 state.clock.now() + kOperationLimit};
   const std::uint64_t call = state.next_token++;
-  state.calls[call] = {call_purpose::append_operation, {}, kBundlesStream,
-                       sequence};
+  state.calls[call] = {
+      call_purpose::append_operation, {}, kBundlesStream, sequence};
   state.platform.send(
       platform::append{call, kBundlesStream, std::move(record)});
 }
--- a/src/core/owning.cpp
+++ b/src/core/owning.cpp
@@ -70,8 +70,8 @@
 }
 
 bool workers_known(const core_state& state, const shard_runtime& shard) {
-  const milliseconds limit = state.options.requests.task_lease +
-                             state.options.isolation_limit;
+  const milliseconds limit =
+      state.options.requests.task_lease + state.options.isolation_limit;
   if (state.clock.now() - shard.takeover_started >= limit) return true;
   for (const auto& [name, entry] : shard.workers) {
     if (!entry.fenced) return false;
@@ -258,8 +258,8 @@
   peer::set_peers command;
   for (const auto& [id, member] : state.members) {
     if (!member.listed) continue;
-    command.peers.push_back({id, member.vm.peer_address(), member.vm.zone(),
-                             member.region});
+    command.peers.push_back(
+        {id, member.vm.peer_address(), member.vm.zone(), member.region});
   }
   state.peers.send(std::move(command));
 }
@@ -305,8 +305,8 @@
 void on_claim_records(core_state& state, const platform::records& records) {
   for (std::size_t i = 0; i < records.entries.size(); ++i) {
     note_past_owners(state, records.entries[i]);
-    apply_ownership(state, ownership::record_read{records.entries[i],
-                                                  records.offsets[i]});
+    apply_ownership(
+        state, ownership::record_read{records.entries[i], records.offsets[i]});
   }
   if (records.at_end && !state.claims_known) {
     state.claims_known = true;
@@ -344,8 +344,7 @@
       if (shard.phase != takeover_phase::reconciling) continue;
       if (!state.list_known || !shard.unread_intents.empty()) continue;
       if (!workers_known(state, shard)) continue;
-      apply_ownership(state,
-                      ownership::reconciled{{region, i}, shard.epoch});
+      apply_ownership(state, ownership::reconciled{{region, i}, shard.epoch});
     }
   }
 }
@@ -362,8 +361,7 @@
     member.leaving = entry.leaving || entry.vm.state() == wire::leaving;
     const steady_time since =
         entry.first_heard ? entry.last_heard : entry.first_listed;
-    member.silent_for =
-        std::chrono::duration_cast<milliseconds>(now - since);
+    member.silent_for = std::chrono::duration_cast<milliseconds>(now - since);
     if (entry.first_heard) {
       member.alive_for =
           std::chrono::duration_cast<milliseconds>(now - *entry.first_heard);
--- a/src/core/serving.cpp
+++ b/src/core/serving.cpp
@@ -125,8 +125,7 @@
   const auto found = state.requests.by_id.find(preemption.id);
   if (found == state.requests.by_id.end()) return;
   if (preemption.task_index >= found->second.tasks.size()) return;
-  const requests::task_state& task =
-      found->second.tasks[preemption.task_index];
+  const requests::task_state& task = found->second.tasks[preemption.task_index];
   if (task.phase != requests::task_phase::running) return;
   const job::attempt_key key{preemption.id, preemption.task_index,
                              task.attempt};
@@ -137,8 +136,8 @@
 void carry_out(core_state& state, const place::decisions& decisions,
                job::epoch epoch) {
   for (const place::placement& each : decisions.starts) {
-    apply_request(state, requests::placed{each.id, each.task_index,
-                                          each.worker, epoch});
+    apply_request(
+        state, requests::placed{each.id, each.task_index, each.worker, epoch});
   }
   for (const place::drop& each : decisions.drops) {
     apply_request(state, requests::admission_refused{each.id, each.reason,
@@ -212,8 +211,8 @@
       apply_request(state, requests::intent_durable{each.id});
       continue;
     }
-    apply_request(state, requests::intent_failed{
-                             each.id, "the shard has a new owner"});
+    apply_request(
+        state, requests::intent_failed{each.id, "the shard has a new owner"});
   }
 }
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -74,15 +74,24 @@
   return std::max({daemon.last_sign, daemon.neighbour_since, state.resumed_at});
 }
 
+// Limit of silence after which this daemon judges `daemon`; nothing if it
+// leaves that to others.
+std::optional<milliseconds> silence_limit_for(const state& state,
+                                              const daemon_state& daemon) {
+  if (!daemon.neighbour || !daemon.listed) return std::nullopt;
+  if (daemon.region == state.settings.region) {
+    return std::max(state.settings.silence_limit, daemon.patience);
+  }
+  if (listed_in(state, daemon.region, false).size() > 1) return std::nullopt;
+  return std::max(state.settings.lone_silence_limit, daemon.patience);
+}
+
 void judge_silence(state& state) {
   for (auto& [id, daemon] : state.daemons) {
-    bool judged_here = daemon.neighbour && daemon.listed &&
-                       daemon.region == state.settings.region;
-    if (!judged_here || daemon.silent_since) continue;
+    if (daemon.silent_since) continue;
+    std::optional<milliseconds> limit = silence_limit_for(state, daemon);
     running_time since = quiet_since(state, daemon);
-    milliseconds limit =
-        std::max(state.settings.silence_limit, daemon.patience);
-    if (state.running - since < limit) continue;
+    if (!limit || state.running - since < *limit) continue;
     daemon.silent_since = since;
     spread(state, daemon);
   }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -14,7 +14,8 @@
 // to be alive until a rumour says that it is silent.
 //
 // Only daemons of its own region judge a daemon silent. So when regions lose
-// each other, neither takes the other's daemons for dead.
+// each other, neither takes the other's daemons for dead. The only daemon of a
+// region is judged by the borders of the others, after a longer silence.
 //
 // After a gap between its own ticks a daemon judges nobody silent until it has
 // run for a full silence limit again.
@@ -51,6 +52,7 @@
   milliseconds heartbeat_interval{1000};
   milliseconds cross_region_interval{2000};
   milliseconds silence_limit{2000};
+  milliseconds lone_silence_limit{10000};  // Of the only daemon of a region.
   milliseconds pause_gap{1000};     // A longer gap between ticks is a pause.
   milliseconds news_interval{200};  // Least time between early heartbeats.
   std::size_t full_mesh_limit = 6;  // Largest region where all are neighbours.
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -78,6 +78,17 @@
   }
 }
 
+TEST_CASE("the only daemon of a region is judged by the others") {
+  mesh cell = make_cell(9, 1);
+  cell.run(milliseconds(20000));
+  CHECK(everyone_sees(cell, "p0", is_alive));
+  cell.at("p0").running = false;
+  cell.run(milliseconds(8000));
+  CHECK(everyone_sees(cell, "p0", is_alive));
+  cell.run(milliseconds(5000));
+  CHECK(everyone_sees(cell, "p0", is_silent));
+}
+
 TEST_CASE("a daemon on the list that never ran becomes silent") {
   mesh cell = make_cell(9, 3);
   cell.list("ghost", "sofia-a");
--- a/src/membership/mesh_test.h
+++ b/src/membership/mesh_test.h
@@ -21,9 +21,11 @@
     std::uint64_t incarnation = 1;
     bool running = true;
     bool paused = false;
-    std::uint64_t sent_bytes = 0;
-    std::uint64_t received_bytes = 0;
-    std::uint64_t messages = 0;
+    std::uint64_t sent_bytes = 0;  // Of envelopes with heartbeats.
+    std::uint64_t sent = 0;        // Heartbeats.
+    std::uint64_t received = 0;
+    std::uint64_t crossing_bytes = 0;  // Part of sent_bytes.
+    std::uint64_t crossing = 0;        // Part of sent.
   };
   using filter =
       std::function<bool(const std::string& from, const std::string& to)>;
@@ -35,7 +37,7 @@
     node& started = nodes_[id];
     options settings = defaults;
     settings.self = id;
-    settings.incarnation = ++incarnation_;
+    settings.incarnation = next_incarnation++;
     settings.region = region;
     settings.zones = zones_;
     started.membership = make_state(settings, now);
@@ -82,6 +84,7 @@
   }
 
   options defaults;
+  std::uint64_t next_incarnation = 1;
   filter passes = [](const std::string&, const std::string&) { return true; };
   steady_time now{std::chrono::hours(1)};
 
@@ -102,20 +105,27 @@
     envelope.set_from(from);
     envelope.set_incarnation(sender.incarnation);
     *envelope.mutable_heartbeat() = std::move(message.heartbeat);
-    sender.sent_bytes += envelope.ByteSizeLong();
-    ++sender.messages;
     std::map<std::string, node>::iterator to = nodes_.find(message.to);
+    count(envelope, to, sender);
     if (to == nodes_.end() || !passes(from, message.to)) return;
     if (!to->second.running || to->second.paused) return;
-    to->second.received_bytes += envelope.ByteSizeLong();
+    ++to->second.received;
     apply_heartbeat(to->second.membership, envelope);
   }
 
+  void count(const wire::envelope& envelope,
+             std::map<std::string, node>::iterator to, node& sender) {
+    sender.sent_bytes += envelope.ByteSizeLong();
+    ++sender.sent;
+    if (to == nodes_.end() || to->second.region == sender.region) return;
+    sender.crossing_bytes += envelope.ByteSizeLong();
+    ++sender.crossing;
+  }
+
   std::vector<zone_place> zones_;
   std::map<std::string, node> nodes_;
   std::map<std::string, wire::daemon_vm> listed_;
   std::uint64_t version_ = 0;
-  std::uint64_t incarnation_ = 0;
 };
 
 }  // namespace ebonygrade::membership
--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -182,9 +182,8 @@
 
   void answer(zmq::message_t& sender, const wire::envelope& message,
               std::uint64_t sequence) {
+    // Who replies is known by the connection.
     wire::envelope reply;
-    reply.set_from(options_.self);
-    reply.set_incarnation(options_.incarnation);
     reply.mutable_heartbeat_reply()->set_sequence(sequence);
     std::vector<zmq::message_t> parts;
     parts.push_back(std::move(sender));
--- a/src/routing/overflow.cpp
+++ b/src/routing/overflow.cpp
@@ -87,6 +87,7 @@
 
 void remember(overflow_state& state, const std::string& to, const need& wanted,
               std::uint32_t tasks, steady_time now) {
+  if (state.settings.max_remembered == 0) return;
   std::erase_if(state.offers, [&](const offer& each) {
     return each.at + state.settings.max_age < now;
   });
