--- a/src/http/session_pvt.h
+++ b/src/http/session_pvt.h
@@ -2,14 +2,13 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
 
+#include "http/deadline_pvt.h"
 #include "http/server.h"
 
 namespace ebonygrade::http {
@@ -25,7 +24,7 @@
 
 class session : public std::enable_shared_from_this<session> {
  public:
-  session(boost::asio::ip::tcp::socket socket,
+  session(boost::asio::ip::tcp::socket socket, std::uint64_t number,
           std::shared_ptr<session_context> context);
 
   // Serves requests until the connection ends.
@@ -40,6 +39,7 @@
   // Writes the answer to the request in hand.
   void answer(response&& reply);
   bool caller_gone() const { return caller_gone_; }
+  std::uint64_t number() const { return number_; }
 
  private:
   void wait_for_request();
@@ -53,16 +53,12 @@
   void write(bool keep_alive);
   void on_written(boost::beast::error_code failed);
   void linger();
-  void set_deadline(milliseconds after);
-  void clear_deadline();
-  void arm_timer();
-  void on_timer();
+  void on_deadline();
   void end();
 
   boost::asio::ip::tcp::socket socket_;
-  boost::asio::steady_timer timer_;
-  std::chrono::steady_clock::time_point deadline_;
-  bool timer_armed_ = false;
+  std::uint64_t number_;
+  deadline deadline_;
   std::shared_ptr<session_context> context_;
   boost::beast::flat_buffer buffer_;
   std::optional<
--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -41,7 +41,9 @@
   // Offset + 1 of the last record that states the owner; while the epoch is
   // 0, of the last one that names the shard. 0: none.
   std::uint64_t stated = 0;
-  std::vector<earlier_owner> earlier;  // Oldest first, without the owner.
+  // Oldest first. Holds the owner too if it owned the shard before: what it
+  // started then is forgotten with the shard.
+  std::vector<earlier_owner> earlier;
 
   friend bool operator==(const claim_state&, const claim_state&) = default;
 };
@@ -152,8 +154,10 @@
 };
 // Every record that the stream held at some moment after the start was read.
 struct caught_up {};
-// All reachable workers of the shard are fenced under `epoch` and their tasks
-// are known.
+// Every worker of the shard is fenced under `epoch` and its tasks are known, or
+// it has not answered for a whole task lease since `fence_shard`. Until then an
+// idempotent request may still run, under the earlier owner, on a worker that
+// has not answered.
 struct reconciled {
   job::shard_id shard;
   job::epoch epoch = 0;
