Add the adapter to the workers

The daemon's only way to the workers: fence, batched starts and stops, renewed leases, one long poll each, at most three connections. A start call without an answer also replaces the poll's connection and polls at once. A start that surely never left is answered as rejected, so that it may be placed elsewhere; the contract said fenced, which callers take for a lost shard. Events that the worker has forgotten cause a new fence. Full report channels hold back calls.

The HTTP client kept a socket and message that operations in progress still referred to after a timeout; each connection now owns them. Address sanitizer found it in the renewal test.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -64,6 +64,7 @@
       return post_failure(std::move(call), error::code::invalid_argument,
                           endpoint_.error().detail);
     }
+    call.message.set(boost::beast::http::field::host, address_);
     connection* free = free_connection();
     if (free != nullptr) return free->start(std::move(call));
     if (queue_.size() >= options_.max_queued) {
@@ -153,10 +154,11 @@
                     std::string_view detail) {
     call_failure failure;
     failure.cause = {code, call.step, address_, std::string(detail)};
-    asio::post(context_, [handler = std::move(call.handler),
-                          failure = std::move(failure)]() mutable {
-      handler(std::move(failure));
-    });
+    asio::post(context_,
+               [weak = weak_from_this(), handler = std::move(call.handler),
+                failure = std::move(failure)]() mutable {
+                 if (!weak.expired()) handler(std::move(failure));
+               });
   }
 
   std::vector<std::shared_ptr<connection>> take_connections() {
--- a/src/http/client_test.cpp
+++ b/src/http/client_test.cpp
@@ -73,6 +73,7 @@
   f.run_until_results(3);
   CHECK(f.results[0].value().body() == "a");
   CHECK(f.results[2].value().body() == "c");
+  CHECK(f.client->traffic().calls == 3);
   CHECK(f.client->traffic().connects == 1);
   CHECK(f.client->traffic().bytes_sent > 0);
 }
@@ -193,6 +194,16 @@
   }
 }
 
+TEST_CASE("a refused call is forgotten with its client") {
+  fixture f;
+  f.client->close();
+  f.call("x");
+  f.client.reset();
+  f.context.restart();
+  f.context.poll();
+  CHECK(f.results.empty());
+}
+
 TEST_CASE("a client may be destroyed in its own handler") {
   fixture f;
   bool called = false;
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -16,7 +16,7 @@
                        asio::ip::tcp::endpoint endpoint, std::string peer,
                        const client_options& options, client_traffic* traffic,
                        std::function<void()> on_free)
-    : socket_(executor),
+    : executor_(executor),
       endpoint_(std::move(endpoint)),
       peer_(std::move(peer)),
       options_(options),
@@ -26,9 +26,10 @@
 
 void connection::start(pending_call&& call) {
   call_ = std::move(call);
+  ++traffic_->calls;
   sending_ = false;
   deadline_.set(call_->deadline);
-  if (connected_) {
+  if (transport_) {
     send();
   } else {
     connect();
@@ -36,28 +37,29 @@
 }
 
 void connection::connect() {
-  std::uint64_t generation = ++generation_;
   ++traffic_->connects;
-  socket_.async_connect(endpoint_, [self = shared_from_this(), generation](
-                                       boost::system::error_code failed) {
-    if (generation != self->generation_) return;
-    if (failed) {
-      return self->fail(error::code::unavailable, failed.message());
-    }
-    boost::system::error_code ignored;
-    self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-    self->connected_ = true;
-    self->send();
-  });
+  transport_ = std::make_shared<transport>(executor_);
+  transport_->socket.async_connect(
+      endpoint_, [self = shared_from_this(),
+                  current = transport_](boost::system::error_code failed) {
+        if (current != self->transport_) return;
+        if (failed) {
+          return self->fail(error::code::unavailable, failed.message());
+        }
+        boost::system::error_code ignored;
+        current->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        current->connected = true;
+        self->send();
+      });
 }
 
 void connection::send() {
   sending_ = true;
-  std::uint64_t generation = generation_;
-  beast_http::async_write(socket_, call_->message,
-                          [self = shared_from_this(), generation](
+  transport_->message = std::move(call_->message);
+  beast_http::async_write(transport_->socket, transport_->message,
+                          [self = shared_from_this(), current = transport_](
                               beast::error_code failed, std::size_t bytes) {
-                            if (generation != self->generation_) return;
+                            if (current != self->transport_) return;
                             self->traffic_->bytes_sent += bytes;
                             if (failed) {
                               return self->fail(error::code::connection_lost,
@@ -68,15 +70,14 @@
 }
 
 void connection::receive() {
-  parser_.emplace();
-  parser_->header_limit(options_.max_header_bytes);
-  parser_->body_limit(options_.max_body_bytes);
-  std::uint64_t generation = generation_;
+  transport_->parser.emplace();
+  transport_->parser->header_limit(options_.max_header_bytes);
+  transport_->parser->body_limit(options_.max_body_bytes);
   beast_http::async_read(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this(), generation](beast::error_code failed,
-                                              std::size_t bytes) {
-        if (generation != self->generation_) return;
+      transport_->socket, transport_->buffer, *transport_->parser,
+      [self = shared_from_this(), current = transport_](
+          beast::error_code failed, std::size_t bytes) {
+        if (current != self->transport_) return;
         self->traffic_->bytes_received += bytes;
         if (!failed) return self->finish();
         bool lost = failed == beast_http::error::end_of_stream ||
@@ -88,35 +89,37 @@
 }
 
 void connection::finish() {
-  bool keep_alive = parser_->get().keep_alive() && buffer_.size() == 0;
+  response reply = transport_->parser->release();
+  bool keep_alive = reply.keep_alive() && transport_->buffer.size() == 0;
   if (keep_alive) {
     deadline_.set(options_.idle_timeout);
     watch_idle();
   } else {
     disconnect();
   }
-  deliver(parser_->release());
+  deliver(std::move(reply));
 }
 
 // An idle connection that becomes readable was closed by the peer, or has
 // bytes that nobody asked for.
 void connection::watch_idle() {
-  if (watching_) return;
-  watching_ = true;
-  std::uint64_t generation = generation_;
-  socket_.async_wait(asio::ip::tcp::socket::wait_read,
-                     [self = shared_from_this(),
-                      generation](boost::system::error_code failed) {
-                       if (generation != self->generation_) return;
-                       self->watching_ = false;
-                       if (failed || self->call_) return;
-                       self->disconnect();
-                     });
+  if (transport_->watched) return;
+  transport_->watched = true;
+  transport_->socket.async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this(),
+       current = transport_](boost::system::error_code failed) {
+        current->watched = false;
+        if (current != self->transport_) return;
+        if (failed || self->call_) return;
+        self->disconnect();
+      });
 }
 
 void connection::on_deadline() {
   if (!call_) return disconnect();
-  fail(error::code::timeout, connected_ ? "no reply" : "no connection");
+  bool connected = transport_ && transport_->connected;
+  fail(error::code::timeout, connected ? "no reply" : "no connection");
 }
 
 void connection::fail(error::code code, std::string_view detail) {
@@ -142,13 +145,11 @@
 }
 
 void connection::disconnect() {
-  ++generation_;
-  connected_ = false;
-  watching_ = false;
   deadline_.clear();
-  buffer_.clear();
+  std::shared_ptr<transport> last = std::exchange(transport_, nullptr);
+  if (!last) return;
   boost::system::error_code ignored;
-  socket_.close(ignored);
+  last->socket.close(ignored);
 }
 
 void connection::deliver(call_result&& result) {
--- a/src/http/connection_pvt.h
+++ b/src/http/connection_pvt.h
@@ -22,6 +22,21 @@
   client::handler handler;
 };
 
+// A socket and what operations in progress on it refer to. They keep it alive,
+// also after the connection has given it up for a new one.
+struct transport {
+  explicit transport(const boost::asio::any_io_executor& executor)
+      : socket(executor) {}
+  boost::asio::ip::tcp::socket socket;
+  boost::beast::flat_buffer buffer;
+  request message;
+  std::optional<
+      boost::beast::http::response_parser<boost::beast::http::string_body>>
+      parser;
+  bool connected = false;
+  bool watched = false;  // A wait for bytes is in progress.
+};
+
 class connection : public std::enable_shared_from_this<connection> {
  public:
   // `on_free` is called each time the connection can take a call again.
@@ -49,23 +64,16 @@
   void disconnect();
   void deliver(call_result&& result);
 
-  boost::asio::ip::tcp::socket socket_;
+  boost::asio::any_io_executor executor_;
+  std::shared_ptr<transport> transport_;  // Null when disconnected.
   boost::asio::ip::tcp::endpoint endpoint_;
   std::string peer_;
   client_options options_;
   client_traffic* traffic_;
   std::function<void()> on_free_;
   deadline deadline_;
-  boost::beast::flat_buffer buffer_;
-  std::optional<
-      boost::beast::http::response_parser<boost::beast::http::string_body>>
-      parser_;
   std::optional<pending_call> call_;
-  // Counts sockets; handlers of an earlier one are ignored.
-  std::uint64_t generation_ = 0;
-  bool connected_ = false;
   bool sending_ = false;  // The request in hand has begun to leave.
-  bool watching_ = false;
 };
 
 }  // namespace ebonygrade::http
--- a/src/worker/adapter.h
+++ b/src/worker/adapter.h
@@ -4,9 +4,12 @@
 //
 // For each watched worker it fences the worker under the given epoch, then
 // keeps one long poll for events and renews the leases of its tasks. Starts
-// and stops for the same worker are sent in order, batched while an earlier
-// call is in flight. Every start command is answered by exactly one of
-// `start_answered` and `start_unanswered`.
+// and stops for the same worker are sent in order of their kind, batched while
+// an earlier call is in flight. Every start command is answered by exactly one
+// of `start_answered` and `start_unanswered`; one that surely never left, as
+// when the worker can't be connected to, is answered as `rejected`. A stop has
+// a connection of its own, so that it doesn't wait behind a silent start. One
+// without an answer is not repeated.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -17,6 +20,7 @@
 
 #include "clock/clock.h"
 #include "error/error.h"
+#include "http/client.h"
 #include "job/job.h"
 #include "ring/channel.h"
 #include "wire/worker.pb.h"
@@ -44,7 +48,7 @@
   job::epoch epoch = 0;
 };
 // Stops following; pending starts are reported as unanswered or, if they
-// never left, as `fenced`.
+// never left, as `rejected`.
 struct forget {
   std::string worker;
 };
@@ -123,6 +127,8 @@
   void handle(command&& command);
   // Cancels what is in flight, so that the context can run out of work.
   void close();
+  // All traffic with workers so far. Called on `context`.
+  http::client_traffic traffic() const;
 
  private:
   class implementation;
