--- a/src/tool/tool_test.cpp
+++ b/src/tool/tool_test.cpp
@@ -98,7 +98,7 @@
   answer.set_output("no\x01");
   fake_daemon daemon(
       always(http::json_response(http::status::ok, http::to_json(status))));
-  ran result = submit({daemon.address()}, {"--wait"});
+  ran result = submit({daemon.address()}, {"--wait=60s"});
   CHECK(result.exit_code == tool::kExitTaskFailed);
   CHECK(mentions(result.out, "task 0: failed with exit code 3: 3 bytes"));
 }
@@ -159,7 +159,7 @@
     return http::json_response(http::status::ok, http::to_json(status));
   });
   ran result =
-      submit({daemon.address()}, {"--count=20", "--parallel=4", "--wait"});
+      submit({daemon.address()}, {"--count=20", "--parallel=4", "--wait=60s"});
   CHECK(result.exit_code == tool::kExitRefused);
   CHECK(result.out ==
         "job: 20 requests, 20 attempts, 19 answered, 1 not run\n");
@@ -181,6 +181,23 @@
   CHECK(requests[2].target() == "/v1/requests/b");
 }
 
+TEST_CASE("explain finds the daemon that knows why a request waits") {
+  http::response pending = outcome_reply(http::status::accepted, wire::pending);
+  auto with = [&](const http::response& explanation) {
+    return [&, explanation](const http::request& request) {
+      return mentions(std::string(request.target()), "/explain") ? explanation
+                                                                 : pending;
+    };
+  };
+  fake_daemon other(with(
+      http::error_response(http::status::misdirected_request, "ask entry-2")));
+  fake_daemon owner(with(http::text_response(
+      http::status::ok, "text/plain", "waits: quota of team t is used up\n")));
+  ran result = run({"explain", "job"}, {other.address(), owner.address()});
+  CHECK(result.exit_code == tool::kExitDone);
+  CHECK(result.out == "job: pending\nwaits: quota of team t is used up\n");
+}
+
 TEST_CASE("a roll names the version in force, and tells a lost race") {
   fake_daemon daemon([](const http::request& request) {
     if (request.method() == http::verb::get) {
