--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -4,12 +4,14 @@
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <utility>
 
 #include "http/client.h"
 #include "http/json.h"
+#include "platform/list_merge.h"
 #include "ring/outbox.h"
 
 namespace ebonygrade::platform {
@@ -21,6 +23,7 @@
 constexpr int kMaxBackoffFactor = 16;            // Times the retry pause.
 constexpr double kBurstSeconds = 0.5;            // Of the append rate.
 constexpr milliseconds kPollMargin{2000};        // Beyond a long poll's wait.
+constexpr unsigned kFirstServerError = 500;      // Of HTTP statuses.
 constexpr std::size_t kReportReserve = 8;        // Ring space kept free.
 
 // Pause before a retry: doubles with each failure and is jittered.
@@ -181,6 +184,12 @@
     send_append();
   }
 
+  // A gateway's error may stand for an append that took effect.
+  static bool may_have_acted(const http::response& reply) {
+    return reply.result_int() >= kFirstServerError &&
+           reply.result() != http::status::service_unavailable;
+  }
+
   void report_append(std::uint64_t token, const std::string& stream,
                      const http::call_result& result) {
     if (result.has_error()) {
@@ -193,7 +202,7 @@
     if (result->result() != http::status::ok) {
       const error::failure cause =
           http::status_failure(*result, step, options_.log_address);
-      reports_.send(append_failed{token, false, cause});
+      reports_.send(append_failed{token, may_have_acted(*result), cause});
       return;
     }
     wire::log_append_reply reply;
@@ -288,6 +297,11 @@
     stream.position = report_records(name, stream.position, *reply);
     stream.at_end = stream.position >= reply->next();
     finish_awaited(name, stream.position);
+    // A log that is behind what was read before doesn't make the read wait.
+    if (reply->next() < stream.position) {
+      retry_followed(name, stream.pause.next(random_));
+      return;
+    }
     read_followed(name);
   }
 
@@ -341,7 +355,7 @@
           const std::optional<wire::log_read_reply> reply =
               parse_read(name, result, &cause);
           if (!reply) {
-            reports_.send(read_failed{token, cause});
+            report_read_failed(token, cause);
             return;
           }
           awaited_.push_back({token, name, reply->next()});
@@ -349,6 +363,19 @@
         });
   }
 
+  // After a pause, since the caller may read again at once.
+  void report_read_failed(std::uint64_t token, const error::failure& cause) {
+    std::shared_ptr<boost::asio::steady_timer> timer =
+        std::make_shared<boost::asio::steady_timer>(context_);
+    timer->expires_after(backoff(options_.retry_pause).next(random_));
+    timer->async_wait(
+        [this, timer, token, cause,
+         alive = std::weak_ptr<int>(alive_)](boost::system::error_code failed) {
+          if (failed || alive.expired()) return;
+          reports_.send(read_failed{token, cause});
+        });
+  }
+
   void read_whole(std::uint64_t token, const std::string& name,
                   std::uint64_t position) {
     read_connection_.call(
@@ -361,7 +388,7 @@
           const std::optional<wire::log_read_reply> reply =
               parse_read(name, result, &cause);
           if (!reply) {
-            reports_.send(read_failed{token, cause});
+            report_read_failed(token, cause);
             return;
           }
           const std::uint64_t next = report_records(name, position, *reply);
@@ -377,7 +404,9 @@
 
   void read_list() {
     list_connection_.call(
-        "read list", http::json_request(http::verb::get, "/v1/list"),
+        "read list",
+        http::json_request(http::verb::get,
+                           "/v1/list?since=" + std::to_string(list_.version())),
         [this](http::call_result&& result) {
           on_list(result);
           list_timer_.expires_after(options_.list_interval);
@@ -389,9 +418,10 @@
 
   void on_list(const http::call_result& result) {
     if (result.has_error() || result->result() != http::status::ok) return;
-    list_read report;
-    if (http::from_json(result->body(), &report.list).has_error()) return;
-    reports_.send(std::move(report));
+    wire::vm_list read;
+    if (http::from_json(result->body(), &read).has_error()) return;
+    merge(list_, read);
+    reports_.send(list_read{list_});
   }
 
   boost::asio::io_context& context_;
@@ -411,7 +441,9 @@
   clock::steady_time tokens_at_;
   std::map<std::string, followed> streams_;
   std::vector<awaited_end> awaited_;
+  wire::vm_list list_;
   std::optional<bool> reachable_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
   bool closed_ = false;
 };
 
