Take the task lease from the settings only

Cause: starts carried the bundle's task_lease while renewals and the time to give up a silent worker used the setting. Found by reading. The key is gone from bundles; one value serves all three.

--- a/src/bundle/bundle.h
+++ b/src/bundle/bundle.h
@@ -52,7 +52,6 @@
   double max_quarantined = 0.1;  // Share of the cell's workers.
   milliseconds gang_hold{5000};  // Most a gang's reservation stands idle.
   std::uint32_t max_attempts = 3;
-  milliseconds task_lease{30000};
   std::uint32_t approvals = 1;  // Needed before a bundle may be rolled.
 };
 
--- a/src/bundle/keys.cpp
+++ b/src/bundle/keys.cpp
@@ -52,7 +52,6 @@
     EBONYGRADE_KEY(placement_policy, max_quarantined, number, 0, 0.5),
     EBONYGRADE_TIME_KEY(placement_policy, gang_hold, 0, kHourMs),
     EBONYGRADE_KEY(placement_policy, max_attempts, whole, 1, 100),
-    EBONYGRADE_TIME_KEY(placement_policy, task_lease, 1000, kHourMs),
     EBONYGRADE_KEY(placement_policy, approvals, whole, 0, 16),
 };
 
--- a/src/core/governing.cpp
+++ b/src/core/governing.cpp
@@ -309,7 +309,6 @@
       place::apply_policy(*shard.engine, *state.policy);
     }
   }
-  state.requests.options.task_lease = state.policy->placement.task_lease;
   state.requests.options.max_attempts = state.policy->placement.max_attempts;
 }
 
--- a/testsuite/cell/cell.cpp
+++ b/testsuite/cell/cell.cpp
@@ -281,9 +281,7 @@
 }
 
 std::string cell::bundle_text() const {
-  return "[bundle]\nname = test\n[placement]\ntask_lease = " +
-         options_.task_lease +
-         "\nmax_attempts = 5\napprovals = 1\n"
+  return "[bundle]\nname = test\n[placement]\nmax_attempts = 5\napprovals = 1\n"
          "[class.urgent]\npriority = 300\n[class.service]\npriority = 200\n"
          "[class.gang]\npriority = 100\n[class.batch]\npriority = 0\n"
          "[team.alerts]\nweight = 2\n[team.archive]\nweight = 1\n";
--- a/testsuite/cell/cell.h
+++ b/testsuite/cell/cell.h
@@ -28,7 +28,7 @@
 struct cell_options {
   std::size_t daemons = 3;
   std::size_t workers = 24;
-  std::string task_lease = "3s";  // In the bundle.
+  std::string task_lease = "3s";  // In the settings.
   int shards_per_region = 4;
 };
 
