Ignore refusals of a repeated start for an attempt that runs

A start that the network repeats, or that is sent again, may be refused as fenced although its first copy runs. The table then took the attempt that a fence had found running for over, and started the task again. A refusal now counts only while the start has no other answer.

--- a/src/faults/faulty_cell.cpp
+++ b/src/faults/faulty_cell.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 #include "faults/cell_pvt.h"
 
--- a/src/requests/recovery_test.cpp
+++ b/src/requests/recovery_test.cpp
@@ -122,6 +122,15 @@
   CHECK(find<release_room>()->worker == "w2");
 }
 
+TEST_CASE_METHOD(requests_fixture, "a late refusal doesn't end a found task") {
+  wire::task_record record = record_of("a", 0, true);
+  step(task_found{record, "w1", kHome});
+  step(start_answered{job::from_wire(record.key()), wire::fenced});
+  CHECK(effects.empty());
+  submit(make_request("a"));
+  CHECK(count<enqueue>() == 0);
+}
+
 TEST_CASE_METHOD(requests_fixture, "a later attempt replaces a found answer") {
   wire::task_record later = record_of("a", 0, true);
   later.mutable_key()->set_attempt(9 << 24);
--- a/src/requests/starts.cpp
+++ b/src/requests/starts.cpp
@@ -151,6 +151,11 @@
   if (found.task == nullptr || found.task->lost) return;
   request_state& request = *found.request;
   task_state& task = *found.task;
+  // A refusal of a repeated start says nothing of an attempt that runs or is
+  // being stopped.
+  if (input.status != wire::started && task.phase != task_phase::starting) {
+    return;
+  }
   switch (input.status) {
     case wire::started:
       confirm_start(at, request, task);
