Test membership under failures and mend what they showed

'Lists that differ' failed: a newcomer whom the others' lists did not name yet heard nobody, so it held 8 daemons for silent for good and would have claimed their shards. Change: a daemon that never heard another directly leaves it to those who did; one that nobody has heard is judged after 15 s unless half of the neighbours are heard; a silence is never dated further back than the limit, so there is always time to contradict before ownership's takeover at 3 s. Conclusion: the list's lag between daemons must stay below 15 s; a longer one may move shards needlessly, but breaks no promise, as epochs decide.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -74,12 +74,29 @@
   return std::max({daemon.last_sign, daemon.neighbour_since, state.resumed_at});
 }
 
+// True if at least half of the neighbours in the own region are heard.
+bool hears_most(const state& state) {
+  std::size_t neighbours = 0;
+  std::size_t heard = 0;
+  for (const auto& [id, daemon] : state.daemons) {
+    if (!daemon.neighbour || daemon.region != state.settings.region) continue;
+    ++neighbours;
+    if (daemon.last_direct) ++heard;
+  }
+  return 2 * heard >= neighbours;
+}
+
 // Limit of silence after which this daemon judges `daemon`; nothing if it
 // leaves that to others.
 std::optional<milliseconds> silence_limit_for(const state& state,
                                               const daemon_state& daemon) {
   if (!daemon.neighbour || !daemon.listed) return std::nullopt;
+  // Others hear it, this daemon never did: it may lack this one's address.
+  if (daemon.incarnation > 0 && !daemon.last_direct) return std::nullopt;
   if (daemon.region == state.settings.region) {
+    if (daemon.incarnation == 0 && !hears_most(state)) {
+      return state.settings.unheard_limit;
+    }
     return std::max(state.settings.silence_limit, daemon.patience);
   }
   if (listed_in(state, daemon.region, false).size() > 1) return std::nullopt;
@@ -90,9 +107,10 @@
   for (auto& [id, daemon] : state.daemons) {
     if (daemon.silent_since) continue;
     std::optional<milliseconds> limit = silence_limit_for(state, daemon);
-    running_time since = quiet_since(state, daemon);
-    if (!limit || state.running - since < *limit) continue;
-    daemon.silent_since = since;
+    running_time quiet = quiet_since(state, daemon);
+    if (!limit || state.running - quiet < *limit) continue;
+    // Never earlier, so that others have time to contradict.
+    daemon.silent_since = state.running - state.settings.silence_limit;
     spread(state, daemon);
   }
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -53,6 +53,9 @@
   milliseconds cross_region_interval{2000};
   milliseconds silence_limit{2000};
   milliseconds lone_silence_limit{10000};  // Of the only daemon of a region.
+  // Of a daemon that nobody has heard yet, while this one hears fewer than
+  // half of its neighbours: the others' lists may not name this daemon yet.
+  milliseconds unheard_limit{15000};
   milliseconds pause_gap{1000};     // A longer gap between ticks is a pause.
   milliseconds news_interval{200};  // Least time between early heartbeats.
   std::size_t full_mesh_limit = 6;  // Largest region where all are neighbours.
