--- a/src/place/queues.cpp
+++ b/src/place/queues.cpp
@@ -88,7 +88,8 @@
     case block_reason::none:
       return true;
     case block_reason::room:
-      return e.any_given_back && job::fits(q.need, e.given_back);
+      return e.now >= q.retry_at ||
+             (e.any_given_back && job::fits(q.need, e.given_back));
     case block_reason::quota:
       return e.teams[q.team].has_quota_blocked == false;
     case block_reason::pause:
@@ -144,7 +145,11 @@
   queue_state& q = e->queues[queue];
   q.level = level_of(*e, q);
   if (q.blocked == block_reason::none) {
-    queue_key key{q.level, e->jobs[q.head].submitted};
+    const job_state& head = e->jobs[q.head];
+    queue_key key{q.level, 0, head.deadline, head.submitted};
+    if (e->policy.placement.packing_weight >= kPackingFirst) {
+      key.size = static_cast<float>(dominant_share(*e, to_amounts(q.need)));
+    }
     e->teams[q.team].queues.update(e->queue_positions, queue, key);
   }
   update_ready(e, q.team);
