--- a/bench/adapter_bench.cpp
+++ b/bench/adapter_bench.cpp
@@ -197,6 +197,9 @@
 
   ebonygrade::clock::system_clock clock_;
   asio::io_context reader_{1};
+  // Keeps the reader waiting while there is nothing to read.
+  asio::executor_work_guard<asio::io_context::executor_type> reader_guard_{
+      asio::make_work_guard(reader_)};
   ring::channel<worker::report> reports_;
   context_thread fleet_thread_;
   context_thread adapter_thread_;
