Give no leases after half a lease of silence; suspend an isolated owner; failure tests

Cause 1: a worker that hears but isn't heard kept its leases, because renewals were sent on while its answers were lost; it was given up after one lease, so an idempotent task could run twice. The adapter now sends neither renewals nor starts after half a lease of silence, counted from the first unanswered call, and core gives a worker up after one and a half. Cause 2: an owner cut off from the log and from every daemon went on renewing leases.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -210,6 +210,7 @@
   }
 
   void on(platform::records&& report) {
+    state_.last_log_sign = state_.clock.now();
     if (report.stream == kClaimsStream) {
       on_claim_records(state_, report);
     } else if (report.stream == kBundlesStream) {
@@ -233,6 +234,7 @@
   }
 
   void on(platform::end_reached&& report) {
+    state_.last_log_sign = state_.clock.now();
     const std::optional<platform_call> call = take_call(report.token);
     if (!call) return;
     if (call->purpose == call_purpose::confirm_claims) {
@@ -243,6 +245,7 @@
     }
     if (call->purpose == call_purpose::resolve_doubt) {
       state_.ownership_doubted = false;
+      resume(state_);
       apply_request(state_, requests::ownership_doubted{false});
     }
   }
@@ -263,7 +266,6 @@
 
   void on(platform::log_reachable&& report) {
     state_.log_reachable = report.reachable;
-    state_.last_log_sign = state_.clock.now();
     if (report.reachable) {
       events::emit(events::id::log_up, "log", "", "");
     } else {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -46,7 +46,7 @@
   milliseconds heartbeat_interval{500};
   milliseconds silence_limit{2000};
   // Without an answer of the log for so long, ownership is in doubt.
-  milliseconds isolation_limit{10000};
+  milliseconds isolation_limit{15000};
   // A gap between ticks longer than this is a pause of the process.
   milliseconds pause_limit{1000};
 };
--- a/src/core/core_pvt.h
+++ b/src/core/core_pvt.h
@@ -105,6 +105,7 @@
   bool claims_known = false;
   bool draining = false;
   bool ownership_doubted = false;
+  bool suspended = false;                // Gives nothing out; see suspend().
   bool was_ready = false;                // As last told by an event.
   std::set<std::string> silent_daemons;  // As last told by an event.
   steady_time last_log_sign;             // Last time that the log answered.
@@ -130,6 +131,8 @@
 // Ends the doubt about ownership that a pause or isolation raised, once the
 // claims were read to their end.
 void update_doubt(core_state& state);
+// Fences the workers of the owned shards again after a suspension.
+void resume(core_state& state);
 
 // ---- serving.cpp: requests of owned shards ------------------------------
 
--- a/src/core/owning.cpp
+++ b/src/core/owning.cpp
@@ -169,8 +169,9 @@
   const auto found = state.shard_of_worker.find(report.worker);
   if (found == state.shard_of_worker.end()) return;
   const job::shard_id id = found->second;
-  const milliseconds limit =
-      state.options.requests.task_lease + 2 * state.options.silence_limit;
+  // The adapter gives no lease after half a task lease of silence.
+  const milliseconds limit = state.options.requests.task_lease * 3 / 2 +
+                             2 * state.options.silence_limit;
   if (report.silent_for < limit) return;
   shard_runtime& shard = runtime(state, id);
   const auto entry = shard.workers.find(report.worker);
@@ -319,8 +320,26 @@
   for (const auto& [id, name] : gone) remove_unlisted_worker(state, id, name);
 }
 
+// Gives nothing out and renews no lease: another daemon may have claimed the
+// shards, and where it can't reach a worker it waits for our leases to end.
+void suspend(core_state& state) {
+  state.suspended = true;
+  for (const auto& [name, id] : state.shard_of_worker) {
+    state.workers.send(worker::forget{name});
+  }
+}
+
 }  // namespace
 
+void resume(core_state& state) {
+  if (!state.suspended) return;
+  state.suspended = false;
+  for (const auto& [name, id] : state.shard_of_worker) {
+    const shard_runtime& shard = runtime(state, id);
+    watch_worker(state, shard, shard.workers.at(name).vm);
+  }
+}
+
 void apply_ownership(core_state& state, const ownership::event& event) {
   const std::vector<ownership::effect> effects =
       ownership::step(state.ownership, event, state.clock.now());
@@ -384,9 +403,9 @@
   const bool paused = now - state.last_tick > state.options.pause_limit;
   state.last_tick = now;
   const bool cut_off =
-      !state.log_reachable &&
       now - state.last_log_sign > state.options.isolation_limit &&
       !peers_confirm_claims(state);
+  if (cut_off && !state.suspended) suspend(state);
   if (!paused && !cut_off) return;
   if (state.ownership_doubted) return;
   state.ownership_doubted = true;
--- a/src/core/serving.cpp
+++ b/src/core/serving.cpp
@@ -161,6 +161,7 @@
 }
 
 void decide(core_state& state) {
+  if (state.suspended) return;
   for (std::vector<shard_runtime>& region : state.shards) {
     for (shard_runtime& shard : region) {
       if (shard.phase != takeover_phase::serving) continue;
--- a/src/worker/adapter_test.cpp
+++ b/src/worker/adapter_test.cpp
@@ -306,3 +306,44 @@
            f.all<worker::fenced>().size() >= 2;
   });
 }
+
+TEST_CASE("leases run out at a worker whose answers are all lost") {
+  fixture_options options;
+  options.adapter.task_lease = milliseconds(400);
+  options.adapter.call_timeout = milliseconds(50);
+  fixture f(options);
+  f.watch_and_wait();
+  f.start("a", "", wire::service);
+  f.wait_for<worker::start_answered>();
+  f.inject(standin::drop_answers);
+  // Renewals still arrive; were they sent on, the lease would never end.
+  const std::chrono::steady_clock::time_point limit =
+      std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  f.run_until([&] {
+    return f.fleet->ledger().leases_expired() == 1 ||
+           std::chrono::steady_clock::now() >= limit;
+  });
+  CHECK(f.fleet->ledger().leases_expired() == 1);
+  // Nothing is started there either, so that giving the worker up after one
+  // and a half leases of silence is safe.
+  f.start("b");
+  f.wait_for<worker::start_answered>(2);
+  CHECK(f.all<worker::start_answered>()[1].status == wire::rejected);
+  CHECK(f.fleet->ledger().starts() == 1);
+}
+
+TEST_CASE("silence counts from the first call without an answer") {
+  fixture_options options;
+  options.adapter.event_wait = milliseconds(2000);
+  fixture f(options);
+  f.watch_and_wait();
+  // An idle worker has nothing to answer while it is polled.
+  const std::chrono::steady_clock::time_point later =
+      std::chrono::steady_clock::now() + milliseconds(1000);
+  f.run_unread_until([&] { return std::chrono::steady_clock::now() >= later; });
+  f.inject(standin::drop_answers);
+  f.start("a");
+  f.wait_for<worker::start_unanswered>();
+  worker::unreachable first = f.wait_for<worker::unreachable>();
+  CHECK(first.silent_for < milliseconds(900));
+}
--- a/src/worker/follower.cpp
+++ b/src/worker/follower.cpp
@@ -41,7 +41,6 @@
       worker_(watch.worker),
       address_(watch.address),
       epoch_(watch.epoch),
-      last_answer_(context.clock.now()),
       last_unreachable_(context.clock.now()),
       fence_timer_(context.context),
       poll_timer_(context.context),
@@ -177,6 +176,7 @@
 
 void follower::renew() {
   if (phase_ != phase::following || !may_run_) return;
+  if (!may_give_leases()) return schedule_renewal(context_.options.retry_pause);
   wire::renew_request request;
   request.set_epoch(epoch_);
   request.set_lease_ms(
@@ -221,17 +221,24 @@
 // ---- Reachability -----------------------------------------------------------
 
 void follower::note_answer() {
-  last_answer_ = context_.clock.now();
-  last_unreachable_ = last_answer_;
+  silent_since_.reset();
+  last_unreachable_ = context_.clock.now();
 }
 
 void follower::note_failure(const http::call_failure& failure) {
-  steady_time now = context_.clock.now();
+  const steady_time now = context_.clock.now();
+  if (!silent_since_) silent_since_ = now - context_.options.call_timeout;
   if (now - last_unreachable_ < context_.options.call_timeout) return;
   last_unreachable_ = now;
-  milliseconds silent =
-      std::chrono::duration_cast<milliseconds>(now - last_answer_);
+  const milliseconds silent =
+      std::chrono::duration_cast<milliseconds>(now - *silent_since_);
   context_.reports.send(unreachable{worker_, silent, failure.cause});
 }
 
+bool follower::may_give_leases() const {
+  if (!silent_since_) return true;
+  return context_.clock.now() - *silent_since_ <
+         context_.options.task_lease / 2;
+}
+
 }  // namespace ebonygrade::worker
--- a/src/worker/follower_pvt.h
+++ b/src/worker/follower_pvt.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -62,6 +63,9 @@
   void on_superseded(job::epoch epoch);
   void note_answer();
   void note_failure(const http::call_failure& failure);
+  // Whether leases may be given. False after half a task lease of silence: a
+  // worker that hears but isn't heard must let its leases run out.
+  bool may_give_leases() const;
   bool blocked() const { return context_.reports.blocked(); }
   void make_poll_client();
   void wait(boost::asio::steady_timer& timer, milliseconds pause,
@@ -108,7 +112,9 @@
   bool poll_at_once_ = false;  // The next poll doesn't wait.
   bool may_run_ = false;       // The worker may have running tasks.
   steady_time last_start_;
-  steady_time last_answer_;
+  // When the first call without an answer since the last answer was sent, at
+  // the latest; unset while the worker answers.
+  std::optional<steady_time> silent_since_;
   steady_time last_unreachable_;
   http::backoff fence_backoff_;
   http::backoff poll_backoff_;
--- a/src/worker/starts.cpp
+++ b/src/worker/starts.cpp
@@ -38,6 +38,7 @@
   bool ready = phase_ == phase::following && sent_starts_.empty() &&
                !pending_starts_.empty() && !blocked();
   if (!ready) return;
+  if (!may_give_leases()) return reject_pending(wire::rejected);
   wire::start_request request = next_start_batch();
   last_start_ = context_.clock.now();
   may_run_ = true;
--- a/testsuite/cell/cell.cpp
+++ b/testsuite/cell/cell.cpp
@@ -46,10 +46,10 @@
 }
 
 template <typename T>
-std::optional<T> parse(const std::optional<http_reply>& reply) {
-  if (!reply) return std::nullopt;
+std::optional<T> parse(const http_reply& reply) {
+  if (reply.status == 0) return std::nullopt;
   T message;
-  if (http::from_json(reply->body, &message).has_error()) return std::nullopt;
+  if (http::from_json(reply.body, &message).has_error()) return std::nullopt;
   return message;
 }
 
@@ -185,9 +185,9 @@
 }
 
 bool cell::daemon_ready(std::size_t index) {
-  const std::optional<http_reply> reply =
+  const http_reply reply =
       http_call(http_address(index), "GET", "/readyz", "", kCallLimit);
-  return reply && reply->status == 200;
+  return reply.status == 200;
 }
 
 std::optional<wire::cell_status> cell::cell_status(std::size_t index) {
@@ -244,10 +244,17 @@
 
 std::optional<wire::request_status> cell::submit(
     std::size_t index, const wire::job_request& request, milliseconds wait) {
-  return parse<wire::request_status>(
+  const http_reply reply =
       http_call(http_address(index), "POST",
                 "/v1/requests?wait_ms=" + std::to_string(wait.count()),
-                http::to_json(request), wait + kCallLimit));
+                http::to_json(request), wait + kCallLimit);
+  if (reply.cut) ++cuts_;
+  return parse<wire::request_status>(reply);
+}
+
+http_reply cell::call(std::size_t index, const std::string& method,
+                      const std::string& target, const std::string& body) {
+  return http_call(http_address(index), method, target, body, kCallLimit);
 }
 
 bool cell::roll_bundle(std::size_t index, const std::string& text) {
@@ -264,20 +271,20 @@
       "/v1/bundles/" + std::to_string(published->version());
   wire::approve_request approve;
   approve.set_approver("approver");
-  const std::optional<http_reply> approved =
+  const http_reply approved =
       http_call(http_address(index), "POST", path + "/approve",
                 http::to_json(approve), kCallLimit);
-  if (!approved || approved->status != 200) return false;
+  if (approved.status != 200) return false;
   const std::optional<wire::bundle_list> list = parse<wire::bundle_list>(
       http_call(http_address(index), "GET", "/v1/bundles", "", kCallLimit));
   if (!list) return false;
   wire::roll_request roll;
   roll.set_replaces(list->version_in_force());
   roll.set_operator_("operator");
-  const std::optional<http_reply> rolled =
+  const http_reply rolled =
       http_call(http_address(index), "POST", path + "/roll",
                 http::to_json(roll), kCallLimit);
-  return rolled && rolled->status == 200;
+  return rolled.status == 200;
 }
 
 std::string cell::bundle_text() const {
--- a/testsuite/cell/cell.h
+++ b/testsuite/cell/cell.h
@@ -3,9 +3,11 @@
 // the workers' ledger and by what callers were answered.
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -71,6 +73,11 @@
   std::optional<wire::request_status> submit(std::size_t index,
                                              const wire::job_request& request,
                                              milliseconds wait);
+  // Exchanges of submit() that broke after the request was sent.
+  std::size_t cuts() const { return cuts_.load(); }
+  // One HTTP exchange with daemon `index`.
+  http_reply call(std::size_t index, const std::string& method,
+                  const std::string& target, const std::string& body);
   // Puts a bundle in force by daemon `index`: publish, approve, roll.
   bool roll_bundle(std::size_t index, const std::string& text);
   std::string bundle_text() const;
@@ -100,6 +107,7 @@
   std::unique_ptr<process> platform_;
   std::unique_ptr<process> workers_;
   std::vector<daemon_slot> daemons_;
+  std::atomic<std::size_t> cuts_{0};
 };
 
 // A batch request of one task that runs for `runtime`.
--- a/testsuite/cell/http_call.cpp
+++ b/testsuite/cell/http_call.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <optional>
 
 namespace ebonygrade::testsuite {
 
@@ -42,7 +43,9 @@
   void write() {
     http::async_write(stream, request,
                       [this](boost::system::error_code failed, std::size_t) {
-                        if (!failed) read();
+                        if (failed) return;
+                        reply.cut = true;
+                        read();
                       });
   }
 
@@ -60,18 +63,16 @@
   beast::flat_buffer buffer;
   http::request<http::string_body> request;
   http::response_parser<http::string_body> parser;
-  std::optional<http_reply> reply;
+  http_reply reply;
 };
 
 }  // namespace
 
-std::optional<http_reply> http_call(const std::string& address,
-                                    const std::string& method,
-                                    const std::string& target,
-                                    const std::string& body,
-                                    std::chrono::milliseconds limit) {
+http_reply http_call(const std::string& address, const std::string& method,
+                     const std::string& target, const std::string& body,
+                     std::chrono::milliseconds limit) {
   const std::optional<tcp::endpoint> endpoint = to_endpoint(address);
-  if (!endpoint) return std::nullopt;
+  if (!endpoint) return {};
   boost::asio::io_context context(1);
   exchange call(context);
   call.request.method_string(method);
--- a/testsuite/cell/load.cpp
+++ b/testsuite/cell/load.cpp
@@ -14,7 +14,10 @@
 load::load(cell& cell, const load_options& options)
     : cell_(cell), options_(options) {}
 
-load::~load() { finish(); }
+load::~load() {
+  stopped_ = true;
+  finish();
+}
 
 void load::start() {
   for (std::size_t i = 0; i < options_.callers; ++i) {
@@ -50,9 +53,10 @@
 }
 
 void load::submit_one(const wire::job_request& request, std::size_t turn) {
-  for (std::size_t attempt = 0; attempt < kMaxTries; ++attempt) {
+  for (std::size_t attempt = 0; attempt < kMaxTries && !stopped_; ++attempt) {
     const std::size_t entry =
         options_.entries[(turn + attempt) % options_.entries.size()];
+    if (options_.only_ready && !cell_.daemon_ready(entry)) continue;
     const std::optional<wire::request_status> status =
         cell_.submit(entry, request, options_.wait);
     if (status && status->outcome().kind() != wire::pending) {
--- a/testsuite/cell/load.h
+++ b/testsuite/cell/load.h
@@ -20,6 +20,7 @@
   bool idempotent = true;
   milliseconds wait{20000};
   std::vector<std::size_t> entries;  // Daemons to call, in turn.
+  bool only_ready = false;  // As behind the balancer: skip those not ready.
 };
 
 // Final outcomes by request id. A caller asks again under the same id, at the
@@ -27,6 +28,7 @@
 class load {
  public:
   load(cell& cell, const load_options& options);
+  // Callers give up.
   ~load();
 
   void start();
@@ -48,6 +50,7 @@
   cell& cell_;
   load_options options_;
   std::vector<std::thread> threads_;
+  std::atomic<bool> stopped_{false};
   std::atomic<std::size_t> done_{0};
   std::mutex mutex_;
   std::map<std::string, wire::outcome> outcomes_;
