--- a/src/core/core_pvt.h
+++ b/src/core/core_pvt.h
@@ -131,6 +131,8 @@
 // Ends the doubt about ownership that a pause or isolation raised, once the
 // claims were read to their end.
 void update_doubt(core_state& state);
+// Releases the shards in handover that have nothing on its way any more.
+void check_handovers(core_state& state);
 // Fences the workers of the owned shards again after a suspension.
 void resume(core_state& state);
 
--- a/src/core/owning.cpp
+++ b/src/core/owning.cpp
@@ -101,6 +101,7 @@
   shard_runtime& shard = runtime(state, id);
   if (shard.phase != takeover_phase::quiescing) return;
   if (shard.starts_in_flight > 0) return;
+  if (intents::is_pending(state.intents, id)) return;
   apply_ownership(state, ownership::quiesced{id});
 }
 
@@ -331,6 +332,14 @@
 
 }  // namespace
 
+void check_handovers(core_state& state) {
+  for (std::uint16_t region = 0; region < state.shards.size(); ++region) {
+    for (std::uint16_t i = 0; i < state.shards[region].size(); ++i) {
+      check_quiesced(state, {region, i});
+    }
+  }
+}
+
 void resume(core_state& state) {
   if (!state.suspended) return;
   state.suspended = false;
--- a/src/core/serving.cpp
+++ b/src/core/serving.cpp
@@ -150,6 +150,15 @@
   }
 }
 
+// A shard in handover is still ours until its release is in the log.
+bool holds_epoch(const core_state& state, job::shard_id shard,
+                 job::epoch epoch) {
+  const shard_runtime& held = state.shards[shard.region][shard.shard];
+  const bool active = held.phase == takeover_phase::serving ||
+                      held.phase == takeover_phase::quiescing;
+  return active && held.epoch == epoch;
+}
+
 }  // namespace
 
 void apply_request(core_state& state, const requests::event& event) {
@@ -207,18 +216,20 @@
     apply_request(state, requests::intent_failed{
                              each.id, "the log does not take the intent"});
   }
+  check_handovers(state);
 }
 
 void on_intents_confirmed(core_state& state) {
   for (const intents::pending_intent& each :
        intents::on_claims_read(state.intents)) {
-    if (ownership::serving_epoch(state.ownership, each.home) == each.epoch) {
+    if (holds_epoch(state, each.home, each.epoch)) {
       apply_request(state, requests::intent_durable{each.id});
       continue;
     }
     apply_request(
         state, requests::intent_failed{each.id, "the shard has a new owner"});
   }
+  check_handovers(state);
 }
 
 }  // namespace ebonygrade::core
--- a/src/intents/intents.cpp
+++ b/src/intents/intents.cpp
@@ -44,6 +44,14 @@
   return true;
 }
 
+bool is_pending(const writer& state, job::shard_id home) {
+  const auto matches = [home](const pending_intent& each) {
+    return each.home == home;
+  };
+  return std::any_of(state.waiting.begin(), state.waiting.end(), matches) ||
+         std::any_of(state.in_flight.begin(), state.in_flight.end(), matches);
+}
+
 void on_appended(writer& state) { state.phase = writer_phase::reading_claims; }
 
 std::vector<pending_intent> on_failed(writer& state) { return finish(state); }
--- a/src/intents/intents.h
+++ b/src/intents/intents.h
@@ -52,6 +52,9 @@
 // `batch`.
 bool take_batch(writer& state, steady_time now, wire::intent_batch* batch);
 
+// Whether an intent of the shard waits or is in flight.
+bool is_pending(const writer& state, job::shard_id home);
+
 // The append is durable: the claims must now be read to their end.
 void on_appended(writer& state);
 
--- a/src/intents/intents_test.cpp
+++ b/src/intents/intents_test.cpp
@@ -51,6 +51,19 @@
   CHECK(intents::take_batch(state, kStart + milliseconds(20), &batch));
 }
 
+TEST_CASE("an intent is pending until it is confirmed or has failed") {
+  intents::writer state = make_writer();
+  wire::intent_batch batch;
+  intents::add(state, {"a", {0, 1}, 7});
+  CHECK(intents::is_pending(state, {0, 1}));
+  CHECK_FALSE(intents::is_pending(state, {0, 2}));
+  REQUIRE(intents::take_batch(state, kStart, &batch));
+  intents::on_appended(state);
+  CHECK(intents::is_pending(state, {0, 1}));
+  intents::on_claims_read(state);
+  CHECK_FALSE(intents::is_pending(state, {0, 1}));
+}
+
 TEST_CASE("a failed append gives back exactly its own intents") {
   intents::writer state = make_writer();
   wire::intent_batch batch;
