--- a/bench/figure.h
+++ b/bench/figure.h
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include <cstdio>
 #include <string_view>
 
 namespace ebonygrade::bench {
@@ -10,6 +11,7 @@
 inline void print_figure(std::string_view name, double value,
                          std::string_view unit) {
   fmt::print("{} {:.6g} {}\n", name, value, unit);
+  std::fflush(stdout);
 }
 
 }  // namespace ebonygrade::bench
--- a/testsuite/cell/cell.cpp
+++ b/testsuite/cell/cell.cpp
@@ -137,8 +137,9 @@
        << "\nshards_per_region = " << options_.shards_per_region << "\n[region."
        << kRegion << "]\nzones = sofia-a, sofia-b\n"
        << "[platform]\nlog_address = " << platform_address_
-       << "\nlist_address = " << platform_address_
-       << "\nlist_interval = 200ms\n"
+       << "\nlist_address = " << platform_address_ << "\n";
+  if (!options_.short_timers) return;
+  file << "list_interval = 200ms\n"
        << "[worker]\ncall_timeout = 1s\ntask_lease = " << options_.task_lease
        << "\n[ownership]\ntakeover_after = 1s\nhandover_after = 1s\n"
        << "[peer]\nheartbeat_interval = 200ms\nsilence_limit = 1s\n";
--- a/testsuite/cell/cell.h
+++ b/testsuite/cell/cell.h
@@ -32,6 +32,7 @@
   std::size_t workers = 24;
   std::string task_lease = "3s";  // In the settings.
   int shards_per_region = 4;
+  bool short_timers = true;  // False: the defaults of the settings.
 };
 
 class cell {
--- a/testsuite/cell/process.h
+++ b/testsuite/cell/process.h
@@ -32,6 +32,7 @@
   // signal's number for a killed process, or nothing if it still runs.
   std::optional<int> wait(std::chrono::milliseconds limit);
   bool running();
+  pid_t pid() const { return pid_; }
 
  private:
   pid_t pid_ = -1;
