Give the balancer time at a drain; hand over later; stop under the present epoch

The ownership test and the schedules keep their 5 s, which their times are written for. A preemption's stop carries the shard's present epoch: a task started under an earlier one was refused as fenced. The refusal of a bundle that only its author approved says so; cell_operators expects the new text.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds kTick{20};
 constexpr milliseconds kSlowTick{100};
 constexpr milliseconds kDrainCheck{50};
+// Time for the balancer to see that the daemon is not ready. Requests that it
+// still sends meanwhile are served.
+constexpr milliseconds kDrainNotice{2000};
 
 ownership::claim_table make_claims(const core_options& options) {
   std::vector<std::string> names;
@@ -152,7 +155,8 @@
   }
 
   void drain(milliseconds limit, std::function<void(std::size_t)> done) {
-    drain_until_ = state_.clock.now() + limit;
+    drain_begun_ = state_.clock.now();
+    drain_until_ = drain_begun_ + limit;
     drain_done_ = std::move(done);
     begin_drain();
     check_drain();
@@ -372,7 +376,9 @@
   }
 
   void check_drain() {
-    const bool finished = owns_nothing() && state_.entry.open.empty();
+    const bool noticed = state_.clock.now() - drain_begun_ >= kDrainNotice;
+    const bool finished =
+        noticed && owns_nothing() && state_.entry.open.empty();
     if (finished || state_.clock.now() >= drain_until_) {
       drain_done_(state_.entry.open.size());
       return;
@@ -392,6 +398,7 @@
   std::vector<platform::read_to_end> failed_reads_;
   bool decision_pending_ = false;
   bool closed_ = false;
+  steady_time drain_begun_;
   steady_time drain_until_;
   std::function<void(std::size_t)> drain_done_;
 };
--- a/src/core/governing.cpp
+++ b/src/core/governing.cpp
@@ -70,7 +70,7 @@
     case bundle::apply_result::ignored:
       return "the record was already applied";
     case bundle::apply_result::not_approved:
-      return "the version lacks approvals";
+      return "the version lacks approvals; its author's own does not count";
     case bundle::apply_result::lost_race:
       return "another roll came first; the version to replace is no longer "
              "in force";
--- a/src/core/serving.cpp
+++ b/src/core/serving.cpp
@@ -128,10 +128,14 @@
   if (preemption.task_index >= found->second.tasks.size()) return;
   const requests::task_state& task = found->second.tasks[preemption.task_index];
   if (task.phase != requests::task_phase::running) return;
+  const auto shard = state.shard_of_worker.find(preemption.worker);
+  if (shard == state.shard_of_worker.end()) return;
+  // The task may have been started under an earlier epoch than the present.
+  const job::epoch epoch = runtime(state, shard->second).epoch;
   const job::attempt_key key{preemption.id, preemption.task_index,
                              task.attempt};
   state.workers.send(
-      worker::stop{preemption.worker, task.epoch, key, preemption.mode});
+      worker::stop{preemption.worker, epoch, key, preemption.mode});
 }
 
 void carry_out(core_state& state, const place::decisions& decisions,
--- a/src/faults/faulty_cell.cpp
+++ b/src/faults/faulty_cell.cpp
@@ -270,6 +270,7 @@
   fresh.id = {index, daemons_[index].id.incarnation + 1};
   fresh.started = now_;
   ownership::ownership_options options;
+  options.handover_after = milliseconds(5000);
   options.self = "d" + std::to_string(index);
   options.incarnation = fresh.id.incarnation;
   fresh.ownership = ownership::make_state(
--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -103,7 +103,7 @@
   std::string self;
   std::uint64_t incarnation = 0;
   milliseconds takeover_after{3000};   // Silence of an owner before a claim.
-  milliseconds handover_after{5000};   // A better owner must be alive so long.
+  milliseconds handover_after{15000};  // A better owner must be alive so long.
   milliseconds claim_retry{1000};      // Between claims of the same shard.
   milliseconds snapshot_every{60000};  // Claims are restated so often. The
                                        // log must keep records ten times as
--- a/src/ownership/ownership_test.cpp
+++ b/src/ownership/ownership_test.cpp
@@ -28,6 +28,7 @@
  public:
   void start(const std::string& id, std::uint64_t incarnation = 1) {
     ownership::ownership_options options;
+    options.handover_after = milliseconds(5000);
     options.self = id;
     options.incarnation = incarnation;
     daemon_process started;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -61,7 +61,7 @@
 
 struct ownership_settings {
   milliseconds takeover_after{3000};
-  milliseconds handover_after{5000};
+  milliseconds handover_after{15000};
   milliseconds claim_retry{1000};
   milliseconds snapshot_every{60000};
 };
