--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -163,6 +163,7 @@
   }
 
   bool ready() const { return ready_.load(); }
+  std::size_t open_requests() const { return open_requests_.load(); }
 
   void close() {
     tick_timer_.cancel();
@@ -332,6 +333,7 @@
     tick_timer_.async_wait([this](boost::system::error_code failed) {
       if (failed || closed_) return;
       tick_entry(state_);
+      open_requests_.store(state_.entry.open.size());
       flush_intents(state_);
       decide(state_);
       flush_outputs();
@@ -395,6 +397,7 @@
   boost::asio::steady_timer slow_timer_;
   boost::asio::steady_timer drain_timer_;
   std::atomic<bool> ready_{false};
+  std::atomic<std::size_t> open_requests_{0};
   std::vector<platform::read_to_end> failed_reads_;
   bool decision_pending_ = false;
   bool closed_ = false;
@@ -429,6 +432,9 @@
   implementation_->drain(limit, std::move(done));
 }
 bool scheduler::ready() const { return implementation_->ready(); }
+std::size_t scheduler::open_requests() const {
+  return implementation_->open_requests();
+}
 void scheduler::close() { implementation_->close(); }
 
 }  // namespace ebonygrade::core
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -80,6 +80,9 @@
   // Whether the balancer may send callers here. Safe from any thread.
   bool ready() const;
 
+  // Requests of callers that wait for an answer here. Safe from any thread.
+  std::size_t open_requests() const;
+
   void close();
 
  private:
--- a/src/ebonygraded/daemon.cpp
+++ b/src/ebonygraded/daemon.cpp
@@ -156,6 +156,8 @@
         });
   }
 
+  std::size_t open_requests() const { return scheduler_.open_requests(); }
+
   void stop() {
     if (!running_) return;
     running_ = false;
@@ -227,6 +229,9 @@
 void daemon::drain(milliseconds limit, std::function<void(std::size_t)> done) {
   implementation_->drain(limit, std::move(done));
 }
+std::size_t daemon::open_requests() const {
+  return implementation_->open_requests();
+}
 void daemon::stop() { implementation_->stop(); }
 
 }  // namespace ebonygrade::ebonygraded
--- a/src/ebonygraded/daemon.h
+++ b/src/ebonygraded/daemon.h
@@ -32,6 +32,9 @@
   // that were still unanswered after `limit`.
   void drain(milliseconds limit, std::function<void(std::size_t)> done);
 
+  // Requests of callers that wait for an answer here.
+  std::size_t open_requests() const;
+
   // Ends every thread; requests in flight get no answer.
   void stop();
 
--- a/src/ebonygraded/main.cpp
+++ b/src/ebonygraded/main.cpp
@@ -71,7 +71,9 @@
                  kDrainLimit.count());
     signals.async_wait([&](boost::system::error_code failed, int) {
       if (failed) return;
-      events::emit(events::id::abandoned, "stop", "", "second signal");
+      events::emit(events::id::abandoned, "stop", "",
+                   "second signal; {} requests without an answer",
+                   instance.open_requests());
       exit_code = kExitAbandoned;
       context.stop();
     });
