Refuse an unknown region and open exchanges by id in one place

Query and cancel were twins but for their kind, and four commands repeated the refusal of an unknown region. A backoff of the platform client that nothing used is gone.

--- a/src/core/entering.cpp
+++ b/src/core/entering.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr char kUnknownRegion[] = "region: is not one of the cell's";
+
 entry::owner find_owner(const void* context, job::shard_id shard) {
   const core_state& state = *static_cast<const core_state*>(context);
   const ownership::claim_state& claim =
@@ -122,6 +124,30 @@
                                owners_of(state), now));
 }
 
+// Home of the id, or nothing after refusing the exchange.
+std::optional<job::shard_id> home_or_refuse(core_state& state,
+                                            std::uint64_t token,
+                                            const std::string& id,
+                                            const std::string& region) {
+  const std::optional<job::shard_id> home = home_of(state, id, region);
+  if (!home) refuse(state, token, 400, kUnknownRegion, "region");
+  return home;
+}
+
+// Opens an exchange about a request that is known by its id alone.
+void open_by_id(core_state& state, std::uint64_t token,
+                entry::request_kind kind, const std::string& id,
+                const std::string& region, milliseconds wait) {
+  const std::optional<job::shard_id> home =
+      home_or_refuse(state, token, id, region);
+  if (!home) return;
+  entry::open_request request;
+  request.kind = kind;
+  request.request.id = id;
+  request.request.home = *home;
+  open_exchange(state, token, std::move(request), wait);
+}
+
 void reply_wrong_owner(core_state& state, const std::string& to,
                        std::uint64_t token) {
   wire::envelope message;
@@ -216,12 +242,10 @@
            detail.substr(0, detail.find(':')));
     return;
   }
-  const std::optional<job::shard_id> home =
-      home_of(state, parsed->id, command.request.region());
+  const std::optional<job::shard_id> home = home_or_refuse(
+      state, command.token, parsed->id, command.request.region());
   if (!home) {
-    observe_bad_request(state, "region: is not one of the cell's");
-    refuse(state, command.token, 400, "region: is not one of the cell's",
-           "region");
+    observe_bad_request(state, kUnknownRegion);
     return;
   }
   entry::open_request request;
@@ -231,43 +255,19 @@
 }
 
 void on_query(core_state& state, api::query&& command) {
-  const std::optional<job::shard_id> home =
-      home_of(state, command.id, command.region);
-  if (!home) {
-    refuse(state, command.token, 400, "region: is not one of the cell's",
-           "region");
-    return;
-  }
-  entry::open_request request;
-  request.kind = entry::request_kind::query;
-  request.request.id = command.id;
-  request.request.home = *home;
-  open_exchange(state, command.token, std::move(request), command.wait);
+  open_by_id(state, command.token, entry::request_kind::query, command.id,
+             command.region, command.wait);
 }
 
 void on_cancel(core_state& state, api::cancel&& command) {
-  const std::optional<job::shard_id> home =
-      home_of(state, command.id, command.region);
-  if (!home) {
-    refuse(state, command.token, 400, "region: is not one of the cell's",
-           "region");
-    return;
-  }
-  entry::open_request request;
-  request.kind = entry::request_kind::cancel;
-  request.request.id = command.id;
-  request.request.home = *home;
-  open_exchange(state, command.token, std::move(request), milliseconds(0));
+  open_by_id(state, command.token, entry::request_kind::cancel, command.id,
+             command.region, milliseconds(0));
 }
 
 void on_explain(core_state& state, const api::explain& command) {
   const std::optional<job::shard_id> home =
-      home_of(state, command.id, command.region);
-  if (!home) {
-    refuse(state, command.token, 400, "region: is not one of the cell's",
-           "region");
-    return;
-  }
+      home_or_refuse(state, command.token, command.id, command.region);
+  if (!home) return;
   const shard_runtime& shard = runtime(state, *home);
   if (shard.engine == nullptr) {
     const entry::owner owner = find_owner(&state, *home);
--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -78,7 +78,6 @@
         list_connection_(context, options.list_address, call_options()),
         append_timer_(context),
         list_timer_(context),
-        list_pause_(options.list_interval),
         tokens_(burst()),
         tokens_at_(clock.now()) {
     read_list();
@@ -434,7 +433,6 @@
   http::client list_connection_;
   boost::asio::steady_timer append_timer_;
   boost::asio::steady_timer list_timer_;
-  backoff list_pause_;
   std::deque<append> appends_;
   bool append_in_flight_ = false;
   double tokens_;
