--- a/src/cmake/slice.cmake
+++ b/src/cmake/slice.cmake
@@ -12,18 +12,23 @@
     add_library(ebonygrade_${name} INTERFACE)
     set(scope INTERFACE)
   endif()
-  target_include_directories(ebonygrade_${name} ${scope} ${CMAKE_SOURCE_DIR}/src)
+  target_include_directories(ebonygrade_${name} ${scope} ${EBONYGRADE_ROOT}/src)
   target_link_libraries(ebonygrade_${name} ${scope} Boost::headers
                         Threads::Threads ${ARG_DEPENDS})
 endfunction()
 
-# ebonygrade_test(NAME SOURCES ... DEPENDS ...)
-# Builds the Catch2 program NAME and registers it with ctest.
+# ebonygrade_test(NAME SOURCES ... DEPENDS ... DEFINITIONS ...)
+# Builds the Catch2 program NAME and registers it with ctest. The light build
+# of a daemon for its machines (EBONYGRADE_DAEMON_ONLY) leaves tests out.
 function(ebonygrade_test name)
-  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  if(EBONYGRADE_DAEMON_ONLY)
+    return()
+  endif()
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;DEFINITIONS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES})
-  target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/src)
+  target_include_directories(${name} PRIVATE ${EBONYGRADE_ROOT}/src)
   target_link_libraries(${name} PRIVATE ebonygrade_catch_main ${ARG_DEPENDS})
+  target_compile_definitions(${name} PRIVATE ${ARG_DEFINITIONS})
   add_test(NAME ${name} COMMAND ${name})
   set_tests_properties(${name} PROPERTIES TIMEOUT 300)
 endfunction()
--- a/src/events/events.cpp
+++ b/src/events/events.cpp
@@ -108,10 +108,15 @@
   return "error";
 }
 
-void start(std::string_view least_level, const clock::clock& clock) {
+void start(std::string_view least_level, const clock::clock& clock,
+           stream target) {
   spdlog::init_thread_pool(kQueuedLines, 1);
-  std::shared_ptr<spdlog::sinks::stderr_sink_mt> sink =
-      std::make_shared<spdlog::sinks::stderr_sink_mt>();
+  std::shared_ptr<spdlog::sinks::sink> sink;
+  if (target == stream::standard_output) {
+    sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+  } else {
+    sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+  }
   start(std::make_shared<spdlog::async_logger>(
             "ebonygrade", sink, spdlog::thread_pool(),
             spdlog::async_overflow_policy::overrun_oldest),
--- a/src/events/events.h
+++ b/src/events/events.h
@@ -4,7 +4,8 @@
 //
 //   2026-01-05T07:00:00.123Z info 201 claim_won step=claim peer=- shard ...
 //
-// `start` begins to write to standard error by a thread of its own, so that a
+// `start` begins to write, to standard error unless told otherwise, by a
+// thread of its own, so that a
 // slow reader never holds up a caller; when its queue is full the oldest line
 // is dropped. Before `start` and after `stop`, events are dropped. `emit` is
 // safe to call from any thread; `start` and `stop` belong to main.
@@ -30,9 +31,12 @@
 // Longest detail; the rest is cut off.
 inline constexpr std::size_t kMaxDetailBytes = 1000;
 
+enum class stream { standard_error, standard_output };
+
 // Starts to write events of at least the level named "debug", "info",
 // "warning", "error" or "off". `clock` must outlive the last event.
-void start(std::string_view least_level, const clock::clock& clock);
+void start(std::string_view least_level, const clock::clock& clock,
+           stream target = stream::standard_error);
 // Writes to the given logger instead; its pattern is set.
 void start(std::shared_ptr<spdlog::logger> logger, std::string_view least_level,
            const clock::clock& clock);
--- /dev/null
+++ b/src/jobs/job_table.cpp
@@ -0,0 +1,167 @@
+#include "jobs/job_table.h"
+
+#include <utility>
+
+namespace ebonygrade::jobs {
+
+namespace {
+
+constexpr char kSubmission = 's';
+constexpr char kCancellation = 'c';
+constexpr char kProgress = 'p';
+
+bool waits_for_start(const entry& job) {
+  return job.submission && job.submission->repeats() == 0 &&
+         !job.progress.started() && !job.cancelled &&
+         job.progress.outcome() == wire::OPEN;
+}
+
+// Keeps the count of waiting jobs right over any change of one entry.
+class waiting_count {
+ public:
+  waiting_count(table* table, entry* job)
+      : table_(table), job_(job), before_(waits_for_start(*job)) {}
+  ~waiting_count() {
+    bool after = waits_for_start(*job_);
+    if (after == before_) return;
+    table_->not_started[job_->submission->queue()] += after ? 1 : -1;
+  }
+  waiting_count(const waiting_count&) = delete;
+  waiting_count& operator=(const waiting_count&) = delete;
+
+ private:
+  table* table_;
+  entry* job_;
+  bool before_;
+};
+
+bool apply_submission(table* table, entry* job, const std::string& value) {
+  // A repeated submission of an id is the same job.
+  if (job->submission) return false;
+  std::shared_ptr<wire::job_submission> parsed =
+      std::make_shared<wire::job_submission>();
+  if (!parsed->ParseFromString(value)) {
+    ++table->unreadable;
+    return false;
+  }
+  waiting_count count(table, job);
+  job->submission = std::move(parsed);
+  return true;
+}
+
+bool apply_progress(table* table, entry* job, const std::string& value) {
+  wire::job_progress parsed;
+  if (!parsed.ParseFromString(value)) {
+    ++table->unreadable;
+    return false;
+  }
+  waiting_count count(table, job);
+  job->progress = std::move(parsed);
+  return true;
+}
+
+bool apply_cancellation(table* table, entry* job) {
+  if (job->cancelled) return false;
+  waiting_count count(table, job);
+  job->cancelled = true;
+  return true;
+}
+
+void forget(table* table, char kind, const std::string& id) {
+  std::unordered_map<std::string, entry>::iterator found = table->jobs.find(id);
+  if (kind != kSubmission || found == table->jobs.end()) return;
+  if (waits_for_start(found->second)) {
+    table->not_started[found->second.submission->queue()] -= 1;
+  }
+  table->jobs.erase(found);
+}
+
+change apply_owner(table* table, const record& record) {
+  ++table->owner_records;
+  if (record.offset < table->owner.offset) return {};
+  if (!table->owner.record.ParseFromString(record.value)) {
+    ++table->unreadable;
+    return {};
+  }
+  table->owner.offset = record.offset;
+  return {change_kind::owner, {}};
+}
+
+}  // namespace
+
+change apply(table* table, const record& record) {
+  if (record.key == kOwnerKey) return apply_owner(table, record);
+  if (record.key.size() < 2) {
+    ++table->unreadable;
+    return {};
+  }
+  char kind = record.key.front();
+  std::string id = record.key.substr(1);
+  if (record.value.empty()) {
+    forget(table, kind, id);
+    return {};
+  }
+  entry* job = &table->jobs[id];
+  bool changed = false;
+  change_kind what = change_kind::none;
+  switch (kind) {
+    case kSubmission:
+      changed = apply_submission(table, job, record.value);
+      what = change_kind::submitted;
+      break;
+    case kCancellation:
+      changed = apply_cancellation(table, job);
+      what = change_kind::cancelled;
+      break;
+    case kProgress:
+      ++table->owner_records;
+      changed = apply_progress(table, job, record.value);
+      what = change_kind::progressed;
+      break;
+    default:
+      ++table->unreadable;
+      break;
+  }
+  if (!changed) return {};
+  return {what, std::move(id)};
+}
+
+const entry* find(const table& table, std::string_view id) {
+  std::unordered_map<std::string, entry>::const_iterator found =
+      table.jobs.find(std::string(id));
+  if (found == table.jobs.end() || !found->second.submission) return nullptr;
+  return &found->second;
+}
+
+state state_of(const entry& job) {
+  switch (job.progress.outcome()) {
+    case wire::COMPLETE:
+      return state::complete;
+    case wire::FAILED:
+      return state::failed;
+    case wire::CANCELLED:
+      return state::cancelled;
+    default:
+      break;
+  }
+  if (job.cancelled) return state::cancelled;
+  return job.progress.started() ? state::running : state::pending;
+}
+
+std::int64_t not_started(const table& table, const std::string& queue) {
+  std::unordered_map<std::string, std::int64_t>::const_iterator found =
+      table.not_started.find(queue);
+  return found == table.not_started.end() ? 0 : found->second;
+}
+
+std::string submission_key(std::string_view id) {
+  return std::string(1, kSubmission) + std::string(id);
+}
+std::string cancellation_key(std::string_view id) {
+  return std::string(1, kCancellation) + std::string(id);
+}
+std::string progress_key(std::string_view id) {
+  return std::string(1, kProgress) + std::string(id);
+}
+
+}  // namespace ebonygrade::jobs
--- /dev/null
+++ b/src/pool/jobs.cpp
@@ -0,0 +1,281 @@
+// Jobs: their steps, occurrences and outcomes.
+#include <algorithm>
+
+#include "pool/pool_pvt.h"
+
+namespace ebonygrade::pool {
+
+namespace {
+
+// Occurrences of a scheduled job that are kept open at once; later ones wait
+// for an earlier one to finish.
+constexpr std::size_t kMaxOpenOccurrences = 64;
+
+unix_time from_unix(std::int64_t value) {
+  return unix_time(milliseconds(value));
+}
+
+std::vector<step_run> make_steps(const wire::job_submission& submission,
+                                 std::uint32_t occurrence) {
+  std::vector<step_run> steps(static_cast<std::size_t>(submission.steps_size()));
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    steps[i].occurrence = occurrence;
+    steps[i].step = static_cast<std::uint32_t>(i);
+    steps[i].tasks.resize(submission.steps(static_cast<int>(i)).count());
+  }
+  return steps;
+}
+
+bool is_done(const step_run& step) { return step.done == step.tasks.size(); }
+
+bool may_begin(const wire::step_definition& step,
+               const std::vector<step_run>& steps) {
+  return std::all_of(step.after().begin(), step.after().end(),
+                     [&](std::uint32_t earlier) {
+                       return earlier < steps.size() && is_done(steps[earlier]);
+                     });
+}
+
+void restore_task(pool_state* pool, job* job, step_run* step,
+                  const wire::task_progress& saved, steady_time now) {
+  if (saved.index() >= step->tasks.size()) return;
+  task& task = step->tasks[saved.index()];
+  task.last_run = saved.last_run();
+  task.failures = saved.failures();
+  task.checkpoint = saved.checkpoint();
+  if (saved.worker().empty()) return;
+  task.placed = true;
+  task.worker = saved.worker();
+  task.incarnation_ms = saved.incarnation_ms();
+  worker& worker = pool->workers[saved.worker()];
+  if (worker.entry.id.empty()) {
+    worker.entry.id = saved.worker();
+    worker.entry.incarnation_ms = saved.incarnation_ms();
+  }
+  worker.lease_end = std::max(worker.lease_end, now + 2 * pool->limits.lease);
+  placement placed;
+  placed.task = {job->id, step->occurrence, step->step, saved.index()};
+  placed.run = saved.last_run();
+  placed.need = need_of(definition(*job, *step));
+  placed.phase = phase::unverified;
+  placed.since = now;
+  placed.progressed = now;
+  worker.used = worker.used + placed.need;
+  worker.placements.push_back(std::move(placed));
+}
+
+void restore(pool_state* pool, job* job, const wire::job_progress& saved,
+             steady_time now) {
+  job->started = saved.started();
+  job->occurrences_done = saved.occurrences_done();
+  job->next_occurrence = saved.occurrences_done();
+  for (const wire::step_progress& each : saved.steps()) {
+    std::vector<step_run>& steps = job->occurrences[each.occurrence()];
+    if (steps.empty()) steps = make_steps(*job->submission, each.occurrence());
+    if (each.step() >= steps.size()) continue;
+    job->next_occurrence = std::max(job->next_occurrence, each.occurrence() + 1);
+    step_run& step = steps[each.step()];
+    for (std::uint32_t index : each.done()) {
+      if (index >= step.tasks.size() || step.tasks[index].done) continue;
+      step.tasks[index].done = true;
+      ++step.done;
+    }
+    for (const wire::task_progress& task : each.tasks()) {
+      restore_task(pool, job, &step, task, now);
+    }
+  }
+}
+
+// Longest sum of estimates along the dependencies.
+milliseconds longest_chain(const wire::job_submission& submission) {
+  std::vector<std::int64_t> until(
+      static_cast<std::size_t>(submission.steps_size()));
+  std::int64_t longest = 0;
+  for (std::size_t i = 0; i < until.size(); ++i) {
+    const wire::step_definition& step = submission.steps(static_cast<int>(i));
+    for (std::uint32_t earlier : step.after()) {
+      if (earlier < i) until[i] = std::max(until[i], until[earlier]);
+    }
+    until[i] += step.estimate_ms();
+    longest = std::max(longest, until[i]);
+  }
+  return milliseconds(longest);
+}
+
+bool occurrence_done(const std::vector<step_run>& steps) {
+  return std::all_of(steps.begin(), steps.end(), is_done);
+}
+
+// Whether another occurrence may be opened now.
+bool next_is_due(const job& job, unix_time wall) {
+  const wire::job_submission& submission = *job.submission;
+  std::uint32_t total = std::max<std::uint32_t>(1, submission.repeats());
+  if (job.next_occurrence >= total) return false;
+  if (submission.repeats() == 0) return true;
+  if (job.occurrences.size() >= kMaxOpenOccurrences) return false;
+  unix_time due = from_unix(submission.first_due_ms() +
+                            static_cast<std::int64_t>(job.next_occurrence) *
+                                submission.interval_ms());
+  return wall >= due;
+}
+
+}  // namespace
+
+const wire::step_definition& definition(const job& job, const step_run& step) {
+  return job.submission->steps(static_cast<int>(step.step));
+}
+
+resources need_of(const wire::step_definition& step) {
+  // What fills takes processor time that others leave, so it reserves none.
+  return {step.fills() ? 0 : step.cpu_milli(), step.memory_mb(), step.gpus()};
+}
+
+job* find_job(pool_state* pool, const std::string& id) {
+  std::unordered_map<std::string, job>::iterator found = pool->jobs.find(id);
+  return found == pool->jobs.end() ? nullptr : &found->second;
+}
+
+step_run* find_step(job* job, std::uint32_t occurrence, std::uint32_t step) {
+  std::map<std::uint32_t, std::vector<step_run>>::iterator found =
+      job->occurrences.find(occurrence);
+  if (found == job->occurrences.end() || step >= found->second.size()) {
+    return nullptr;
+  }
+  return &found->second[step];
+}
+
+queue_position position_of(const pool_state& pool, const job& job,
+                           const step_run& step) {
+  std::unordered_map<std::string, queue_policy>::const_iterator policy =
+      pool.queues.find(job.submission->queue());
+  std::uint32_t priority =
+      policy == pool.queues.end() ? 0 : policy->second.priority;
+  return {priority, job.accepted, job.id, step.occurrence, step.step};
+}
+
+void update_waiting(pool_state* pool, const job& job, const step_run& step) {
+  bool waits = job.outcome == wire::OPEN && step.ready &&
+               std::any_of(step.tasks.begin(), step.tasks.end(),
+                           [](const task& each) {
+                             return !each.done && !each.placed;
+                           });
+  queue_position position = position_of(*pool, job, step);
+  if (waits) {
+    pool->waiting.insert(std::move(position));
+  } else {
+    pool->waiting.erase(position);
+  }
+}
+
+void end_job(pool_state* pool, job* job, wire::job_outcome outcome,
+             unix_time wall) {
+  job->outcome = outcome;
+  job->ended = wall;
+  pool->changed.insert(job->id);
+  pool->ended[job->id] = wall;
+  pool->scheduled.erase(job->id);
+  for (std::pair<const std::uint32_t, std::vector<step_run>>& each :
+       job->occurrences) {
+    for (const step_run& step : each.second) {
+      update_waiting(pool, *job, step);
+    }
+  }
+  stop_runs(pool, job->id, nullptr);
+}
+
+void advance_job(pool_state* pool, job* job, unix_time wall) {
+  if (job->outcome != wire::OPEN) return;
+  std::map<std::uint32_t, std::vector<step_run>>::iterator each =
+      job->occurrences.begin();
+  while (each != job->occurrences.end()) {
+    std::vector<step_run>& steps = each->second;
+    for (step_run& step : steps) {
+      if (step.ready || !may_begin(definition(*job, step), steps)) continue;
+      step.ready = true;
+      update_waiting(pool, *job, step);
+    }
+    bool oldest = each->first == job->occurrences_done;
+    if (oldest && occurrence_done(steps)) {
+      for (const step_run& step : steps) update_waiting(pool, *job, step);
+      ++job->occurrences_done;
+      pool->changed.insert(job->id);
+      each = job->occurrences.erase(each);
+    } else {
+      ++each;
+    }
+  }
+  std::uint32_t total = std::max<std::uint32_t>(1, job->submission->repeats());
+  if (job->occurrences_done >= total) {
+    end_job(pool, job, wire::COMPLETE, wall);
+  }
+}
+
+void set_queues(pool_state* pool,
+                std::unordered_map<std::string, queue_policy> now) {
+  // Queues that a manifest drops keep their last policy for jobs they hold.
+  for (std::pair<const std::string, queue_policy>& each : pool->queues) {
+    now.try_emplace(each.first, std::move(each.second));
+  }
+  pool->queues = std::move(now);
+  pool->waiting.clear();
+  for (const std::pair<const std::string, job>& each : pool->jobs) {
+    for (const std::pair<const std::uint32_t, std::vector<step_run>>& open :
+         each.second.occurrences) {
+      for (const step_run& step : open.second) {
+        update_waiting(pool, each.second, step);
+      }
+    }
+  }
+}
+
+void add_job(pool_state* pool, const std::string& id,
+             const jobs::entry& entry, steady_time now) {
+  if (!entry.submission || pool->jobs.count(id) > 0) return;
+  if (entry.progress.outcome() != wire::OPEN) {
+    pool->ended[id] = from_unix(entry.progress.ended_ms());
+  }
+  job& job = pool->jobs[id];
+  job.id = id;
+  job.submission = entry.submission;
+  job.accepted = from_unix(entry.submission->accepted_ms());
+  job.longest_chain = longest_chain(*entry.submission);
+  restore(pool, &job, entry.progress, now);
+  job.outcome = entry.progress.outcome();
+  job.ended = from_unix(entry.progress.ended_ms());
+  if (job.outcome != wire::OPEN) {
+    stop_runs(pool, id, nullptr);
+    return;
+  }
+  pool->scheduled.insert(id);
+  advance_job(pool, &job, job.accepted);
+}
+
+void cancel_job(pool_state* pool, const std::string& id, unix_time wall) {
+  job* job = find_job(pool, id);
+  if (job == nullptr || job->outcome != wire::OPEN) return;
+  end_job(pool, job, wire::CANCELLED, wall);
+}
+
+void start_occurrences(pool_state* pool, unix_time wall) {
+  std::vector<std::string> finished;
+  for (const std::string& id : pool->scheduled) {
+    job* job = find_job(pool, id);
+    if (job == nullptr) {
+      finished.push_back(id);
+      continue;
+    }
+    bool opened = false;
+    while (next_is_due(*job, wall)) {
+      std::uint32_t number = job->next_occurrence++;
+      job->occurrences[number] = make_steps(*job->submission, number);
+      opened = true;
+    }
+    if (opened) advance_job(pool, job, wall);
+    std::uint32_t total =
+        std::max<std::uint32_t>(1, job->submission->repeats());
+    if (job->next_occurrence >= total) finished.push_back(id);
+  }
+  for (const std::string& id : finished) pool->scheduled.erase(id);
+}
+
+}  // namespace ebonygrade::pool
--- /dev/null
+++ b/src/pool/journal.cpp
@@ -0,0 +1,89 @@
+// Records of what the owner decided and learned.
+#include <utility>
+
+#include "pool/pool_pvt.h"
+
+namespace ebonygrade::pool {
+
+namespace {
+
+// Ended jobs are dropped from the journal later than callers may ask for
+// them, by this much.
+constexpr milliseconds kForgetMargin{10000};
+
+bool has_progress(const task& task) {
+  return task.last_run > 0 && !task.done;
+}
+
+void write_step(const step_run& step, wire::job_progress* out) {
+  wire::step_progress written;
+  written.set_occurrence(step.occurrence);
+  written.set_step(step.step);
+  for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+    const task& task = step.tasks[i];
+    if (task.done) written.add_done(i);
+    if (!has_progress(task)) continue;
+    wire::task_progress* saved = written.add_tasks();
+    saved->set_index(i);
+    saved->set_last_run(task.last_run);
+    saved->set_failures(task.failures);
+    saved->set_checkpoint(task.checkpoint);
+    saved->set_worker(task.worker);
+    if (task.placed) saved->set_incarnation_ms(task.incarnation_ms);
+  }
+  if (written.done_size() + written.tasks_size() == 0) return;
+  *out->add_steps() = std::move(written);
+}
+
+std::string progress_of(const job& job) {
+  wire::job_progress out;
+  out.set_outcome(job.outcome);
+  out.set_started(job.started);
+  out.set_occurrences_done(job.occurrences_done);
+  if (job.outcome != wire::OPEN) {
+    out.set_ended_ms(job.ended.time_since_epoch().count());
+  }
+  for (const std::pair<const std::uint32_t, std::vector<step_run>>& each :
+       job.occurrences) {
+    for (const step_run& step : each.second) write_step(step, &out);
+  }
+  return out.SerializeAsString();
+}
+
+void forget_ended(pool_state* pool, journal_batch* batch, unix_time wall) {
+  for (std::unordered_map<std::string, unix_time>::iterator each =
+           pool->ended.begin();
+       each != pool->ended.end();) {
+    if (wall - each->second < pool->limits.status_time + kForgetMargin) {
+      ++each;
+      continue;
+    }
+    batch->records.push_back({jobs::progress_key(each->first), {}, 0});
+    batch->records.push_back({jobs::cancellation_key(each->first), {}, 0});
+    batch->records.push_back({jobs::submission_key(each->first), {}, 0});
+    pool->jobs.erase(each->first);
+    each = pool->ended.erase(each);
+  }
+}
+
+}  // namespace
+
+journal_batch take_batch(pool_state* pool, unix_time wall) {
+  journal_batch batch;
+  for (const std::string& id : pool->changed) {
+    const job* job = find_job(pool, id);
+    if (job == nullptr) continue;
+    batch.records.push_back({jobs::progress_key(id), progress_of(*job), 0});
+  }
+  pool->changed.clear();
+  forget_ended(pool, &batch, wall);
+  batch.starts = std::exchange(pool->to_start, {});
+  for (const std::pair<const std::string, worker>& each : pool->workers) {
+    if (each.second.last_end > each.second.acked_end) {
+      batch.ends.emplace_back(each.first, each.second.last_end);
+    }
+  }
+  return batch;
+}
+
+}  // namespace ebonygrade::pool
--- /dev/null
+++ b/src/pool/pool.h
@@ -0,0 +1,236 @@
+// Scheduling of one pool by its owner: which task runs where, under which run
+// number, and what is known of each worker. Everything here is a plain struct
+// with free functions; time is passed in, and nothing does I/O.
+//
+//   pool::pool_state pool{limits};
+//   add_job(&pool, id, submission, progress, cancelled, now);
+//   observe_hold(&pool, worker, report, sent, now);
+//   pool::decisions orders = decide(&pool, now, wall);
+//   pool::journal_batch batch = take_batch(&pool, wall);
+//   ... append batch.records to the journal ...
+//   std::vector<start_order> starts = batch_written(&pool, batch, now);
+//
+// A start leaves only after the journal holds its worker and run number, and
+// an end is acknowledged only after the journal holds its effect. A later
+// owner therefore knows of every place where a task may run.
+//
+// A task's place is given up, and the task started elsewhere, only when the
+// worker lists the end of its run, refused the start, confirmed a stop and
+// doesn't list the run, began another incarnation, or when every lease that it
+// may hold has passed.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "jobs/job_table.h"
+#include "pool/types.h"
+
+namespace ebonygrade::pool {
+
+struct limits {
+  milliseconds lease{6000};      // Longest lease that workers grant.
+  milliseconds stop_time{400};   // A stop takes at most so long.
+  milliseconds status_time{120000};  // Ended jobs are remembered so long.
+};
+
+// ---- Workers --------------------------------------------------------------
+
+enum class phase {
+  recording,   // The journal doesn't hold the placement yet.
+  sent,        // Ordered; the worker has not confirmed.
+  running,
+  unverified,  // Taken over from an earlier owner.
+};
+
+// A run of a task on a worker, from the decision until its room is free.
+struct placement {
+  task_key task;
+  std::uint32_t run = 0;
+  resources need;
+  pool::phase phase = pool::phase::recording;
+  steady_time since;  // Of the phase.
+  std::uint32_t starts_sent = 0;
+  std::string ticket;
+  std::uint32_t percent = 0;
+  steady_time progressed;  // When `percent` last changed.
+  bool stop_wanted = false;
+  bool stop_confirmed = false;
+  steady_time stop_sent;       // Epoch of the clock: not sent.
+  steady_time stop_confirmed_at;
+};
+
+struct worker {
+  worker_entry entry;
+  bool listed = false;  // Service discovery has it.
+  bool fenced = false;  // It answered under this owner's fencing token.
+  steady_time last_answer;
+  worker_time clock{0};     // As of clock_read.
+  steady_time clock_read;
+  steady_time lease_end;    // Nothing that was leased runs after this.
+  std::uint64_t last_end = 0;   // Highest end that was taken in.
+  std::uint64_t acked_end = 0;  // Highest end whose effect is durable.
+  std::vector<placement> placements;
+  resources used;
+  std::uint32_t failures_in_row = 0;
+  steady_time avoid_until;  // No starts before.
+};
+
+// ---- Jobs -----------------------------------------------------------------
+
+struct task {
+  std::uint32_t last_run = 0;
+  std::uint32_t failures = 0;
+  bool done = false;
+  bool placed = false;
+  std::string checkpoint;
+  std::string worker;  // While placed.
+  std::int64_t incarnation_ms = 0;
+  std::string last_failed_worker;
+};
+
+struct held_ticket {
+  std::string value;
+  steady_time expires;
+};
+
+// One step of one occurrence.
+struct step_run {
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  std::vector<task> tasks;
+  std::uint32_t done = 0;
+  bool ready = false;  // Every step before it is done.
+  std::uint32_t last_failed_run = 0;  // Of a gang.
+  // Advice: which workers may run the step, and the tickets that prove it.
+  bool advised = false;
+  bool advice_open = false;
+  steady_time advice_after;  // Ask no sooner.
+  std::unordered_set<std::string> granted;
+  std::unordered_map<std::string, held_ticket> tickets;
+};
+
+struct job {
+  std::string id;
+  std::shared_ptr<const wire::job_submission> submission;
+  wire::job_outcome outcome = wire::OPEN;
+  bool started = false;
+  unix_time accepted;
+  unix_time ended;
+  milliseconds longest_chain{0};  // Of estimates, along the dependencies.
+  std::map<std::uint32_t, std::vector<step_run>> occurrences;  // Open ones.
+  std::uint32_t occurrences_done = 0;
+  std::uint32_t next_occurrence = 0;
+};
+
+// Order in which steps that have waiting tasks are looked at.
+struct queue_position {
+  std::uint32_t priority = 0;
+  unix_time accepted;
+  std::string job;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+
+  friend auto operator<=>(const queue_position&,
+                          const queue_position&) = default;
+};
+
+struct placement_name {
+  std::string worker;
+  task_key task;
+  std::uint32_t run = 0;
+};
+
+struct counters {
+  std::uint64_t starts = 0;
+  std::uint64_t stops = 0;
+  std::uint64_t advice = 0;
+  std::uint64_t ends_done = 0;
+  std::uint64_t ends_failed = 0;
+  std::uint64_t ends_other = 0;
+  std::uint64_t lost = 0;  // Placements whose worker died or fell silent.
+  std::uint64_t refused_starts = 0;
+};
+
+struct pool_state {
+  pool::limits limits;
+  std::unordered_map<std::string, worker> workers;
+  std::unordered_map<std::string, job> jobs;
+  std::unordered_map<std::string, queue_policy> queues;
+  std::set<queue_position> waiting;
+  std::unordered_set<std::string> scheduled;  // Jobs with occurrences to come.
+  std::unordered_set<std::string> changed;    // Jobs to write to the journal.
+  std::unordered_map<std::string, unix_time> ended;  // To be forgotten later.
+  // Placements whose record is still to be written: worker, task, run.
+  std::vector<placement_name> to_start;
+  bool deposed = false;  // A worker knows a newer owner.
+  pool::counters counters;
+};
+
+// ---- Jobs in --------------------------------------------------------------
+
+void set_queues(pool_state* pool, std::unordered_map<std::string, queue_policy> now);
+
+// Adds a job as the journal has it. Safe to repeat.
+void add_job(pool_state* pool, const std::string& id, const jobs::entry& entry,
+             steady_time now);
+// Ends the job; its tasks are stopped.
+void cancel_job(pool_state* pool, const std::string& id, unix_time wall);
+
+// ---- Workers in -----------------------------------------------------------
+
+void observe_entry(pool_state* pool, const worker_entry& entry, steady_time now);
+// Service discovery has dropped the worker.
+void observe_entry_gone(pool_state* pool, const std::string& worker);
+
+// The lease that a call to the worker may ask for now; zero if the worker is
+// silent and its lease must run out. Remembers the lease as given.
+worker_time give_lease(pool_state* pool, const std::string& worker, steady_time now);
+
+// Takes in a report whose call was sent at `sent`.
+void observe_hold(pool_state* pool, const std::string& worker,
+                  const hold_report& report, steady_time sent,
+                  steady_time now, unix_time wall);
+// The worker's address has another incarnation under another id.
+void observe_replaced(pool_state* pool, const std::string& worker, steady_time now);
+void observe_start(pool_state* pool, const start_order& order, start_answer answer,
+                   steady_time now);
+void observe_stop(pool_state* pool, const stop_order& order, bool confirmed,
+                  steady_time now);
+// `valid_until` bounds the tickets; `answered` is false if the question got
+// no answer.
+void observe_advice(pool_state* pool, const advice_order& order, bool answered,
+                    const std::vector<ticket>& tickets,
+                    steady_time valid_until, steady_time now);
+
+// ---- Decisions ------------------------------------------------------------
+
+struct decisions {
+  std::vector<start_order> repeated_starts;  // Recorded before; sent again.
+  std::vector<stop_order> stops;
+  std::vector<advice_order> advice;
+};
+
+decisions decide(pool_state* pool, steady_time now, unix_time wall);
+
+// Changes to write before anything that depends on them leaves.
+struct journal_batch {
+  std::vector<jobs::record> records;
+  // Highest end taken in of each worker that has some to acknowledge.
+  std::vector<std::pair<std::string, std::uint64_t>> ends;
+  std::vector<placement_name> starts;
+};
+
+journal_batch take_batch(pool_state* pool, unix_time wall);
+std::vector<start_order> batch_written(pool_state* pool, const journal_batch& batch,
+                                       steady_time now);
+
+}  // namespace ebonygrade::pool
--- /dev/null
+++ b/src/pool/pool_pvt.h
@@ -0,0 +1,45 @@
+// Helpers shared by the sources of this slice.
+#pragma once
+
+#include <string>
+
+#include "pool/pool.h"
+
+namespace ebonygrade::pool {
+
+// How long a worker may be silent before it gets no starts and no leases.
+// Two missed polls of one second.
+inline constexpr milliseconds kSilenceLimit{2500};
+
+const wire::step_definition& definition(const job& job, const step_run& step);
+resources need_of(const wire::step_definition& step);
+
+job* find_job(pool_state* pool, const std::string& id);
+step_run* find_step(job* job, std::uint32_t occurrence, std::uint32_t step);
+worker* find_worker(pool_state* pool, const std::string& id);
+placement* find_placement(worker* worker, const task_key& task,
+                          std::uint32_t run);
+
+queue_position position_of(const pool_state& pool, const job& job,
+                           const step_run& step);
+// Puts the step into the waiting set if it has work to place, else takes it
+// out.
+void update_waiting(pool_state* pool, const job& job, const step_run& step);
+
+// Makes steps ready whose predecessors are done, completes occurrences and
+// the job.
+void advance_job(pool_state* pool, job* job, unix_time wall);
+void end_job(pool_state* pool, job* job, wire::job_outcome outcome, unix_time wall);
+
+// Wants every run of the step stopped, but not those of `except_run`.
+void stop_runs(pool_state* pool, const std::string& job, const step_run* only);
+
+// Frees the placement's room, and its task if this was its current run.
+void drop_placement(pool_state* pool, worker* worker, const task_key& task,
+                    std::uint32_t run);
+// Everything on the worker is over.
+void drop_all(pool_state* pool, worker* worker);
+
+void start_occurrences(pool_state* pool, unix_time wall);
+
+}  // namespace ebonygrade::pool
--- /dev/null
+++ b/src/pool/workers.cpp
@@ -0,0 +1,413 @@
+// What is known of the workers: entries, leases, and the runs that they list.
+#include <algorithm>
+#include <utility>
+
+#include "pool/pool_pvt.h"
+
+namespace ebonygrade::pool {
+
+namespace {
+
+// A worker's steady clock may be 2% slow; a lease then lasts longer.
+constexpr double kClockDrift = 1.03;
+// Margin below the longest lease, so that a lease is not cut for rounding.
+constexpr milliseconds kLeaseMargin{50};
+// Failed ends in a row on one worker, with no good one between, after which
+// it gets no starts for a while; doubled with each further one.
+constexpr std::uint32_t kFailuresToAvoid = 3;
+constexpr milliseconds kAvoidTime{2000};
+constexpr std::uint32_t kMaxAvoidDoublings = 2;
+// An unhealthy worker says so itself.
+constexpr milliseconds kUnhealthyPause{1000};
+
+bool is_current(const task& task, const placement& placed,
+                const std::string& worker) {
+  return task.placed && task.worker == worker &&
+         task.last_run == placed.run;
+}
+
+void count_failure(worker* worker, steady_time now) {
+  ++worker->failures_in_row;
+  if (worker->failures_in_row < kFailuresToAvoid) return;
+  std::uint32_t doublings = std::min(
+      worker->failures_in_row - kFailuresToAvoid, kMaxAvoidDoublings);
+  worker->avoid_until = now + kAvoidTime * (1 << doublings);
+}
+
+void mark_done(step_run* step, std::uint32_t index) {
+  task& task = step->tasks[index];
+  if (task.done) return;
+  task.done = true;
+  ++step->done;
+}
+
+// A gang ends as a whole: one good end is that of every member.
+void gang_ended(pool_state* pool, job* job, step_run* step, const end_row& end,
+                std::uint32_t attempts, unix_time wall) {
+  if (end.how == end_kind::done) {
+    for (std::uint32_t i = 0; i < step->tasks.size(); ++i) mark_done(step, i);
+    return;
+  }
+  if (!end.checkpoint.empty()) {
+    for (task& member : step->tasks) member.checkpoint = end.checkpoint;
+  }
+  task& first = step->tasks.front();
+  if (end.how == end_kind::failed && step->last_failed_run != end.run) {
+    step->last_failed_run = end.run;
+    ++first.failures;
+    if (first.failures >= attempts) end_job(pool, job, wire::FAILED, wall);
+  }
+}
+
+void task_ended(pool_state* pool, job* job, step_run* step, const end_row& end,
+                const std::string& worker, std::uint32_t attempts,
+                unix_time wall) {
+  task& task = step->tasks[end.task.index];
+  bool lasts = definition(*job, *step).long_running();
+  if (end.how == end_kind::done && !lasts) {
+    mark_done(step, end.task.index);
+    return;
+  }
+  if (!end.checkpoint.empty()) task.checkpoint = end.checkpoint;
+  if (end.how != end_kind::failed || lasts || task.done) return;
+  ++task.failures;
+  task.last_failed_worker = worker;
+  if (task.failures >= attempts) end_job(pool, job, wire::FAILED, wall);
+}
+
+// Other runs of a task that is done.
+void stop_task(pool_state* pool, const task_key& task) {
+  for (std::pair<const std::string, worker>& each : pool->workers) {
+    for (placement& placed : each.second.placements) {
+      if (placed.task == task) placed.stop_wanted = true;
+    }
+  }
+}
+
+void take_end(pool_state* pool, worker* worker, const end_row& end,
+              steady_time now, unix_time wall) {
+  if (end.how == end_kind::done) {
+    ++pool->counters.ends_done;
+    worker->failures_in_row = 0;
+  } else if (end.how == end_kind::failed) {
+    ++pool->counters.ends_failed;
+    count_failure(worker, now);
+  } else {
+    ++pool->counters.ends_other;
+  }
+  job* job = find_job(pool, end.task.job);
+  step_run* step =
+      job == nullptr ? nullptr
+                     : find_step(job, end.task.occurrence, end.task.step);
+  bool counts = step != nullptr && job->outcome == wire::OPEN &&
+                end.task.index < step->tasks.size() &&
+                !step->tasks[end.task.index].done;
+  drop_placement(pool, worker, end.task, end.run);
+  if (!counts) return;
+  std::unordered_map<std::string, queue_policy>::iterator policy =
+      pool->queues.find(job->submission->queue());
+  std::uint32_t attempts =
+      policy == pool->queues.end() ? 1 : policy->second.attempts;
+  pool->changed.insert(job->id);
+  if (definition(*job, *step).gang()) {
+    bool of_last_run = end.run == step->tasks.front().last_run;
+    gang_ended(pool, job, step, end, attempts, wall);
+    if (of_last_run || end.how == end_kind::done) {
+      stop_runs(pool, job->id, step);
+    }
+  } else {
+    task_ended(pool, job, step, end, worker->entry.id, attempts, wall);
+    if (step->tasks[end.task.index].done) stop_task(pool, end.task);
+  }
+  update_waiting(pool, *job, *step);
+  advance_job(pool, job, wall);
+}
+
+void take_running(pool_state* pool, worker* worker, const running_row& row,
+                  steady_time now) {
+  placement* placed = find_placement(worker, row.task, row.run);
+  if (placed == nullptr) {
+    // Runs here without an order of this owner that still stands.
+    placement stray;
+    stray.task = row.task;
+    stray.run = row.run;
+    job* job = find_job(pool, row.task.job);
+    step_run* step = job == nullptr ? nullptr
+                                    : find_step(job, row.task.occurrence,
+                                                row.task.step);
+    if (step != nullptr) stray.need = need_of(definition(*job, *step));
+    stray.phase = phase::running;
+    stray.since = now;
+    stray.progressed = now;
+    stray.stop_wanted = true;
+    worker->used = worker->used + stray.need;
+    worker->placements.push_back(std::move(stray));
+    return;
+  }
+  if (placed->phase == phase::recording) return;
+  if (placed->phase != phase::running) {
+    placed->phase = phase::running;
+    placed->since = now;
+    placed->progressed = now;
+  }
+  if (placed->percent != row.percent) {
+    placed->percent = row.percent;
+    placed->progressed = now;
+  }
+  if (row.checkpoint.empty()) return;
+  job* job = find_job(pool, row.task.job);
+  step_run* step = job == nullptr ? nullptr
+                                  : find_step(job, row.task.occurrence,
+                                              row.task.step);
+  if (step == nullptr || row.task.index >= step->tasks.size()) return;
+  if (definition(*job, *step).gang()) {
+    for (task& member : step->tasks) member.checkpoint = row.checkpoint;
+  } else {
+    step->tasks[row.task.index].checkpoint = row.checkpoint;
+  }
+}
+
+bool lists(const hold_report& report, const placement& placed) {
+  return std::any_of(report.running.begin(), report.running.end(),
+                     [&](const running_row& row) {
+                       return row.run == placed.run && row.task == placed.task;
+                     });
+}
+
+// Runs that the worker doesn't list although it must, if it had them.
+void drop_unlisted(pool_state* pool, worker* worker, const hold_report& report,
+                   steady_time sent) {
+  std::vector<std::pair<task_key, std::uint32_t>> over;
+  for (const placement& placed : worker->placements) {
+    if (lists(report, placed)) continue;
+    bool was_there = placed.phase == phase::running && placed.since < sent;
+    // The fence of the call keeps out orders of earlier owners.
+    bool never_came = placed.phase == phase::unverified;
+    bool kept_out = placed.stop_confirmed && placed.stop_confirmed_at < sent;
+    if (was_there || never_came || kept_out) {
+      over.emplace_back(placed.task, placed.run);
+    }
+  }
+  for (const std::pair<task_key, std::uint32_t>& each : over) {
+    drop_placement(pool, worker, each.first, each.second);
+  }
+}
+
+// A crash ends everything; what was ordered and not confirmed may still
+// arrive at the new incarnation and has to be stopped there.
+void begin_incarnation(pool_state* pool, worker* worker,
+                       std::int64_t incarnation_ms) {
+  worker->entry.incarnation_ms = incarnation_ms;
+  worker->last_end = 0;
+  worker->acked_end = 0;
+  worker->failures_in_row = 0;
+  std::vector<std::pair<task_key, std::uint32_t>> over;
+  for (placement& placed : worker->placements) {
+    if (placed.phase == phase::sent) {
+      placed.stop_wanted = true;
+      placed.stop_confirmed = false;
+      placed.stop_sent = {};
+    } else if (placed.phase != phase::recording) {
+      over.emplace_back(placed.task, placed.run);
+    }
+  }
+  for (const std::pair<task_key, std::uint32_t>& each : over) {
+    ++pool->counters.lost;
+    drop_placement(pool, worker, each.first, each.second);
+  }
+}
+
+}  // namespace
+
+worker* find_worker(pool_state* pool, const std::string& id) {
+  std::unordered_map<std::string, worker>::iterator found =
+      pool->workers.find(id);
+  return found == pool->workers.end() ? nullptr : &found->second;
+}
+
+placement* find_placement(worker* worker, const task_key& task,
+                          std::uint32_t run) {
+  for (placement& each : worker->placements) {
+    if (each.run == run && each.task == task) return &each;
+  }
+  return nullptr;
+}
+
+void drop_placement(pool_state* pool, worker* worker, const task_key& task,
+                    std::uint32_t run) {
+  placement* placed = find_placement(worker, task, run);
+  if (placed == nullptr) return;
+  placement over = std::move(*placed);
+  worker->placements.erase(worker->placements.begin() +
+                           (placed - worker->placements.data()));
+  worker->used = worker->used - over.need;
+  job* job = find_job(pool, over.task.job);
+  step_run* step = job == nullptr ? nullptr
+                                  : find_step(job, over.task.occurrence,
+                                              over.task.step);
+  if (step == nullptr || over.task.index >= step->tasks.size()) return;
+  struct task& owner = step->tasks[over.task.index];
+  if (!is_current(owner, over, worker->entry.id)) return;
+  owner.placed = false;
+  owner.worker.clear();
+  pool->changed.insert(job->id);
+  if (job->outcome != wire::OPEN) return;
+  // A gang with a member missing can't finish.
+  if (definition(*job, *step).gang()) stop_runs(pool, job->id, step);
+  update_waiting(pool, *job, *step);
+}
+
+void drop_all(pool_state* pool, worker* worker) {
+  while (!worker->placements.empty()) {
+    placement last = worker->placements.back();
+    ++pool->counters.lost;
+    drop_placement(pool, worker, last.task, last.run);
+  }
+}
+
+void stop_runs(pool_state* pool, const std::string& job,
+               const step_run* only) {
+  for (std::pair<const std::string, worker>& each : pool->workers) {
+    for (placement& placed : each.second.placements) {
+      if (placed.task.job != job) continue;
+      bool other_step = only != nullptr &&
+                        (placed.task.step != only->step ||
+                         placed.task.occurrence != only->occurrence);
+      if (!other_step) placed.stop_wanted = true;
+    }
+  }
+}
+
+void observe_entry(pool_state* pool, const worker_entry& entry,
+                   steady_time now) {
+  worker& known = pool->workers[entry.id];
+  bool is_new = known.entry.id.empty();
+  std::int64_t incarnation = known.entry.incarnation_ms;
+  known.entry = entry;
+  if (!known.listed) known.last_answer = now;
+  known.listed = true;
+  if (is_new || incarnation == entry.incarnation_ms) return;
+  // An entry may be older than what the worker itself has said.
+  known.entry.incarnation_ms = std::max(incarnation, entry.incarnation_ms);
+  if (entry.incarnation_ms > incarnation) {
+    known.fenced = false;
+    begin_incarnation(pool, &known, entry.incarnation_ms);
+  }
+}
+
+void observe_entry_gone(pool_state* pool, const std::string& id) {
+  worker* known = find_worker(pool, id);
+  if (known != nullptr) known->listed = false;
+}
+
+worker_time give_lease(pool_state* pool, const std::string& id,
+                       steady_time now) {
+  worker* known = find_worker(pool, id);
+  if (known == nullptr || !known->fenced) return worker_time(0);
+  if (now - known->last_answer > kSilenceLimit) return worker_time(0);
+  milliseconds since_read =
+      std::chrono::duration_cast<milliseconds>(now - known->clock_read);
+  worker_time until =
+      known->clock + since_read + pool->limits.lease - kLeaseMargin;
+  milliseconds left = until - known->clock;
+  milliseconds longest(static_cast<std::int64_t>(
+      static_cast<double>(left.count()) * kClockDrift));
+  known->lease_end = std::max(known->lease_end, known->clock_read + longest);
+  return until;
+}
+
+void observe_hold(pool_state* pool, const std::string& id,
+                  const hold_report& report, steady_time sent,
+                  steady_time now, unix_time wall) {
+  worker* known = find_worker(pool, id);
+  if (known == nullptr) return;
+  if (report.incarnation_ms < known->entry.incarnation_ms) return;
+  if (report.incarnation_ms > known->entry.incarnation_ms) {
+    begin_incarnation(pool, known, report.incarnation_ms);
+  }
+  known->fenced = true;
+  known->last_answer = now;
+  known->clock = report.clock;
+  known->clock_read = now;
+  for (const end_row& end : report.ended) {
+    if (end.number <= known->last_end) continue;
+    known->last_end = end.number;
+    take_end(pool, known, end, now, wall);
+  }
+  for (const running_row& row : report.running) {
+    take_running(pool, known, row, now);
+  }
+  drop_unlisted(pool, known, report, sent);
+}
+
+void observe_replaced(pool_state* pool, const std::string& id,
+                      steady_time now) {
+  (void)now;
+  worker* known = find_worker(pool, id);
+  if (known == nullptr) return;
+  known->listed = false;
+  known->fenced = false;
+  drop_all(pool, known);
+}
+
+void observe_start(pool_state* pool, const start_order& order,
+                   start_answer answer, steady_time now) {
+  worker* known = find_worker(pool, order.worker);
+  if (known == nullptr) return;
+  placement* placed = find_placement(known, order.task, order.run);
+  if (placed == nullptr || placed->phase != phase::sent) return;
+  bool only_copy = placed->starts_sent == 1;
+  switch (answer) {
+    case start_answer::running:
+      placed->phase = phase::running;
+      placed->since = now;
+      placed->progressed = now;
+      return;
+    case start_answer::fenced:
+      pool->deposed = true;
+      return;
+    case start_answer::other_incarnation:
+      observe_replaced(pool, order.worker, now);
+      return;
+    case start_answer::none:
+      // decide() sends another copy or a stop.
+      placed->since = now;
+      return;
+    case start_answer::unhealthy:
+      known->avoid_until = now + kUnhealthyPause;
+      break;
+    case start_answer::bad_ticket:
+    case start_answer::late:
+    case start_answer::no_room:
+    case start_answer::refused:
+    case start_answer::ended:
+      break;
+  }
+  ++pool->counters.refused_starts;
+  if (answer == start_answer::bad_ticket) {
+    job* job = find_job(pool, order.task.job);
+    step_run* step =
+        job == nullptr ? nullptr
+                       : find_step(job, order.task.occurrence, order.task.step);
+    if (step != nullptr) step->tickets.erase(order.worker);
+  }
+  // Of several copies another one may still be carried out, and `ended` tells
+  // that one was: only a stop settles it.
+  if (only_copy && answer != start_answer::ended) {
+    drop_placement(pool, known, order.task, order.run);
+  } else {
+    placed->stop_wanted = true;
+  }
+}
+
+void observe_stop(pool_state* pool, const stop_order& order, bool confirmed,
+                  steady_time now) {
+  worker* known = find_worker(pool, order.worker);
+  if (known == nullptr || !confirmed) return;
+  placement* placed = find_placement(known, order.task, order.run);
+  if (placed == nullptr) return;
+  placed->stop_confirmed = true;
+  placed->stop_confirmed_at = now;
+}
+
+}  // namespace ebonygrade::pool
--- /dev/null
+++ b/src/poold/entry.h
@@ -0,0 +1,95 @@
+// What callers reach: submissions, states, cancellations and queues. Answers
+// come from this daemon's copy of the journal; what callers change is written
+// to the journal before they are told.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/server.h"
+#include "jobs/job_table.h"
+#include "poold/appender.h"
+#include "poold/store.h"
+#include "poold/topic_follower.h"
+#include "pool/manifest.h"
+
+namespace ebonygrade::poold {
+
+class entry : public std::enable_shared_from_this<entry> {
+ public:
+  // All references must outlive the object. `manifest` may become non-null
+  // later.
+  entry(boost::asio::io_context& context, store& store,
+        const clock::clock& clock, const std::string& daemon,
+        const jobs::table& table, topic_follower& journal);
+
+  void set_manifest(std::shared_ptr<const pool::manifest> manifest);
+  void handle(http::request&& request, http::responder answer);
+  void stop();
+
+ private:
+  struct waiting_write {
+    jobs::record record;
+    http::responder answer;
+    steady_time deadline;
+    std::string job;
+    std::string queue;
+    bool cancels = false;
+    bool answered = false;
+  };
+  using write_list = std::vector<std::shared_ptr<waiting_write>>;
+
+  struct job_request {
+    http::verb method = http::verb::get;
+    const pool::queue_route* route = nullptr;
+    std::string id;
+    steady_time deadline;
+  };
+
+  void submit(const job_request& asked, const std::string& body,
+              http::responder answer);
+  void read_state(const job_request& asked, http::responder answer);
+  void cancel(const job_request& asked, http::responder answer);
+  // Runs `then` once this daemon has read the journal up to now, or answers
+  // 503 if it can't.
+  void when_current(steady_time deadline, http::responder answer,
+                    std::function<void()> then);
+  void check_current();
+  void write(std::shared_ptr<waiting_write> wanted);
+  void flush();
+  void on_written(const write_list& batch, write_outcome outcome);
+  void check_deadlines();
+  void arm_timer();
+
+  struct waiting_reader {
+    steady_time asked;
+    steady_time deadline;
+    http::responder answer;
+    std::function<void()> then;
+  };
+
+  boost::asio::io_context& context_;
+  const clock::clock& clock_;
+  std::string daemon_;
+  const jobs::table& table_;
+  topic_follower& journal_;
+  std::shared_ptr<const pool::manifest> manifest_;
+  std::shared_ptr<appender> appender_;
+  write_list queue_;     // For the next append.
+  write_list in_flight_;  // Of the present one.
+  std::vector<waiting_reader> readers_;
+  boost::asio::steady_timer timer_;
+  bool timer_armed_ = false;
+  bool stopped_ = false;
+
+ public:
+  // The journal has been read further.
+  void journal_read() { check_current(); }
+};
+
+}  // namespace ebonygrade::poold
--- /dev/null
+++ b/src/poold/node.cpp
@@ -0,0 +1,361 @@
+#include "poold/node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "events/events.h"
+#include "http/json.h"
+#include "platform/manifest.h"
+#include "poold/peer_paths.h"
+
+namespace ebonygrade::poold {
+
+namespace {
+
+constexpr milliseconds kTick{100};
+// Reads of the journal: the owner needs submissions soon, the others serve
+// states, which may be older. Each read is a priced call to the store.
+constexpr milliseconds kOwnerReadPause{20};
+constexpr milliseconds kFollowerReadPause{250};
+constexpr milliseconds kOperatorReadPause{250};
+// Without a record of the owner for so long, its place is free: several
+// heartbeats, and more than an answer of a store that is slowed sixty times.
+constexpr milliseconds kOwnerSilence{1500};
+// Spread of the daemons' claims, so that they seldom meet.
+constexpr milliseconds kClaimSpread{250};
+// A daemon that can't read the store for so long doesn't take callers.
+constexpr milliseconds kStoreSilence{2500};
+constexpr milliseconds kAnnounceEvery{1000};
+// The platform's balancer needs two missed checks, a second apart, to stop
+// sending new connections.
+constexpr milliseconds kBalancerTime{2300};
+// Kept free at the end of the drain for the last answers.
+constexpr milliseconds kDrainMargin{700};
+constexpr std::size_t kAdviceConnections = 28;
+constexpr milliseconds kAdviceTimeout{20000};
+constexpr std::size_t kMaxBodyBytes = 256 << 10;
+constexpr std::size_t kMaxHeaderBytes = 16 << 10;
+constexpr std::size_t kMaxConnections = 2500;
+
+http::server_options caller_options() {
+  http::server_options options;
+  options.max_header_bytes = kMaxHeaderBytes;
+  options.max_body_bytes = kMaxBodyBytes;
+  options.max_connections = kMaxConnections;
+  options.read_timeout = milliseconds(3000);
+  options.idle_timeout = milliseconds(15000);
+  return options;
+}
+
+http::client_options advice_options() {
+  http::client_options options;
+  options.connections = kAdviceConnections;
+  options.call_timeout = kAdviceTimeout;
+  return options;
+}
+
+}  // namespace
+
+node::node(boost::asio::io_context& context, const clock::clock& clock,
+           node_settings settings)
+    : context_(context),
+      clock_(clock),
+      settings_(std::move(settings)),
+      store_(context, settings_.store_address, clock),
+      callers_(context, caller_options(),
+               [this](http::request&& request, http::responder answer) {
+                 entry_->handle(std::move(request), std::move(answer));
+               }),
+      readiness_(context, {},
+                 [this](http::request&&, http::responder answer) {
+                   answer(http::text_response(
+                       is_ready() ? http::status::ok
+                                  : http::status::service_unavailable,
+                       "text/plain", ""));
+                 }),
+      peers_(context, caller_options(),
+             [this](http::request&& request, http::responder answer) {
+               handle_peer(std::move(request), std::move(answer));
+             }),
+      tick_(context),
+      drain_timer_(context),
+      random_(std::random_device{}()) {
+  if (settings_.advice_address.empty()) return;
+  advice_ = std::make_unique<http::client>(context, settings_.advice_address,
+                                           advice_options());
+}
+
+node::~node() {
+  if (owner_) owner_->stop();
+  if (entry_) entry_->stop();
+  if (journal_) journal_->stop();
+  if (operator_) operator_->stop();
+}
+
+error::result<void> node::start() {
+  follow_journal();
+  entry_ = std::make_shared<entry>(context_, store_, clock_, settings_.id,
+                                   table_, *journal_);
+  follow_operator();
+  error::result<void> bound = callers_.listen(settings_.client_address);
+  if (bound.has_value()) bound = readiness_.listen(settings_.ready_address);
+  if (bound.has_value()) bound = peers_.listen(settings_.peer_address);
+  if (bound.has_error()) return bound;
+  owner_heard_ = clock_.now();
+  arm_tick();
+  return bound;
+}
+
+bool node::is_ready() const {
+  return !draining_ && manifest_ != nullptr && journal_->loaded() &&
+         clock_.now() - store_.last_answer() < kStoreSilence;
+}
+
+// ---- Following the store ------------------------------------------------------
+
+void node::follow_journal() {
+  follower_options options;
+  options.topic = platform::kJournalTopic;
+  options.pause = kFollowerReadPause;
+  topic_follower::handlers handlers;
+  handlers.on_all = [this](const std::vector<jobs::record>& records) {
+    on_journal(records);
+  };
+  handlers.on_records = handlers.on_all;
+  journal_ = std::make_shared<topic_follower>(
+      context_, store_, clock_, std::move(options), std::move(handlers));
+  journal_->start();
+}
+
+void node::follow_operator() {
+  follower_options options;
+  options.topic = platform::kOperatorTopic;
+  options.pause = kOperatorReadPause;
+  topic_follower::handlers handlers;
+  handlers.on_all = [this](const std::vector<jobs::record>& records) {
+    on_operator(records);
+  };
+  handlers.on_records = handlers.on_all;
+  operator_ = std::make_shared<topic_follower>(
+      context_, store_, clock_, std::move(options), std::move(handlers));
+  operator_->start();
+}
+
+void node::on_journal(const std::vector<jobs::record>& records) {
+  for (const jobs::record& each : records) {
+    jobs::change change = jobs::apply(&table_, each);
+    if (change.kind == jobs::change_kind::owner && owner_ &&
+        table_.owner.record.epoch() > owner_->epoch()) {
+      resign();
+    }
+    bool concerns_owner = change.kind == jobs::change_kind::submitted ||
+                          change.kind == jobs::change_kind::cancelled;
+    if (owner_ && concerns_owner) owner_->on_change(table_, change);
+  }
+  if (table_.owner_records != owner_records_) {
+    owner_records_ = table_.owner_records;
+    owner_heard_ = clock_.now();
+  }
+  entry_->journal_read();
+}
+
+void node::on_operator(const std::vector<jobs::record>& records) {
+  for (const jobs::record& each : records) {
+    if (each.key != platform::kManifestKey || each.value.empty()) continue;
+    std::optional<pool::manifest> decoded =
+        platform::decode_manifest(each.value);
+    if (!decoded) {
+      events::emit(events::id::bundle_refused, "read manifest", "",
+                   "offset={} is no manifest", each.offset);
+      continue;
+    }
+    if (manifest_ && decoded->version <= manifest_->version) continue;
+    manifest_ = std::make_shared<pool::manifest>(std::move(*decoded));
+    events::emit(events::id::manifest_in_force, "read manifest", "",
+                 "version={} routes={} offset={}", manifest_->version,
+                 manifest_->routes.size(), each.offset);
+    entry_->set_manifest(manifest_);
+    if (owner_) owner_->on_manifest(*manifest_);
+  }
+}
+
+// ---- Ownership ----------------------------------------------------------------
+
+void node::arm_tick() {
+  tick_.expires_after(kTick);
+  tick_.async_wait([this](boost::system::error_code failed) {
+    if (failed) return;
+    on_tick();
+    arm_tick();
+  });
+}
+
+void node::on_tick() {
+  steady_time now = clock_.now();
+  if (owner_ || draining_) return;
+  announce(now);
+  consider_claim(now);
+}
+
+void node::consider_claim(steady_time now) {
+  if (claiming_ || !manifest_ || !journal_->loaded()) return;
+  const wire::ownership_record& last = table_.owner.record;
+  bool nobody = last.epoch() == 0 || last.released();
+  // Silence counts only while this daemon itself reads the journal.
+  bool reads = now - journal_->current_as_of() < kOwnerSilence;
+  bool silent = reads && now - owner_heard_ > kOwnerSilence;
+  if (!nobody && !silent) {
+    claim_after_ = steady_time();
+    return;
+  }
+  if (claim_after_ == steady_time()) {
+    std::uniform_int_distribution<std::int64_t> spread(0,
+                                                       kClaimSpread.count());
+    claim_after_ = now + milliseconds(spread(random_));
+  }
+  if (now < claim_after_) return;
+  claim();
+}
+
+void node::claim() {
+  claiming_ = true;
+  std::uint64_t at = journal_->next();
+  platform::append_request request;
+  request.topic = platform::kJournalTopic;
+  request.producer = {"owner", at + 1, 0};
+  request.expected_end = at;
+  wire::ownership_record record;
+  record.set_daemon(settings_.id);
+  record.set_epoch(at + 1);
+  record.set_peer_address(settings_.peer_address);
+  store_.append(request, {{jobs::kOwnerKey, record.SerializeAsString(), 0}},
+                [this, at](append_result result) { on_claim(at, result); });
+}
+
+void node::on_claim(std::uint64_t at, const append_result& result) {
+  claiming_ = false;
+  claim_after_ = steady_time();
+  if (result.fate != append_fate::settled) return;
+  if (result.reply.outcome != platform::append_outcome::written) {
+    journal_->hurry();
+    return;
+  }
+  events::emit(events::id::claim_won, "claim", "", "epoch={}", at + 1);
+  if (!draining_) become_owner(at + 1);
+}
+
+void node::become_owner(std::uint64_t epoch) {
+  owner_ = std::make_shared<owner>(context_, store_, clock_, settings_, epoch,
+                                   [this] { resign(); });
+  owner_->start(table_, *manifest_);
+  journal_->set_pause(kOwnerReadPause);
+  journal_->hurry();
+}
+
+void node::resign() {
+  if (!owner_) return;
+  events::emit(events::id::pool_deposed, "resign", "", "epoch={}",
+               owner_->epoch());
+  owner_->stop();
+  owner_.reset();
+  owner_heard_ = clock_.now();
+  journal_->set_pause(kFollowerReadPause);
+}
+
+// ---- Other daemons --------------------------------------------------------------
+
+void node::announce(steady_time now) {
+  const std::string& address = table_.owner.record.peer_address();
+  if (address.empty() || address == settings_.peer_address) return;
+  if (now - announced_ < kAnnounceEvery && address == owner_address_) return;
+  announced_ = now;
+  if (address != owner_address_) {
+    owner_address_ = address;
+    owner_link_ = std::make_unique<http::client>(context_, address,
+                                                 http::client_options());
+  }
+  wire::presence presence;
+  presence.set_daemon(settings_.id);
+  presence.set_peer_address(settings_.peer_address);
+  owner_link_->call("announce",
+                    http::json_request(http::verb::post, kPresencePath,
+                                       http::to_compact_json(presence)),
+                    // The owner hears of this daemon again in a second.
+                    [](http::call_result&&) {});
+}
+
+void node::handle_peer(http::request&& request, http::responder answer) {
+  if (request.target() == kAdvicePath) {
+    return relay_advice(std::move(request), std::move(answer));
+  }
+  if (request.target() == kMetricsPath) {
+    return answer(http::text_response(http::status::ok, "text/plain",
+                                      metrics_text()));
+  }
+  if (request.target() != kPresencePath) {
+    return answer(
+        http::error_response(http::status::not_found, "no such route"));
+  }
+  wire::presence presence;
+  if (http::from_json(request.body(), &presence).has_error()) {
+    return answer(
+        http::error_response(http::status::bad_request, "no presence"));
+  }
+  if (owner_) owner_->heard_of(presence.daemon(), presence.peer_address());
+  answer(http::json_response(http::status::ok, "{}"));
+}
+
+// The advice service counts its callers by VM, so each daemon asks for itself.
+void node::relay_advice(http::request&& request, http::responder answer) {
+  if (!advice_) {
+    return answer(http::error_response(http::status::service_unavailable,
+                                       "no advice service"));
+  }
+  advice_->call("advise",
+                http::json_request(http::verb::post, "/advise",
+                                   std::move(request.body())),
+                [answer](http::call_result&& result) {
+                  if (result.has_value()) {
+                    http::response reply = std::move(*result);
+                    return answer(
+                        http::json_response(reply.result(), reply.body()));
+                  }
+                  answer(http::error_response(http::status::bad_gateway,
+                                              "no advice"));
+                });
+}
+
+std::string node::metrics_text() const {
+  std::string text = "ebonygrade_pool_owner " +
+                     std::to_string(owner_ ? 1 : 0) +
+                     "\nebonygrade_pool_store_calls_total " +
+                     std::to_string(store_.calls()) +
+                     "\nebonygrade_pool_jobs_known " +
+                     std::to_string(table_.jobs.size()) + "\n";
+  return text;
+}
+
+// ---- Graceful stop ----------------------------------------------------------------
+
+void node::drain(std::function<void()> done) {
+  draining_ = true;
+  if (owner_) {
+    owner_->release([this] {
+      owner_.reset();
+      journal_->set_pause(kFollowerReadPause);
+    });
+  }
+  drain_timer_.expires_after(kBalancerTime);
+  drain_timer_.async_wait([this, done = std::move(done)](
+                              boost::system::error_code failed) {
+    if (failed) return;
+    callers_.stop(done);
+    drain_timer_.expires_after(settings_.drain_grace - kBalancerTime -
+                               kDrainMargin);
+    drain_timer_.async_wait([done](boost::system::error_code late) {
+      if (!late) done();
+    });
+  });
+}
+
+}  // namespace ebonygrade::poold
--- /dev/null
+++ b/src/poold/node.h
@@ -0,0 +1,83 @@
+// A pool daemon as a whole: follows the journal and the manifest, takes
+// callers, and owns the pool when no other daemon does.
+//
+// One thread runs everything. A hand-over between threads costs more of the
+// small VMs' processor time than most of the work that it would hand over.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "http/server.h"
+#include "jobs/job_table.h"
+#include "poold/entry.h"
+#include "poold/owner.h"
+#include "poold/settings.h"
+#include "poold/store.h"
+#include "poold/topic_follower.h"
+
+namespace ebonygrade::poold {
+
+class node {
+ public:
+  node(boost::asio::io_context& context, const clock::clock& clock,
+       node_settings settings);
+  ~node();
+
+  // Binds the addresses and begins to follow the store.
+  error::result<void> start();
+  // Graceful stop: hands the pool over, answers what is open, then `done`.
+  void drain(std::function<void()> done);
+
+  bool is_ready() const;
+
+ private:
+  void follow_journal();
+  void follow_operator();
+  void on_journal(const std::vector<jobs::record>& records);
+  void on_operator(const std::vector<jobs::record>& records);
+  void on_tick();
+  void arm_tick();
+  void consider_claim(steady_time now);
+  void claim();
+  void on_claim(std::uint64_t at, const append_result& result);
+  void become_owner(std::uint64_t epoch);
+  void resign();
+  void announce(steady_time now);
+  void handle_peer(http::request&& request, http::responder answer);
+  void relay_advice(http::request&& request, http::responder answer);
+  std::string metrics_text() const;
+
+  boost::asio::io_context& context_;
+  const clock::clock& clock_;
+  node_settings settings_;
+  store store_;
+  jobs::table table_;
+  std::shared_ptr<topic_follower> journal_;
+  std::shared_ptr<topic_follower> operator_;
+  std::shared_ptr<const pool::manifest> manifest_;
+  std::shared_ptr<entry> entry_;
+  std::shared_ptr<owner> owner_;
+  http::server callers_;
+  http::server readiness_;
+  http::server peers_;
+  std::unique_ptr<http::client> advice_;
+  std::unique_ptr<http::client> owner_link_;
+  std::string owner_address_;
+  boost::asio::steady_timer tick_;
+  boost::asio::steady_timer drain_timer_;
+  steady_time owner_heard_;
+  std::uint64_t owner_records_ = 0;
+  steady_time announced_;
+  steady_time claim_after_;
+  bool claiming_ = false;
+  bool draining_ = false;
+  std::mt19937 random_;
+};
+
+}  // namespace ebonygrade::poold
--- /dev/null
+++ b/src/poold/owner.cpp
@@ -0,0 +1,409 @@
+#include "poold/owner.h"
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+#include "events/events.h"
+#include "platform/discovery.h"
+
+namespace ebonygrade::poold {
+
+namespace {
+
+// Producer of the owner's records; each claim begins a higher epoch of it.
+constexpr char kOwnerProducer[] = "owner";
+// Least time between two rounds of decisions, and longest without an event.
+constexpr milliseconds kDecidePause{10};
+constexpr milliseconds kDecideAtLeast{100};
+// Least time between two appends; what comes meanwhile shares one.
+constexpr milliseconds kFlushPause{20};
+// Followers take an owner for dead after several of these.
+constexpr milliseconds kHeartbeat{400};
+// Entries change when a worker's state does, and with each of its heartbeats.
+constexpr milliseconds kDiscoveryPause{250};
+// Taken off a ticket's time for the way of its answer.
+constexpr milliseconds kTicketMargin{60};
+
+pool::limits make_limits(const node_settings& settings) {
+  pool::limits limits;
+  limits.lease = settings.lease;
+  limits.stop_time = settings.stop_time;
+  limits.status_time = settings.status_time;
+  return limits;
+}
+
+}  // namespace
+
+owner::owner(boost::asio::io_context& context, store& store,
+             const clock::clock& clock, const node_settings& settings,
+             std::uint64_t epoch, std::function<void()> on_deposed)
+    : context_(context),
+      store_(store),
+      clock_(clock),
+      settings_(settings),
+      epoch_(epoch),
+      on_deposed_(std::move(on_deposed)),
+      // The claim was the first append of the epoch.
+      journal_(std::make_shared<appender>(
+          context, store, std::string(platform::kJournalTopic),
+          platform::producer{kOwnerProducer, epoch, 1})),
+      advisers_(context, clock, settings.advice_address),
+      decide_timer_(context),
+      flush_timer_(context) {
+  pool_.limits = make_limits(settings);
+}
+
+pool::unix_time owner::wall_now() const {
+  return std::chrono::time_point_cast<milliseconds>(clock_.wall_now());
+}
+
+void owner::start(const jobs::table& table, const pool::manifest& manifest) {
+  steady_time now = clock_.now();
+  last_record_ = now;
+  pool::set_queues(&pool_, pool::policies(manifest));
+  for (const std::pair<const std::string, jobs::entry>& each : table.jobs) {
+    pool::add_job(&pool_, each.first, each.second, now);
+    if (each.second.cancelled) {
+      pool::cancel_job(&pool_, each.first, wall_now());
+    }
+  }
+  events::emit(events::id::pool_taken, "take over", "",
+               "epoch={} jobs={} placed_on={} workers", epoch_,
+               pool_.jobs.size(), pool_.workers.size());
+  start_discovery();
+  decide_soon();
+}
+
+void owner::stop() {
+  stopped_ = true;
+  decide_timer_.cancel();
+  flush_timer_.cancel();
+  journal_->stop();
+  if (discovery_) discovery_->stop();
+  for (std::pair<const std::string, std::shared_ptr<worker_link>>& each :
+       links_) {
+    each.second->stop();
+  }
+}
+
+void owner::depose() {
+  if (stopped_) return;
+  stop();
+  boost::asio::post(context_, [self = shared_from_this()] {
+    self->on_deposed_();
+  });
+}
+
+void owner::on_change(const jobs::table& table, const jobs::change& change) {
+  if (stopped_) return;
+  std::unordered_map<std::string, jobs::entry>::const_iterator found =
+      table.jobs.find(change.job);
+  if (found == table.jobs.end()) return;
+  if (change.kind == jobs::change_kind::submitted) {
+    pool::add_job(&pool_, change.job, found->second, clock_.now());
+  }
+  if (found->second.cancelled) {
+    pool::cancel_job(&pool_, change.job, wall_now());
+  }
+  decide_soon();
+}
+
+void owner::on_manifest(const pool::manifest& manifest) {
+  pool::set_queues(&pool_, pool::policies(manifest));
+  decide_soon();
+}
+
+void owner::heard_of(const std::string& daemon,
+                     const std::string& peer_address) {
+  advisers_.heard_of(daemon, peer_address);
+}
+
+// ---- Workers ----------------------------------------------------------------
+
+void owner::start_discovery() {
+  follower_options options;
+  options.topic = platform::kDiscoveryTopic;
+  options.pause = kDiscoveryPause;
+  std::weak_ptr<owner> weak = weak_from_this();
+  topic_follower::handlers handlers;
+  handlers.on_all = [weak](const std::vector<jobs::record>& records) {
+    if (std::shared_ptr<owner> self = weak.lock()) {
+      self->on_entries(records, true);
+    }
+  };
+  handlers.on_records = [weak](const std::vector<jobs::record>& records) {
+    if (std::shared_ptr<owner> self = weak.lock()) {
+      self->on_entries(records, false);
+    }
+  };
+  discovery_ = std::make_shared<topic_follower>(
+      context_, store_, clock_, std::move(options), std::move(handlers));
+  discovery_->start();
+}
+
+void owner::on_entries(const std::vector<jobs::record>& records, bool all) {
+  if (stopped_) return;
+  std::unordered_set<std::string> seen;
+  for (const jobs::record& each : records) {
+    seen.insert(each.key);
+    on_entry(each);
+  }
+  if (all) {
+    for (const std::pair<const std::string, pool::worker>& each :
+         pool_.workers) {
+      if (seen.count(each.first) == 0) {
+        pool::observe_entry_gone(&pool_, each.first);
+      }
+    }
+  }
+  decide_soon();
+}
+
+void owner::on_entry(const jobs::record& record) {
+  std::optional<pool::worker_entry> entry;
+  if (!record.value.empty()) {
+    entry = platform::decode_worker_entry(record.key, record.value);
+  }
+  if (!entry) {
+    pool::observe_entry_gone(&pool_, record.key);
+    return;
+  }
+  pool::observe_entry(&pool_, *entry, clock_.now());
+  open_link(entry->id, entry->address);
+}
+
+void owner::open_link(const std::string& worker, const std::string& address) {
+  std::shared_ptr<worker_link>& link = links_[worker];
+  if (link && link->address() == address) return;
+  if (link) link->stop();
+  worker_link::handlers handlers;
+  handlers.prepare = [this](const std::string& name) {
+    platform::hold_order order;
+    order.until = pool::give_lease(&pool_, name, clock_.now());
+    std::unordered_map<std::string, pool::worker>::const_iterator known =
+        pool_.workers.find(name);
+    if (known != pool_.workers.end()) {
+      order.acked_end = known->second.acked_end;
+    }
+    return order;
+  };
+  handlers.on_hold = [this](const std::string& name,
+                            const platform::hold_reply* reply,
+                            steady_time sent) { on_hold(name, reply, sent); };
+  link = std::make_shared<worker_link>(context_, clock_, worker, address,
+                                       epoch_, std::move(handlers));
+  link->start();
+}
+
+void owner::close_link(const std::string& worker) {
+  std::unordered_map<std::string, std::shared_ptr<worker_link>>::iterator
+      found = links_.find(worker);
+  if (found == links_.end()) return;
+  found->second->stop();
+  links_.erase(found);
+}
+
+void owner::on_hold(const std::string& worker,
+                    const platform::hold_reply* reply, steady_time sent) {
+  if (stopped_) return;
+  if (reply == nullptr) return;
+  switch (reply->outcome) {
+    case platform::hold_outcome::answered:
+      pool::observe_hold(&pool_, worker, reply->report, sent, clock_.now(),
+                         wall_now());
+      break;
+    case platform::hold_outcome::fenced:
+      events::emit(events::id::worker_superseded, "hold", worker,
+                   "epoch={} is no longer the owner's", epoch_);
+      return depose();
+    case platform::hold_outcome::replaced:
+      events::emit(events::id::worker_rebooted, "hold", worker,
+                   "another worker has its address");
+      pool::observe_replaced(&pool_, worker, clock_.now());
+      close_link(worker);
+      break;
+    case platform::hold_outcome::unhealthy:
+    case platform::hold_outcome::unreadable:
+      break;
+  }
+  decide_soon();
+}
+
+// ---- Decisions --------------------------------------------------------------
+
+void owner::decide_soon() {
+  decide_at(std::max(clock_.now(), last_decision_ + kDecidePause));
+}
+
+void owner::decide_at(steady_time when) {
+  if (stopped_ || when >= next_decision_) return;
+  next_decision_ = when;
+  decide_timer_.expires_at(when);
+  decide_timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code failed) {
+        if (failed || self->stopped_) return;
+        self->next_decision_ = steady_time::max();
+        self->decide();
+      });
+}
+
+void owner::decide() {
+  last_decision_ = clock_.now();
+  if (pool_.deposed) return depose();
+  if (!releasing_) carry_out(pool::decide(&pool_, clock_.now(), wall_now()));
+  flush_soon();
+  decide_at(last_decision_ + kDecideAtLeast);
+}
+
+void owner::carry_out(const pool::decisions& orders) {
+  for (const pool::start_order& each : orders.repeated_starts) {
+    send_start(each);
+  }
+  for (const pool::stop_order& each : orders.stops) send_stop(each);
+  for (const pool::advice_order& each : orders.advice) ask(each);
+}
+
+void owner::send_start(const pool::start_order& order) {
+  std::unordered_map<std::string, std::shared_ptr<worker_link>>::iterator link =
+      links_.find(order.worker);
+  if (link == links_.end()) {
+    pool::observe_start(&pool_, order, pool::start_answer::none, clock_.now());
+    return;
+  }
+  link->second->send_start(
+      order, [self = shared_from_this(), order](pool::start_answer answer) {
+        if (self->stopped_) return;
+        if (answer != pool::start_answer::running) {
+          events::emit(events::id::start_refused, "start", order.worker,
+                       "job={} step={} task={} run={} answer={}",
+                       order.task.job, order.task.step, order.task.index,
+                       order.run, static_cast<int>(answer));
+        }
+        pool::observe_start(&self->pool_, order, answer, self->clock_.now());
+        self->decide_soon();
+      });
+}
+
+void owner::send_stop(const pool::stop_order& order) {
+  std::unordered_map<std::string, std::shared_ptr<worker_link>>::iterator link =
+      links_.find(order.worker);
+  if (link == links_.end()) return;
+  link->second->send_stop(order,
+                          [self = shared_from_this(), order](bool confirmed) {
+                            if (self->stopped_) return;
+                            pool::observe_stop(&self->pool_, order, confirmed,
+                                               self->clock_.now());
+                          });
+}
+
+void owner::ask(const pool::advice_order& order) {
+  milliseconds validity{0};
+  std::unordered_map<std::string, pool::job>::const_iterator job =
+      pool_.jobs.find(order.job);
+  if (job != pool_.jobs.end()) {
+    std::unordered_map<std::string, pool::queue_policy>::const_iterator policy =
+        pool_.queues.find(job->second.submission->queue());
+    if (policy != pool_.queues.end()) {
+      validity = policy->second.advice_validity;
+    }
+  }
+  std::weak_ptr<owner> weak = weak_from_this();
+  advisers_.ask(order, [weak, order, validity](
+                           std::optional<std::vector<pool::ticket>> tickets) {
+    std::shared_ptr<owner> self = weak.lock();
+    if (!self || self->stopped_) return;
+    steady_time now = self->clock_.now();
+    pool::observe_advice(&self->pool_, order, tickets.has_value(),
+                         tickets.value_or(std::vector<pool::ticket>()),
+                         now + validity - kTicketMargin, now);
+    self->decide_soon();
+  });
+}
+
+// ---- Journal ----------------------------------------------------------------
+
+void owner::flush_soon() {
+  if (flush_scheduled_ || stopped_ || !journal_->idle()) return;
+  flush_scheduled_ = true;
+  flush_timer_.expires_at(std::max(clock_.now(), last_flush_ + kFlushPause));
+  flush_timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code failed) {
+        if (failed || self->stopped_) return;
+        self->flush_scheduled_ = false;
+        self->flush();
+      });
+}
+
+void owner::flush() {
+  if (!journal_->idle()) return;
+  last_flush_ = clock_.now();
+  pool::journal_batch batch = pool::take_batch(&pool_, wall_now());
+  bool release_now = releasing_ && on_released_ != nullptr;
+  bool silent = clock_.now() - last_record_ >= kHeartbeat;
+  if (batch.records.empty() && !silent && !release_now) {
+    apply_written(batch);
+    return;
+  }
+  std::vector<jobs::record> records = batch.records;
+  if (records.empty() || release_now) {
+    records.push_back(ownership_record(release_now));
+  }
+  journal_->write(
+      std::move(records), [] { return true; },
+      [self = shared_from_this(),
+       batch = std::move(batch)](write_outcome outcome) {
+        self->on_written(batch, outcome);
+      });
+}
+
+jobs::record owner::ownership_record(bool released) const {
+  wire::ownership_record record;
+  record.set_daemon(settings_.id);
+  record.set_epoch(epoch_);
+  record.set_peer_address(settings_.peer_address);
+  record.set_released(released);
+  return {jobs::kOwnerKey, record.SerializeAsString(), 0};
+}
+
+void owner::on_written(const pool::journal_batch& batch,
+                       write_outcome outcome) {
+  if (stopped_) return;
+  if (outcome != write_outcome::written) {
+    events::emit(events::id::claim_lost, "append", "", "epoch={} was fenced",
+                 epoch_);
+    return depose();
+  }
+  last_record_ = clock_.now();
+  if (releasing_ && on_released_ != nullptr) return finish_release();
+  apply_written(batch);
+  decide_soon();
+  flush_soon();
+}
+
+void owner::apply_written(const pool::journal_batch& batch) {
+  for (const pool::start_order& each :
+       pool::batch_written(&pool_, batch, clock_.now())) {
+    send_start(each);
+  }
+  for (const std::pair<std::string, std::uint64_t>& each : batch.ends) {
+    std::unordered_map<std::string, std::shared_ptr<worker_link>>::iterator
+        link = links_.find(each.first);
+    if (link != links_.end()) link->second->ends_recorded();
+  }
+}
+
+void owner::release(std::function<void()> done) {
+  releasing_ = true;
+  on_released_ = std::move(done);
+  flush_soon();
+}
+
+void owner::finish_release() {
+  events::emit(events::id::pool_released, "release", "", "epoch={}", epoch_);
+  stop();
+  std::function<void()> done = std::exchange(on_released_, nullptr);
+  done();
+}
+
+}  // namespace ebonygrade::poold
--- /dev/null
+++ b/src/poold/owner.h
@@ -0,0 +1,99 @@
+// The duty of the pool's owner: connects the decisions of the pool slice with
+// the workers, the advice service and the journal.
+//
+// Exists from the moment that this daemon's claim stands in the journal until
+// it releases the pool or learns that another daemon has claimed it.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "jobs/job_table.h"
+#include "poold/advisers.h"
+#include "poold/appender.h"
+#include "poold/settings.h"
+#include "poold/store.h"
+#include "poold/topic_follower.h"
+#include "poold/worker_link.h"
+#include "pool/manifest.h"
+#include "pool/pool.h"
+
+namespace ebonygrade::poold {
+
+class owner : public std::enable_shared_from_this<owner> {
+ public:
+  // `epoch` is the fencing token that the claim gave; `on_deposed` is called
+  // once, later, when another owner is known to exist.
+  owner(boost::asio::io_context& context, store& store,
+        const clock::clock& clock, const node_settings& settings,
+        std::uint64_t epoch, std::function<void()> on_deposed);
+
+  // Takes over the jobs that the journal knows.
+  void start(const jobs::table& table, const pool::manifest& manifest);
+  // Stops everything at once; orders under way are not awaited.
+  void stop();
+  // Gives out nothing more, records what is known, tells the journal that
+  // the pool is free, and calls `done`.
+  void release(std::function<void()> done);
+
+  void on_change(const jobs::table& table, const jobs::change& change);
+  void on_manifest(const pool::manifest& manifest);
+  void heard_of(const std::string& daemon, const std::string& peer_address);
+
+  std::uint64_t epoch() const { return epoch_; }
+  const pool::pool_state& state() const { return pool_; }
+
+ private:
+  pool::unix_time wall_now() const;
+  void start_discovery();
+  void on_entries(const std::vector<jobs::record>& records, bool all);
+  void on_entry(const jobs::record& record);
+  void open_link(const std::string& worker, const std::string& address);
+  void close_link(const std::string& worker);
+  void on_hold(const std::string& worker, const platform::hold_reply* reply,
+               steady_time sent);
+  void decide_soon();
+  void decide_at(steady_time when);
+  void decide();
+  void carry_out(const pool::decisions& orders);
+  void send_start(const pool::start_order& order);
+  void send_stop(const pool::stop_order& order);
+  void ask(const pool::advice_order& order);
+  void flush_soon();
+  void flush();
+  void on_written(const pool::journal_batch& batch, write_outcome outcome);
+  void apply_written(const pool::journal_batch& batch);
+  jobs::record ownership_record(bool released) const;
+  void depose();
+  void finish_release();
+
+  boost::asio::io_context& context_;
+  store& store_;
+  const clock::clock& clock_;
+  const node_settings& settings_;
+  std::uint64_t epoch_;
+  std::function<void()> on_deposed_;
+  pool::pool_state pool_;
+  std::shared_ptr<appender> journal_;
+  std::shared_ptr<topic_follower> discovery_;
+  advisers advisers_;
+  std::unordered_map<std::string, std::shared_ptr<worker_link>> links_;
+  boost::asio::steady_timer decide_timer_;
+  boost::asio::steady_timer flush_timer_;
+  bool flush_scheduled_ = false;
+  bool stopped_ = false;
+  bool releasing_ = false;
+  std::function<void()> on_released_;
+  steady_time last_decision_;
+  steady_time next_decision_ = steady_time::max();
+  steady_time last_flush_;
+  steady_time last_record_;  // When the journal last took one of ours.
+};
+
+}  // namespace ebonygrade::poold
--- /dev/null
+++ b/src/poold/settings.cpp
@@ -0,0 +1,135 @@
+#include "poold/settings.h"
+
+#include <SimpleIni.h>
+
+#include <fstream>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <string_view>
+#include <utility>
+
+#include "settings/value.h"
+
+namespace ebonygrade::poold {
+
+namespace {
+
+// Reads keys one by one, notes what is wrong, and then what nobody asked for.
+class reader {
+ public:
+  reader(const std::string& text, std::string file,
+         std::vector<error::failure>* problems)
+      : file_(std::move(file)), problems_(problems) {
+    if (ini_.LoadData(text) < 0) problem("", "is no INI text");
+  }
+
+  std::optional<std::string> find(const char* section, const char* key) {
+    asked_.insert(std::string(section) + "." + key);
+    const char* value = ini_.GetValue(section, key);
+    if (value == nullptr || *value == '\0') return std::nullopt;
+    return std::string(value);
+  }
+
+  void text(const char* section, const char* key, std::string* out) {
+    std::optional<std::string> value = find(section, key);
+    if (!value) return problem(name(section, key), "is missing");
+    *out = *value;
+  }
+
+  void address(const char* section, const char* key, bool required,
+               std::string* out) {
+    std::optional<std::string> value = find(section, key);
+    if (!value) {
+      if (required) problem(name(section, key), "is missing");
+      return;
+    }
+    if (!settings::parse_endpoint(*value)) {
+      return problem(name(section, key),
+                     "expected IP:PORT, found '" + *value + "'");
+    }
+    *out = *value;
+  }
+
+  void duration(const char* section, const char* key, milliseconds* out) {
+    std::optional<std::string> value = find(section, key);
+    if (!value) return;
+    std::optional<milliseconds> parsed = settings::parse_duration(*value);
+    if (!parsed || parsed->count() <= 0) {
+      return problem(name(section, key),
+                     "expected a duration such as 500ms, found '" + *value +
+                         "'");
+    }
+    *out = *parsed;
+  }
+
+  void report_unknown() {
+    CSimpleIniA::TNamesDepend sections;
+    ini_.GetAllSections(sections);
+    for (const CSimpleIniA::Entry& section : sections) {
+      CSimpleIniA::TNamesDepend keys;
+      ini_.GetAllKeys(section.pItem, keys);
+      for (const CSimpleIniA::Entry& key : keys) {
+        std::string asked = std::string(section.pItem) + "." + key.pItem;
+        if (asked_.count(asked) == 0) {
+          problem(name(section.pItem, key.pItem), "is unknown");
+        }
+      }
+    }
+  }
+
+ private:
+  static std::string name(const char* section, const char* key) {
+    return "[" + std::string(section) + "] " + key;
+  }
+  void problem(const std::string& where, const std::string& what) {
+    problems_->push_back({error::code::invalid_argument, "read settings",
+                          file_, where.empty() ? what : where + ": " + what});
+  }
+
+  std::string file_;
+  std::vector<error::failure>* problems_;
+  CSimpleIniA ini_;
+  std::set<std::string> asked_;
+};
+
+}  // namespace
+
+settings_report parse_settings(const std::string& text,
+                               const std::string& file) {
+  settings_report report;
+  node_settings& out = report.value;
+  reader ini(text, file, &report.problems);
+  ini.text("daemon", "id", &out.id);
+  ini.text("daemon", "zone", &out.zone);
+  ini.text("daemon", "region", &out.region);
+  ini.address("listen", "clients", true, &out.client_address);
+  ini.address("listen", "readiness", true, &out.ready_address);
+  ini.address("listen", "peers", true, &out.peer_address);
+  ini.address("store", "address", true, &out.store_address);
+  ini.address("advice", "address", false, &out.advice_address);
+  ini.duration("workers", "lease", &out.lease);
+  ini.duration("workers", "stop_time", &out.stop_time);
+  ini.duration("shutdown", "grace", &out.drain_grace);
+  ini.duration("jobs", "status_time", &out.status_time);
+  if (std::optional<std::string> level = ini.find("log", "level")) {
+    out.log_level = *level;
+  }
+  ini.report_unknown();
+  return report;
+}
+
+settings_report load_settings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    settings_report report;
+    report.problems.push_back({error::code::unavailable, "read settings", path,
+                               "the file can't be opened"});
+    return report;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return parse_settings(text.str(), path);
+}
+
+}  // namespace ebonygrade::poold
--- /dev/null
+++ b/src/poold/topic_follower.cpp
@@ -0,0 +1,98 @@
+#include "poold/topic_follower.h"
+
+#include <utility>
+
+namespace ebonygrade::poold {
+
+topic_follower::topic_follower(boost::asio::io_context& context, store& store,
+                               const clock::clock& clock,
+                               follower_options options, handlers handlers)
+    : store_(store),
+      clock_(clock),
+      options_(std::move(options)),
+      handlers_(std::move(handlers)),
+      timer_(context),
+      random_(std::random_device{}()) {}
+
+void topic_follower::start() { load(); }
+
+void topic_follower::stop() {
+  stopped_ = true;
+  timer_.cancel();
+}
+
+void topic_follower::hurry() {
+  if (!pausing_ || !loaded_) return;
+  pausing_ = false;
+  timer_.cancel();
+  read();
+}
+
+void topic_follower::again(milliseconds pause,
+                           void (topic_follower::*step)()) {
+  pausing_ = true;
+  timer_.expires_after(pause);
+  timer_.async_wait([self = shared_from_this(),
+                     step](boost::system::error_code failed) {
+    if (failed || self->stopped_ || !self->pausing_) return;
+    self->pausing_ = false;
+    (self.get()->*step)();
+  });
+}
+
+void topic_follower::load_page(const std::string& after) {
+  if (after.empty()) pages_.clear();
+  steady_time sent = clock_.now();
+  store_.newest(
+      options_.topic, after,
+      [self = shared_from_this(), after,
+       sent](error::result<platform::newest_reply> reply) {
+        if (self->stopped_) return;
+        if (reply.has_error()) {
+          return self->again(next_pause(self->backoff_, self->random_),
+                             &topic_follower::load);
+        }
+        succeeded(self->backoff_);
+        // Later pages may miss changes to keys of earlier ones; reading on
+        // from the end as of the first page brings them.
+        if (after.empty()) self->first_page_end_ = reply->end;
+        for (jobs::record& each : reply->records) {
+          self->pages_.push_back(std::move(each));
+        }
+        if (reply->more && !self->pages_.empty()) {
+          return self->load_page(self->pages_.back().key);
+        }
+        self->next_ = self->first_page_end_;
+        self->loaded_ = true;
+        self->current_as_of_ = sent;
+        std::vector<jobs::record> all = std::exchange(self->pages_, {});
+        self->handlers_.on_all(all);
+        if (!self->stopped_) self->read();
+      });
+}
+
+void topic_follower::read() {
+  if (stopped_) return;
+  steady_time sent = clock_.now();
+  store_.read(
+      options_.topic, next_, options_.wait,
+      [self = shared_from_this(),
+       sent](error::result<platform::read_reply> reply) {
+        if (self->stopped_) return;
+        if (reply.has_error()) {
+          return self->again(next_pause(self->backoff_, self->random_),
+                             &topic_follower::read);
+        }
+        succeeded(self->backoff_);
+        if (reply->trimmed) return self->load();
+        self->next_ = reply->next;
+        if (reply->next >= reply->end) self->current_as_of_ = sent;
+        self->handlers_.on_records(reply->records);
+        if (self->stopped_) return;
+        bool behind = reply->next < reply->end;
+        self->again(behind ? milliseconds(0) : self->options_.pause,
+                    &topic_follower::read);
+      });
+}
+
+}  // namespace ebonygrade::poold
--- /dev/null
+++ b/src/poold/worker_link.cpp
@@ -0,0 +1,122 @@
+#include "poold/worker_link.h"
+
+#include <utility>
+
+namespace ebonygrade::poold {
+
+namespace {
+
+// How long a poll waits for an end. Shorter than the silence limit of the
+// pool, so that an idle worker is not taken for a silent one.
+constexpr milliseconds kPollWait{1000};
+// Time for the answer beyond the wait: two regions apart, and a slow worker.
+constexpr milliseconds kAnswerSlack{700};
+// Between an answer and the next poll, so that ends that come close together
+// share one look at the worker.
+constexpr milliseconds kPollPause{60};
+constexpr milliseconds kRetryPause{200};
+// Ends that can't be recorded don't keep the lease from being renewed.
+constexpr milliseconds kRecordWait{700};
+constexpr milliseconds kOrderTimeout{600};
+// One for the poll, the others for orders.
+constexpr std::size_t kConnections = 4;
+
+http::client_options link_options() {
+  http::client_options options;
+  options.connections = kConnections;
+  options.call_timeout = kOrderTimeout;
+  return options;
+}
+
+}  // namespace
+
+worker_link::worker_link(boost::asio::io_context& context,
+                         const clock::clock& clock, std::string worker,
+                         const std::string& address, std::uint64_t fence,
+                         handlers handlers)
+    : clock_(clock),
+      worker_(std::move(worker)),
+      address_(address),
+      fence_(fence),
+      handlers_(std::move(handlers)),
+      client_(context, address, link_options()),
+      timer_(context) {}
+
+void worker_link::start() { poll(); }
+
+void worker_link::stop() {
+  stopped_ = true;
+  timer_.cancel();
+}
+
+void worker_link::ends_recorded() {
+  if (!std::exchange(waits_for_record_, false)) return;
+  poll_after(kPollPause);
+}
+
+void worker_link::poll_after(milliseconds pause) {
+  timer_.expires_after(pause);
+  timer_.async_wait([self = shared_from_this()](boost::system::error_code e) {
+    if (!e && !self->stopped_) self->poll();
+  });
+}
+
+void worker_link::poll() {
+  waits_for_record_ = false;
+  platform::hold_order order = handlers_.prepare(worker_);
+  order.worker = worker_;
+  order.fence = fence_;
+  // The first poll is to learn the worker's state at once.
+  order.wait = answered_once_ ? kPollWait : milliseconds(0);
+  steady_time sent = clock_.now();
+  client_.call("hold", platform::encode_hold(order),
+               order.wait + kAnswerSlack,
+               [self = shared_from_this(),
+                sent](http::call_result&& result) {
+                 if (!self->stopped_) self->on_reply(std::move(result), sent);
+               });
+}
+
+void worker_link::on_reply(http::call_result&& result, steady_time sent) {
+  if (result.has_error()) {
+    handlers_.on_hold(worker_, nullptr, sent);
+    return poll_after(kRetryPause);
+  }
+  platform::hold_reply reply = platform::decode_hold(*result);
+  bool answered = reply.outcome == platform::hold_outcome::answered;
+  bool first = answered && !std::exchange(answered_once_, true);
+  handlers_.on_hold(worker_, &reply, sent);
+  if (stopped_) return;
+  if (!answered) return poll_after(kRetryPause);
+  if (!reply.report.ended.empty()) {
+    waits_for_record_ = true;
+    return poll_after(kRecordWait);
+  }
+  poll_after(first ? milliseconds(0) : kPollPause);
+}
+
+void worker_link::send_start(
+    const pool::start_order& order,
+    std::function<void(pool::start_answer)> handler) {
+  client_.call("start", platform::encode_start(order, fence_),
+               [self = shared_from_this(), handler = std::move(handler)](
+                   http::call_result&& result) {
+                 if (self->stopped_) return;
+                 if (result.has_error()) {
+                   return handler(pool::start_answer::none);
+                 }
+                 handler(platform::decode_start(*result));
+               });
+}
+
+void worker_link::send_stop(const pool::stop_order& order,
+                            std::function<void(bool)> handler) {
+  client_.call("stop", platform::encode_stop(order, fence_),
+               [self = shared_from_this(), handler = std::move(handler)](
+                   http::call_result&& result) {
+                 if (self->stopped_) return;
+                 handler(result.has_value() && platform::decode_stop(*result));
+               });
+}
+
+}  // namespace ebonygrade::poold
