Give racing claims epochs of their own

Cause: the store answers an append whose producer, epoch and sequence equal an earlier one's as its repetition, so two daemons that claimed at one offset were both told that they had won, and stopped each other's runs. Ruled out: lost answers and wrong clocks; the log shows two claims with epoch 1.

--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds kOwnerSilence{1500};
 // Spread of the daemons' claims, so that they seldom meet.
 constexpr milliseconds kClaimSpread{250};
+// Epochs that claims at one offset of the journal choose from.
+constexpr std::uint64_t kEpochsPerOffset = 1000;
 // A daemon that can't read the store for so long doesn't take callers.
 constexpr milliseconds kStoreSilence{2500};
 constexpr milliseconds kAnnounceEvery{1000};
@@ -156,6 +158,7 @@
     owner_records_ = table_.owner_records;
     owner_heard_ = clock_.now();
   }
+  check_claim();
   entry_->journal_read();
 }
 
@@ -220,28 +223,37 @@
 void node::claim() {
   claiming_ = true;
   std::uint64_t at = journal_->next();
+  // Epochs rise with the journal. The store takes an append with the producer,
+  // epoch and number of an earlier one for its repetition, so two daemons
+  // that claim at the same offset need epochs of their own.
+  std::uniform_int_distribution<std::uint64_t> choice(0, kEpochsPerOffset - 1);
+  claimed_epoch_ = (at + 1) * kEpochsPerOffset + choice(random_);
   platform::append_request request;
   request.topic = platform::kJournalTopic;
-  request.producer = {"owner", at + 1, 0};
+  request.producer = {kOwnerProducer, claimed_epoch_, 0};
   request.expected_end = at;
   wire::ownership_record record;
   record.set_daemon(settings_.id);
-  record.set_epoch(at + 1);
+  record.set_epoch(claimed_epoch_);
   record.set_peer_address(settings_.peer_address);
   store_.append(request, {{jobs::kOwnerKey, record.SerializeAsString(), 0}},
-                [this, at](append_result result) { on_claim(at, result); });
+                [this](append_result) {
+                  // Whoever stands in the journal has won.
+                  claiming_ = false;
+                  claim_after_ = steady_time();
+                  journal_->hurry();
+                });
 }
 
-void node::on_claim(std::uint64_t at, const append_result& result) {
-  claiming_ = false;
-  claim_after_ = steady_time();
-  if (result.fate != append_fate::settled) return;
-  if (result.reply.outcome != platform::append_outcome::written) {
-    journal_->hurry();
-    return;
-  }
-  events::emit(events::id::claim_won, "claim", "", "epoch={}", at + 1);
-  if (!draining_) become_owner(at + 1);
+void node::check_claim() {
+  const wire::ownership_record& last = table_.owner.record;
+  if (owner_ || draining_ || claimed_epoch_ == 0) return;
+  if (last.daemon() != settings_.id || last.epoch() != claimed_epoch_) return;
+  claimed_epoch_ = 0;
+  if (last.released()) return;
+  events::emit(events::id::claim_won, "claim", "", "epoch={} offset={}",
+               last.epoch(), table_.owner.offset);
+  become_owner(last.epoch());
 }
 
 void node::become_owner(std::uint64_t epoch) {
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -45,7 +45,8 @@
   void arm_tick();
   void consider_claim(steady_time now);
   void claim();
-  void on_claim(std::uint64_t at, const append_result& result);
+  // Becomes owner if the journal's newest claim is this daemon's.
+  void check_claim();
   void become_owner(std::uint64_t epoch);
   void resign();
   void announce(steady_time now);
@@ -76,6 +77,7 @@
   steady_time announced_;
   steady_time claim_after_;
   bool claiming_ = false;
+  std::uint64_t claimed_epoch_ = 0;  // Of the last claim sent; 0: none.
   bool draining_ = false;
   std::mt19937 random_;
 };
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-// Producer of the owner's records; each claim begins a higher epoch of it.
-constexpr char kOwnerProducer[] = "owner";
 // Least time between two rounds of decisions, and longest without an event.
 constexpr milliseconds kDecidePause{10};
 constexpr milliseconds kDecideAtLeast{100};
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -26,6 +26,10 @@
 
 namespace ebonygrade::poold {
 
+// Producer of the owner's records; each claim begins a higher epoch of it, so
+// the store refuses what an earlier owner sends later.
+inline constexpr char kOwnerProducer[] = "owner";
+
 class owner : public std::enable_shared_from_this<owner> {
  public:
   // `epoch` is the fencing token that the claim gave; `on_deposed` is called
