--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -48,6 +48,7 @@
   task_placed = 821,
   task_ended = 822,
   start_refused = 823,
+  worker_avoided = 824,
   manifest_in_force = 831,
 };
 
@@ -140,6 +141,9 @@
                "A worker listed the end of a run.", "worker"},
     definition{id::start_refused, "start_refused", level::info,
                "A worker did not start a run, or didn't answer.", "worker"},
+    definition{id::worker_avoided, "worker_avoided", level::warning,
+               "A run made no progress; the worker gets no starts for a time.",
+               "worker"},
     definition{id::manifest_in_force, "manifest_in_force", level::info,
                "A version of the operator's manifest took effect here.",
                "none"},
--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -2,6 +2,8 @@
 // stops, and orders that have to be sent again.
 #include <algorithm>
 #include <optional>
+#include <string>
+#include <utility>
 
 #include "pool/pool_pvt.h"
 
@@ -75,10 +77,8 @@
     job* job = find_job(pool, position.job);
     if (job == nullptr) continue;
     step_run* step = find_step(job, position.occurrence, position.step);
-    std::unordered_map<std::string, queue_policy>::const_iterator policy =
-        pool->queues.find(job->submission->queue());
-    if (step == nullptr || policy == pool->queues.end()) continue;
-    found.push_back(make_candidate(job, step, policy->second, wall));
+    if (step == nullptr) continue;
+    found.push_back(make_candidate(job, step, policy_of(*pool, *job), wall));
   }
   std::sort(found.begin(), found.end(), goes_first);
   return found;
@@ -218,6 +218,24 @@
   pool->changed.insert(wanted.owner->id);
 }
 
+// Notes where the tasks went that were placed since `first`.
+void note_placed(pool_state* pool, const candidate_step& wanted,
+                 std::size_t first, unix_time wall) {
+  if (first >= pool->to_start.size()) return;
+  std::string detail =
+      "occurrence=" + std::to_string(wanted.step->occurrence) +
+      " step=" + std::to_string(wanted.step->step) + " waited_ms=" +
+      std::to_string((wall - wanted.owner->accepted).count()) +
+      " tier=" + std::to_string(static_cast<int>(wanted.tier)) + " runs=";
+  for (std::size_t i = first; i < pool->to_start.size(); ++i) {
+    const placement_name& each = pool->to_start[i];
+    if (i > first) detail += ',';
+    detail += std::to_string(each.task.index) + "/" +
+              std::to_string(each.run) + "@" + each.worker;
+  }
+  add_note(pool, note_kind::placed, wanted.owner->id, {}, std::move(detail));
+}
+
 void place_tasks(pool_state* pool, const candidate_step& wanted,
                  const std::unordered_set<std::string>& reserved,
                  steady_time now) {
@@ -372,6 +390,7 @@
       milliseconds(static_cast<std::int64_t>(
           wanted.policy->advice_ms_per_worker *
           static_cast<double>(names.size())));
+  order.validity = wanted.policy->advice_validity;
   order.urgent = wanted.policy->priority == 0;
   order.workers = std::move(names);
   out->advice.push_back(std::move(order));
@@ -412,11 +431,13 @@
   for (const candidate_step& each : candidates(pool, wall)) {
     bool gang = definition(*each.owner, *each.step).gang();
     bool placed = true;
+    std::size_t first = pool->to_start.size();
     if (gang) {
       placed = place_gang(pool, each, reserved, now);
     } else {
       place_tasks(pool, each, reserved, now);
     }
+    note_placed(pool, each, first, wall);
     if (each.policy->needs_advice && waiting_tasks(*each.step) > 0) {
       ask_advice(pool, each, reserved, out, now);
     }
@@ -512,6 +533,10 @@
     if (is_hung(pool, *worker, placed, now)) {
       placed.stop_wanted = true;
       worker->avoid_until = now + kAvoidHung;
+      add_note(pool, note_kind::worker_avoided, placed.task.job,
+               worker->entry.id,
+               describe(placed.task, placed.run) + " reason=no_progress at=" +
+                   std::to_string(placed.percent));
     }
     if (placed.stop_wanted) order_stop(worker, &placed, out, now);
   }
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -1,6 +1,9 @@
 // Jobs: their steps, occurrences and outcomes.
 #include <algorithm>
+#include <string>
+#include <utility>
 
+#include "pool/manifest.h"
 #include "pool/pool_pvt.h"
 
 namespace ebonygrade::pool {
@@ -41,7 +44,8 @@
   if (saved.index() >= step->tasks.size()) return;
   task& task = step->tasks[saved.index()];
   task.last_run = saved.last_run();
-  task.failures = saved.failures();
+  task.failed_runs.insert(saved.failed_runs().begin(),
+                          saved.failed_runs().end());
   task.checkpoint = saved.checkpoint();
   if (saved.worker().empty()) return;
   task.placed = true;
@@ -130,6 +134,21 @@
   return {step.fills() ? 0 : step.cpu_milli(), step.memory_mb(), step.gpus()};
 }
 
+void add_note(pool_state* pool, note_kind kind, const std::string& job,
+              const std::string& worker, std::string detail) {
+  // Notes are taken after each event; more than this come only in a flood.
+  constexpr std::size_t kMaxNotes = 1000;
+  if (pool->notes.size() >= kMaxNotes) return;
+  pool->notes.push_back({kind, job, worker, std::move(detail)});
+}
+
+std::string describe(const task_key& task, std::uint32_t run) {
+  return "occurrence=" + std::to_string(task.occurrence) +
+         " step=" + std::to_string(task.step) +
+         " task=" + std::to_string(task.index) +
+         " run=" + std::to_string(run);
+}
+
 job* find_job(pool_state* pool, const std::string& id) {
   std::unordered_map<std::string, job>::iterator found = pool->jobs.find(id);
   return found == pool->jobs.end() ? nullptr : &found->second;
@@ -144,13 +163,15 @@
   return &found->second[step];
 }
 
+const queue_policy& policy_of(const pool_state& pool, const job& job) {
+  std::unordered_map<std::string, queue_policy>::const_iterator found =
+      pool.queues.find(job.submission->queue());
+  return found == pool.queues.end() ? job.accepted_policy : found->second;
+}
+
 queue_position position_of(const pool_state& pool, const job& job,
                            const step_run& step) {
-  std::unordered_map<std::string, queue_policy>::const_iterator policy =
-      pool.queues.find(job.submission->queue());
-  std::uint32_t priority =
-      policy == pool.queues.end() ? 0 : policy->second.priority;
-  return {priority, job.accepted, job.id, step.occurrence, step.step};
+  return {policy_of(pool, job).priority, job.accepted, job.id, step.occurrence, step.step};
 }
 
 void update_waiting(pool_state* pool, const job& job, const step_run& step) {
@@ -171,6 +192,10 @@
              unix_time wall) {
   job->outcome = outcome;
   job->ended = wall;
+  add_note(pool, note_kind::job_ended, job->id, {},
+           "outcome=" + wire::job_outcome_Name(outcome) + " queue=" +
+               job->submission->queue() + " after_ms=" +
+               std::to_string((wall - job->accepted).count()));
   pool->changed.insert(job->id);
   pool->ended[job->id] = wall;
   pool->scheduled.erase(job->id);
@@ -238,6 +263,7 @@
   job.id = id;
   job.submission = entry.submission;
   job.accepted = from_unix(entry.submission->accepted_ms());
+  job.accepted_policy = from_terms(*entry.submission);
   job.longest_chain = longest_chain(*entry.submission);
   restore(pool, &job, entry.progress, now);
   job.outcome = entry.progress.outcome();
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -26,7 +26,7 @@
     wire::task_progress* saved = written.add_tasks();
     saved->set_index(i);
     saved->set_last_run(task.last_run);
-    saved->set_failures(task.failures);
+    for (std::uint32_t run : task.failed_runs) saved->add_failed_runs(run);
     saved->set_checkpoint(task.checkpoint);
     saved->set_worker(task.worker);
     if (task.placed) saved->set_incarnation_ms(task.incarnation_ms);
--- a/src/pool/manifest.cpp
+++ b/src/pool/manifest.cpp
@@ -25,4 +25,32 @@
   return made;
 }
 
+wire::queue_terms to_terms(const queue_policy& policy) {
+  wire::queue_terms terms;
+  terms.set_priority(policy.priority);
+  terms.set_attempts(policy.attempts);
+  terms.set_stretch(policy.stretch);
+  terms.set_target_ms(policy.target.count());
+  terms.set_needs_advice(policy.needs_advice);
+  terms.set_advice_fixed_ms(policy.advice_fixed.count());
+  terms.set_advice_ms_per_worker(policy.advice_ms_per_worker);
+  terms.set_advice_validity_ms(policy.advice_validity.count());
+  return terms;
+}
+
+queue_policy from_terms(const wire::job_submission& submission) {
+  const wire::queue_terms& terms = submission.terms();
+  queue_policy policy;
+  policy.service = submission.service();
+  policy.priority = terms.priority();
+  policy.attempts = terms.attempts();
+  policy.stretch = terms.stretch();
+  policy.target = milliseconds(terms.target_ms());
+  policy.needs_advice = terms.needs_advice();
+  policy.advice_fixed = milliseconds(terms.advice_fixed_ms());
+  policy.advice_ms_per_worker = terms.advice_ms_per_worker();
+  policy.advice_validity = milliseconds(terms.advice_validity_ms());
+  return policy;
+}
+
 }  // namespace ebonygrade::pool
--- a/src/pool/manifest.h
+++ b/src/pool/manifest.h
@@ -35,4 +35,8 @@
 std::unordered_map<std::string, queue_policy> policies(
     const manifest& manifest);
 
+// The policy as a job's submission keeps it.
+wire::queue_terms to_terms(const queue_policy& policy);
+queue_policy from_terms(const wire::job_submission& submission);
+
 }  // namespace ebonygrade::pool
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -88,7 +88,7 @@
 
 struct task {
   std::uint32_t last_run = 0;
-  std::uint32_t failures = 0;
+  std::set<std::uint32_t> failed_runs;  // Of a gang: kept by its first task.
   bool done = false;
   bool placed = false;
   std::string checkpoint;
@@ -109,7 +109,6 @@
   std::vector<task> tasks;
   std::uint32_t done = 0;
   bool ready = false;  // Every step before it is done.
-  std::uint32_t last_failed_run = 0;  // Of a gang.
   // Advice: which workers may run the step, and the tickets that prove it.
   bool advised = false;
   bool advice_open = false;
@@ -125,6 +124,7 @@
   bool started = false;
   unix_time accepted;
   unix_time ended;
+  queue_policy accepted_policy;
   milliseconds longest_chain{0};  // Of estimates, along the dependencies.
   std::map<std::uint32_t, std::vector<step_run>> occurrences;  // Open ones.
   std::uint32_t occurrences_done = 0;
@@ -149,6 +149,16 @@
   std::uint32_t run = 0;
 };
 
+// Something that an operator may want to know of a job later.
+enum class note_kind { placed, run_ended, run_lost, job_ended, worker_avoided };
+
+struct note {
+  note_kind kind = note_kind::placed;
+  std::string job;
+  std::string worker;  // Empty for placed and job_ended.
+  std::string detail;  // "key=value" pairs: the inputs and the outcome.
+};
+
 struct counters {
   std::uint64_t starts = 0;
   std::uint64_t stops = 0;
@@ -172,6 +182,7 @@
   // Placements whose record is still to be written: worker, task, run.
   std::vector<placement_name> to_start;
   bool deposed = false;  // A worker knows a newer owner.
+  std::vector<note> notes;  // Since they were last taken.
   pool::counters counters;
 };
 
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -14,6 +14,14 @@
 const wire::step_definition& definition(const job& job, const step_run& step);
 resources need_of(const wire::step_definition& step);
 
+// Adds a note unless too many wait to be taken.
+void add_note(pool_state* pool, note_kind kind, const std::string& job,
+              const std::string& worker, std::string detail);
+std::string describe(const task_key& task, std::uint32_t run);
+
+// As the manifest has it, else as it was when the job was accepted.
+const queue_policy& policy_of(const pool_state& pool, const job& job);
+
 job* find_job(pool_state* pool, const std::string& id);
 step_run* find_step(job* job, std::uint32_t occurrence, std::uint32_t step);
 worker* find_worker(pool_state* pool, const std::string& id);
--- /dev/null
+++ b/src/pool/pool_test.cpp
@@ -0,0 +1,53 @@
+// Jobs, runs and takeovers of a pool, step by step.
+#include <catch2/catch.hpp>
+
+#include "pool/test_pool.h"
+
+namespace ebonygrade::pool {
+
+namespace {
+
+constexpr char kJob[] = "00000000000000aa";
+
+TEST_CASE("a job of one task runs to its end") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].run == 1);
+  CHECK(starts[0].until.count() > 0);
+  CHECK(pool.shown(kJob) == jobs::state::running);
+  pool.confirm(starts);
+  pool.advance(milliseconds(1000));
+  pool.hold("w1", {{}, 1, {}, {end_of(1, starts[0], end_kind::done)}});
+  CHECK(pool.state.workers["w1"].acked_end == 0);
+  CHECK(pool.shown(kJob) == jobs::state::running);
+  pool.round();
+  CHECK(pool.shown(kJob) == jobs::state::complete);
+  CHECK(pool.state.workers["w1"].acked_end == 1);
+  CHECK(pool.state.workers["w1"].used.cpu_milli == 0);
+}
+
+// Found by isma-painel scale-2: the cell lost power after the failure was in
+// the journal and before the worker was told to forget the end.
+TEST_CASE("a failed end that a later owner sees again counts once") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  pool.confirm(starts);
+  end_row failed = end_of(1, starts[0], end_kind::failed);
+  pool.hold("w1", {{}, 1, {}, {failed}});
+  pool.round();
+  pool.take_over();
+  pool.add_worker("w1");
+  pool.hold("w1", {{}, 1, {}, {failed}});
+  pool.round();
+  CHECK(pool.shown(kJob) == jobs::state::running);
+  CHECK(pool.state.jobs[kJob].outcome == wire::OPEN);
+}
+
+}  // namespace
+
+}  // namespace ebonygrade::pool
--- /dev/null
+++ b/src/pool/test_pool.h
@@ -0,0 +1,124 @@
+// A pool with an owner and workers, without I/O, for the tests of this slice.
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "pool/pool.h"
+
+namespace ebonygrade::pool {
+
+inline constexpr char kQueue[] = "queue-a";
+inline constexpr char kService[] = "service-a";
+
+struct test_pool {
+  pool_state state;
+  jobs::table table;  // What the journal holds.
+  steady_time now = steady_time(std::chrono::hours(1));
+  unix_time wall = unix_time(milliseconds(1'800'000'000'000));
+  std::uint64_t offset = 0;
+  queue_policy policy;
+
+  test_pool() {
+    policy.service = kService;
+    policy.attempts = 2;
+    policy.stretch = 2;
+    policy.target = milliseconds(1000);
+    set_queues(&state, {{kQueue, policy}});
+  }
+
+  void advance(milliseconds by) {
+    now += by;
+    wall += by;
+  }
+
+  void apply(const jobs::record& record) {
+    jobs::record numbered = record;
+    numbered.offset = offset++;
+    jobs::apply(&table, numbered);
+  }
+
+  static wire::step_definition step(std::uint32_t count,
+                                    std::uint32_t cpu_milli) {
+    wire::step_definition out;
+    out.set_count(count);
+    out.set_cpu_milli(cpu_milli);
+    out.set_memory_mb(100);
+    out.set_estimate_ms(1000);
+    return out;
+  }
+
+  void submit(const std::string& id,
+              const std::vector<wire::step_definition>& steps) {
+    wire::job_submission job;
+    job.set_queue(kQueue);
+    job.set_service(kService);
+    job.set_accepted_ms(wall.time_since_epoch().count());
+    for (const wire::step_definition& each : steps) *job.add_steps() = each;
+    apply({jobs::submission_key(id), job.SerializeAsString(), 0});
+    add_job(&state, id, table.jobs[id], now);
+  }
+
+  void add_worker(const std::string& id, std::int64_t cpu_milli = 4000) {
+    worker_entry entry;
+    entry.id = id;
+    entry.service = kService;
+    entry.address = "127.0.0.1:1";
+    entry.capacity = {cpu_milli, 10000, 0};
+    entry.incarnation_ms = 1;
+    observe_entry(&state, entry, now);
+    hold(id, {});
+  }
+
+  void hold(const std::string& id, hold_report report) {
+    report.clock = worker_time(now.time_since_epoch() / milliseconds(1));
+    if (report.incarnation_ms == 0) report.incarnation_ms = 1;
+    steady_time sent = now - milliseconds(1);
+    observe_hold(&state, id, report, sent, now, wall);
+  }
+
+  // One round of decisions whose records reach the journal.
+  std::vector<start_order> round(decisions* out = nullptr) {
+    decisions made = decide(&state, now, wall);
+    journal_batch batch = take_batch(&state, wall);
+    for (const jobs::record& each : batch.records) apply(each);
+    std::vector<start_order> starts = batch_written(&state, batch, now);
+    if (out != nullptr) *out = std::move(made);
+    return starts;
+  }
+
+  void confirm(const std::vector<start_order>& starts) {
+    for (const start_order& each : starts) {
+      observe_start(&state, each, start_answer::running, now);
+    }
+  }
+
+  // A later owner that knows only the journal.
+  void take_over() {
+    pool_state fresh;
+    fresh.limits = state.limits;
+    state = std::move(fresh);
+    set_queues(&state, {{kQueue, policy}});
+    for (const std::pair<const std::string, jobs::entry>& each : table.jobs) {
+      add_job(&state, each.first, each.second, now);
+      if (each.second.cancelled) cancel_job(&state, each.first, wall);
+    }
+  }
+
+  jobs::state shown(const std::string& id) const {
+    return jobs::state_of(*jobs::find(table, id));
+  }
+};
+
+inline end_row end_of(std::uint64_t number, const start_order& start,
+                      end_kind how) {
+  return {number, start.task, start.run, how, {}};
+}
+
+inline running_row row_of(const start_order& start,
+                          std::uint32_t percent = 10) {
+  return {start.task, start.run, {}, percent};
+}
+
+}  // namespace ebonygrade::pool
--- a/src/pool/types.h
+++ b/src/pool/types.h
@@ -102,6 +102,7 @@
   std::uint32_t step = 0;
   std::vector<std::string> workers;
   milliseconds expected{0};  // Time that the service takes for it.
+  milliseconds validity{0};  // Of the tickets, from the answer on.
   bool urgent = false;
 };
 
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -51,12 +51,10 @@
   if (!end.checkpoint.empty()) {
     for (task& member : step->tasks) member.checkpoint = end.checkpoint;
   }
-  task& first = step->tasks.front();
-  if (end.how == end_kind::failed && step->last_failed_run != end.run) {
-    step->last_failed_run = end.run;
-    ++first.failures;
-    if (first.failures >= attempts) end_job(pool, job, wire::FAILED, wall);
-  }
+  if (end.how != end_kind::failed) return;
+  std::set<std::uint32_t>& failed = step->tasks.front().failed_runs;
+  failed.insert(end.run);
+  if (failed.size() >= attempts) end_job(pool, job, wire::FAILED, wall);
 }
 
 void task_ended(pool_state* pool, job* job, step_run* step, const end_row& end,
@@ -70,9 +68,29 @@
   }
   if (!end.checkpoint.empty()) task.checkpoint = end.checkpoint;
   if (end.how != end_kind::failed || lasts || task.done) return;
-  ++task.failures;
+  task.failed_runs.insert(end.run);
   task.last_failed_worker = worker;
-  if (task.failures >= attempts) end_job(pool, job, wire::FAILED, wall);
+  if (task.failed_runs.size() >= attempts) {
+    end_job(pool, job, wire::FAILED, wall);
+  }
+}
+
+std::string name_of(end_kind how) {
+  switch (how) {
+    case end_kind::done:
+      return "done";
+    case end_kind::failed:
+      return "failed";
+    case end_kind::stopped:
+      return "stopped";
+    case end_kind::lapsed:
+      return "lapsed";
+    case end_kind::broken:
+      return "broken";
+    case end_kind::alone:
+      return "alone";
+  }
+  return "unknown";
 }
 
 // Other runs of a task that is done.
@@ -102,12 +120,14 @@
   bool counts = step != nullptr && job->outcome == wire::OPEN &&
                 end.task.index < step->tasks.size() &&
                 !step->tasks[end.task.index].done;
+  if (end.how != end_kind::done) {
+    add_note(pool, note_kind::run_ended, end.task.job, worker->entry.id,
+             describe(end.task, end.run) + " how=" + name_of(end.how) +
+                 (counts ? "" : " stale=1"));
+  }
   drop_placement(pool, worker, end.task, end.run);
   if (!counts) return;
-  std::unordered_map<std::string, queue_policy>::iterator policy =
-      pool->queues.find(job->submission->queue());
-  std::uint32_t attempts =
-      policy == pool->queues.end() ? 1 : policy->second.attempts;
+  std::uint32_t attempts = policy_of(*pool, *job).attempts;
   pool->changed.insert(job->id);
   if (definition(*job, *step).gang()) {
     bool of_last_run = end.run == step->tasks.front().last_run;
@@ -213,6 +233,8 @@
   }
   for (const std::pair<task_key, std::uint32_t>& each : over) {
     ++pool->counters.lost;
+    add_note(pool, note_kind::run_lost, each.first.job, worker->entry.id,
+             describe(each.first, each.second) + " reason=new_incarnation");
     drop_placement(pool, worker, each.first, each.second);
   }
 }
@@ -261,6 +283,8 @@
   while (!worker->placements.empty()) {
     placement last = worker->placements.back();
     ++pool->counters.lost;
+    add_note(pool, note_kind::run_lost, last.task.job, worker->entry.id,
+             describe(last.task, last.run) + " reason=lease_passed");
     drop_placement(pool, worker, last.task, last.run);
   }
 }
--- a/src/poold/entry.cpp
+++ b/src/poold/entry.cpp
@@ -130,6 +130,7 @@
   }
   job->set_queue(asked.route->name);
   job->set_service(asked.route->policy.service);
+  *job->mutable_terms() = pool::to_terms(asked.route->policy);
   job->set_accepted_ms(std::chrono::duration_cast<milliseconds>(
                            clock_.wall_now().time_since_epoch())
                            .count());
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -250,10 +250,33 @@
   last_decision_ = clock_.now();
   if (pool_.deposed) return depose();
   if (!releasing_) carry_out(pool::decide(&pool_, clock_.now(), wall_now()));
+  write_notes();
   flush_soon();
   decide_at(last_decision_ + kDecideAtLeast);
 }
 
+void owner::write_notes() {
+  for (const pool::note& each : std::exchange(pool_.notes, {})) {
+    events::id number = events::id::task_placed;
+    switch (each.kind) {
+      case pool::note_kind::placed:
+        break;
+      case pool::note_kind::run_ended:
+      case pool::note_kind::run_lost:
+        number = events::id::task_ended;
+        break;
+      case pool::note_kind::job_ended:
+        number = events::id::job_ended;
+        break;
+      case pool::note_kind::worker_avoided:
+        number = events::id::worker_avoided;
+        break;
+    }
+    events::emit(number, "decide", each.worker, "job={} {}", each.job,
+                 each.detail);
+  }
+}
+
 void owner::carry_out(const pool::decisions& orders) {
   for (const pool::start_order& each : orders.repeated_starts) {
     send_start(each);
@@ -296,25 +319,15 @@
 }
 
 void owner::ask(const pool::advice_order& order) {
-  milliseconds validity{0};
-  std::unordered_map<std::string, pool::job>::const_iterator job =
-      pool_.jobs.find(order.job);
-  if (job != pool_.jobs.end()) {
-    std::unordered_map<std::string, pool::queue_policy>::const_iterator policy =
-        pool_.queues.find(job->second.submission->queue());
-    if (policy != pool_.queues.end()) {
-      validity = policy->second.advice_validity;
-    }
-  }
   std::weak_ptr<owner> weak = weak_from_this();
-  advisers_.ask(order, [weak, order, validity](
+  advisers_.ask(order, [weak, order](
                            std::optional<std::vector<pool::ticket>> tickets) {
     std::shared_ptr<owner> self = weak.lock();
     if (!self || self->stopped_) return;
     steady_time now = self->clock_.now();
     pool::observe_advice(&self->pool_, order, tickets.has_value(),
                          tickets.value_or(std::vector<pool::ticket>()),
-                         now + validity - kTicketMargin, now);
+                         now + order.validity - kTicketMargin, now);
     self->decide_soon();
   });
 }
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -65,6 +65,7 @@
   void decide_soon();
   void decide_at(steady_time when);
   void decide();
+  void write_notes();
   void carry_out(const pool::decisions& orders);
   void send_start(const pool::start_order& order);
   void send_stop(const pool::stop_order& order);
