--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -20,6 +20,7 @@
 // Progress is reported in hundredths, so that a task of 20 s that runs at a
 // sixth of its speed still moves within this.
 constexpr milliseconds kHungAfter{3500};
+constexpr std::uint32_t kAllDone = 100;
 constexpr milliseconds kAvoidHung{5000};
 // A ticket that expires sooner is not used: the journal is written first.
 constexpr milliseconds kTicketMargin{120};
@@ -27,6 +28,9 @@
 constexpr milliseconds kAdvicePause{300};
 // A refreshing question names so many workers for each task that waits.
 constexpr std::size_t kWorkersPerTask = 2;
+// Questions that are not urgent wait here rather than in a queue, so that they
+// name workers that have room when they are asked.
+constexpr std::size_t kMaxOpenQuestions = 24;
 // Payoff ends at three times the objective.
 constexpr int kWorthlessAfter = 3;
 
@@ -103,13 +107,13 @@
 
 std::uint32_t runs_of_step(const worker& worker, const job& job,
                            const step_run& step) {
-  return static_cast<std::uint32_t>(std::count_if(
-      worker.placements.begin(), worker.placements.end(),
-      [&](const placement& each) {
-        return each.task.step == step.step &&
-               each.task.occurrence == step.occurrence &&
-               each.task.job == job.id;
-      }));
+  return static_cast<std::uint32_t>(
+      std::count_if(worker.placements.begin(), worker.placements.end(),
+                    [&](const placement& each) {
+                      return each.task.step == step.step &&
+                             each.task.occurrence == step.occurrence &&
+                             each.task.job == job.id;
+                    }));
 }
 
 const held_ticket* valid_ticket(const step_run& step, const std::string& id,
@@ -133,8 +137,10 @@
 std::uint32_t slots_in(const resources& room, const resources& need,
                        std::uint32_t most) {
   std::int64_t slots = most;
-  if (need.cpu_milli > 0) slots = std::min(slots, room.cpu_milli / need.cpu_milli);
-  if (need.memory_mb > 0) slots = std::min(slots, room.memory_mb / need.memory_mb);
+  if (need.cpu_milli > 0)
+    slots = std::min(slots, room.cpu_milli / need.cpu_milli);
+  if (need.memory_mb > 0)
+    slots = std::min(slots, room.memory_mb / need.memory_mb);
   if (need.gpus > 0) slots = std::min(slots, room.gpus / need.gpus);
   return static_cast<std::uint32_t>(std::max<std::int64_t>(0, slots));
 }
@@ -163,7 +169,8 @@
     made.near_data =
         step.data_rack().empty() || step.data_rack() == candidate.entry.rack;
     if (step.max_per_worker() > 0) {
-      std::uint32_t there = runs_of_step(candidate, *wanted.owner, *wanted.step);
+      std::uint32_t there =
+          runs_of_step(candidate, *wanted.owner, *wanted.step);
       if (there >= step.max_per_worker()) continue;
       made.slots = std::min(made.slots, step.max_per_worker() - there);
     }
@@ -224,14 +231,14 @@
   if (first >= pool->to_start.size()) return;
   std::string detail =
       "occurrence=" + std::to_string(wanted.step->occurrence) +
-      " step=" + std::to_string(wanted.step->step) + " waited_ms=" +
-      std::to_string((wall - wanted.owner->accepted).count()) +
+      " step=" + std::to_string(wanted.step->step) +
+      " waited_ms=" + std::to_string((wall - wanted.owner->accepted).count()) +
       " tier=" + std::to_string(static_cast<int>(wanted.tier)) + " runs=";
   for (std::size_t i = first; i < pool->to_start.size(); ++i) {
     const placement_name& each = pool->to_start[i];
     if (i > first) detail += ',';
-    detail += std::to_string(each.task.index) + "/" +
-              std::to_string(each.run) + "@" + each.worker;
+    detail += std::to_string(each.task.index) + "/" + std::to_string(each.run) +
+              "@" + each.worker;
   }
   add_note(pool, note_kind::placed, wanted.owner->id, {}, std::move(detail));
 }
@@ -239,9 +246,9 @@
 void place_tasks(pool_state* pool, const candidate_step& wanted,
                  const std::unordered_set<std::string>& reserved,
                  steady_time now) {
-  std::vector<option> options = options_for(
-      pool, wanted, tickets::needed, reserved,
-      static_cast<std::uint32_t>(wanted.step->tasks.size()), now);
+  std::vector<option> options =
+      options_for(pool, wanted, tickets::needed, reserved,
+                  static_cast<std::uint32_t>(wanted.step->tasks.size()), now);
   sort_best_fit(&options);
   for (std::uint32_t i = 0; i < wanted.step->tasks.size(); ++i) {
     task& task = wanted.step->tasks[i];
@@ -322,10 +329,9 @@
 // ---- Advice -----------------------------------------------------------------
 
 std::uint32_t waiting_tasks(const step_run& step) {
-  return static_cast<std::uint32_t>(
-      std::count_if(step.tasks.begin(), step.tasks.end(), [](const task& each) {
-        return !each.done && !each.placed;
-      }));
+  return static_cast<std::uint32_t>(std::count_if(
+      step.tasks.begin(), step.tasks.end(),
+      [](const task& each) { return !each.done && !each.placed; }));
 }
 
 // Every worker that might ever run the step; the grant never changes.
@@ -368,11 +374,13 @@
 }
 
 void ask_advice(pool_state* pool, const candidate_step& wanted,
-                const std::unordered_set<std::string>& reserved,
-                decisions* out, steady_time now) {
+                const std::unordered_set<std::string>& reserved, decisions* out,
+                steady_time now) {
   step_run& step = *wanted.step;
   if (step.advice_open || step.advice_after > now) return;
   if (any_placed(step) && definition(*wanted.owner, step).gang()) return;
+  bool urgent = wanted.policy->priority == 0;
+  if (!urgent && pool->open_questions >= kMaxOpenQuestions) return;
   std::vector<std::string> names =
       step.advised ? workers_to_renew(pool, wanted, reserved, now)
                    : workers_to_learn(pool, wanted);
@@ -380,18 +388,18 @@
   constexpr std::size_t kMostWorkers = 100;  // Limit of the advice service.
   if (names.size() > kMostWorkers) names.resize(kMostWorkers);
   step.advice_open = true;
+  ++pool->open_questions;
   ++pool->counters.advice;
   advice_order order;
   order.job = wanted.owner->id;
   order.occurrence = step.occurrence;
   order.step = step.step;
   order.expected =
-      wanted.policy->advice_fixed +
-      milliseconds(static_cast<std::int64_t>(
-          wanted.policy->advice_ms_per_worker *
-          static_cast<double>(names.size())));
+      wanted.policy->advice_fixed + milliseconds(static_cast<std::int64_t>(
+                                        wanted.policy->advice_ms_per_worker *
+                                        static_cast<double>(names.size())));
   order.validity = wanted.policy->advice_validity;
-  order.urgent = wanted.policy->priority == 0;
+  order.priority = wanted.policy->priority;
   order.workers = std::move(names);
   out->advice.push_back(std::move(order));
 }
@@ -410,11 +418,10 @@
     if (!fits(need, each.second.entry.capacity)) continue;
     able.emplace_back(room_of(each.second).cpu_milli, &each.second);
   }
-  std::sort(able.begin(), able.end(),
-            [](const auto& a, const auto& b) {
-              if (a.first != b.first) return a.first > b.first;
-              return a.second->entry.id < b.second->entry.id;
-            });
+  std::sort(able.begin(), able.end(), [](const auto& a, const auto& b) {
+    if (a.first != b.first) return a.first > b.first;
+    return a.second->entry.id < b.second->entry.id;
+  });
   std::uint32_t count = static_cast<std::uint32_t>(wanted.step->tasks.size());
   std::uint32_t slots = 0;
   for (const std::pair<std::int64_t, worker*>& each : able) {
@@ -449,7 +456,8 @@
   }
 }
 
-// ---- Orders under way --------------------------------------------------------
+// ---- Orders under way
+// --------------------------------------------------------
 
 start_order make_start(pool_state* pool, worker* worker, placement* placed,
                        steady_time now) {
@@ -459,10 +467,9 @@
   order.task = placed->task;
   order.run = placed->run;
   job* job = find_job(pool, placed->task.job);
-  step_run* step =
-      job == nullptr
-          ? nullptr
-          : find_step(job, placed->task.occurrence, placed->task.step);
+  step_run* step = job == nullptr ? nullptr
+                                  : find_step(job, placed->task.occurrence,
+                                              placed->task.step);
   if (step == nullptr || job->outcome != wire::OPEN) return order;
   order.until = give_lease(pool, order.worker, now);
   order.job = job->submission;
@@ -500,7 +507,9 @@
   step_run* step =
       job == nullptr ? nullptr
                      : find_step(job, placed.task.occurrence, placed.task.step);
-  return step != nullptr && !definition(*job, *step).long_running();
+  if (step == nullptr || definition(*job, *step).long_running()) return false;
+  // A member of a gang that has done its part waits for the others.
+  return !definition(*job, *step).gang() || placed.percent < kAllDone;
 }
 
 void order_stop(worker* worker, placement* placed, decisions* out,
@@ -535,8 +544,8 @@
       worker->avoid_until = now + kAvoidHung;
       add_note(pool, note_kind::worker_avoided, placed.task.job,
                worker->entry.id,
-               describe(placed.task, placed.run) + " reason=no_progress at=" +
-                   std::to_string(placed.percent));
+               describe(placed.task, placed.run) +
+                   " reason=no_progress at=" + std::to_string(placed.percent));
     }
     if (placed.stop_wanted) order_stop(worker, &placed, out, now);
   }
@@ -568,8 +577,9 @@
 }
 
 void observe_advice(pool_state* pool, const advice_order& order, bool answered,
-                    const std::vector<ticket>& tickets,
-                    steady_time valid_until, steady_time now) {
+                    const std::vector<ticket>& tickets, steady_time valid_until,
+                    steady_time now) {
+  if (pool->open_questions > 0) --pool->open_questions;
   job* job = find_job(pool, order.job);
   step_run* step =
       job == nullptr ? nullptr : find_step(job, order.occurrence, order.step);
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -20,7 +20,8 @@
 
 std::vector<step_run> make_steps(const wire::job_submission& submission,
                                  std::uint32_t occurrence) {
-  std::vector<step_run> steps(static_cast<std::size_t>(submission.steps_size()));
+  std::vector<step_run> steps(
+      static_cast<std::size_t>(submission.steps_size()));
   for (std::size_t i = 0; i < steps.size(); ++i) {
     steps[i].occurrence = occurrence;
     steps[i].step = static_cast<std::uint32_t>(i);
@@ -77,7 +78,8 @@
     std::vector<step_run>& steps = job->occurrences[each.occurrence()];
     if (steps.empty()) steps = make_steps(*job->submission, each.occurrence());
     if (each.step() >= steps.size()) continue;
-    job->next_occurrence = std::max(job->next_occurrence, each.occurrence() + 1);
+    job->next_occurrence =
+        std::max(job->next_occurrence, each.occurrence() + 1);
     step_run& step = steps[each.step()];
     for (std::uint32_t index : each.done()) {
       if (index >= step.tasks.size() || step.tasks[index].done) continue;
@@ -145,8 +147,7 @@
 std::string describe(const task_key& task, std::uint32_t run) {
   return "occurrence=" + std::to_string(task.occurrence) +
          " step=" + std::to_string(task.step) +
-         " task=" + std::to_string(task.index) +
-         " run=" + std::to_string(run);
+         " task=" + std::to_string(task.index) + " run=" + std::to_string(run);
 }
 
 job* find_job(pool_state* pool, const std::string& id) {
@@ -171,15 +172,15 @@
 
 queue_position position_of(const pool_state& pool, const job& job,
                            const step_run& step) {
-  return {policy_of(pool, job).priority, job.accepted, job.id, step.occurrence, step.step};
+  return {policy_of(pool, job).priority, job.accepted, job.id, step.occurrence,
+          step.step};
 }
 
 void update_waiting(pool_state* pool, const job& job, const step_run& step) {
-  bool waits = job.outcome == wire::OPEN && step.ready &&
-               std::any_of(step.tasks.begin(), step.tasks.end(),
-                           [](const task& each) {
-                             return !each.done && !each.placed;
-                           });
+  bool waits =
+      job.outcome == wire::OPEN && step.ready &&
+      std::any_of(step.tasks.begin(), step.tasks.end(),
+                  [](const task& each) { return !each.done && !each.placed; });
   queue_position position = position_of(*pool, job, step);
   if (waits) {
     pool->waiting.insert(std::move(position));
@@ -193,9 +194,9 @@
   job->outcome = outcome;
   job->ended = wall;
   add_note(pool, note_kind::job_ended, job->id, {},
-           "outcome=" + wire::job_outcome_Name(outcome) + " queue=" +
-               job->submission->queue() + " after_ms=" +
-               std::to_string((wall - job->accepted).count()));
+           "outcome=" + wire::job_outcome_Name(outcome) +
+               " queue=" + job->submission->queue() +
+               " after_ms=" + std::to_string((wall - job->accepted).count()));
   pool->changed.insert(job->id);
   pool->ended[job->id] = wall;
   pool->scheduled.erase(job->id);
@@ -253,8 +254,8 @@
   }
 }
 
-void add_job(pool_state* pool, const std::string& id,
-             const jobs::entry& entry, steady_time now) {
+void add_job(pool_state* pool, const std::string& id, const jobs::entry& entry,
+             steady_time now) {
   if (!entry.submission || pool->jobs.count(id) > 0) return;
   if (entry.progress.outcome() != wire::OPEN) {
     pool->ended[id] = from_unix(entry.progress.ended_ms());
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -11,9 +11,7 @@
 // them, by this much.
 constexpr milliseconds kForgetMargin{10000};
 
-bool has_progress(const task& task) {
-  return task.last_run > 0 && !task.done;
-}
+bool has_progress(const task& task) { return task.last_run > 0 && !task.done; }
 
 void write_step(const step_run& step, wire::job_progress* out) {
   wire::step_progress written;
--- a/src/pool/manifest.cpp
+++ b/src/pool/manifest.cpp
@@ -8,8 +8,7 @@
   const queue_route* best = nullptr;
   for (const queue_route& each : manifest.routes) {
     if (each.host != host || !path.starts_with(each.path_prefix)) continue;
-    if (best == nullptr ||
-        each.path_prefix.size() > best->path_prefix.size()) {
+    if (best == nullptr || each.path_prefix.size() > best->path_prefix.size()) {
       best = &each;
     }
   }
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -37,16 +37,16 @@
 namespace ebonygrade::pool {
 
 struct limits {
-  milliseconds lease{6000};      // Longest lease that workers grant.
-  milliseconds stop_time{400};   // A stop takes at most so long.
+  milliseconds lease{6000};          // Longest lease that workers grant.
+  milliseconds stop_time{400};       // A stop takes at most so long.
   milliseconds status_time{120000};  // Ended jobs are remembered so long.
 };
 
 // ---- Workers --------------------------------------------------------------
 
 enum class phase {
-  recording,   // The journal doesn't hold the placement yet.
-  sent,        // Ordered; the worker has not confirmed.
+  recording,  // The journal doesn't hold the placement yet.
+  sent,       // Ordered; the worker has not confirmed.
   running,
   unverified,  // Taken over from an earlier owner.
 };
@@ -64,7 +64,7 @@
   steady_time progressed;  // When `percent` last changed.
   bool stop_wanted = false;
   bool stop_confirmed = false;
-  steady_time stop_sent;       // Epoch of the clock: not sent.
+  steady_time stop_sent;  // Epoch of the clock: not sent.
   steady_time stop_confirmed_at;
 };
 
@@ -73,9 +73,9 @@
   bool listed = false;  // Service discovery has it.
   bool fenced = false;  // It answered under this owner's fencing token.
   steady_time last_answer;
-  worker_time clock{0};     // As of clock_read.
+  worker_time clock{0};  // As of clock_read.
   steady_time clock_read;
-  steady_time lease_end;    // Nothing that was leased runs after this.
+  steady_time lease_end;        // Nothing that was leased runs after this.
   std::uint64_t last_end = 0;   // Highest end that was taken in.
   std::uint64_t acked_end = 0;  // Highest end whose effect is durable.
   std::vector<placement> placements;
@@ -181,14 +181,16 @@
   std::unordered_map<std::string, unix_time> ended;  // To be forgotten later.
   // Placements whose record is still to be written: worker, task, run.
   std::vector<placement_name> to_start;
-  bool deposed = false;  // A worker knows a newer owner.
-  std::vector<note> notes;  // Since they were last taken.
+  std::size_t open_questions = 0;  // To the advice service.
+  bool deposed = false;            // A worker knows a newer owner.
+  std::vector<note> notes;         // Since they were last taken.
   pool::counters counters;
 };
 
 // ---- Jobs in --------------------------------------------------------------
 
-void set_queues(pool_state* pool, std::unordered_map<std::string, queue_policy> now);
+void set_queues(pool_state* pool,
+                std::unordered_map<std::string, queue_policy> now);
 
 // Adds a job as the journal has it. Safe to repeat.
 void add_job(pool_state* pool, const std::string& id, const jobs::entry& entry,
@@ -198,29 +200,32 @@
 
 // ---- Workers in -----------------------------------------------------------
 
-void observe_entry(pool_state* pool, const worker_entry& entry, steady_time now);
+void observe_entry(pool_state* pool, const worker_entry& entry,
+                   steady_time now);
 // Service discovery has dropped the worker.
 void observe_entry_gone(pool_state* pool, const std::string& worker);
 
 // The lease that a call to the worker may ask for now; zero if the worker is
 // silent and its lease must run out. Remembers the lease as given.
-worker_time give_lease(pool_state* pool, const std::string& worker, steady_time now);
+worker_time give_lease(pool_state* pool, const std::string& worker,
+                       steady_time now);
 
 // Takes in a report whose call was sent at `sent`.
 void observe_hold(pool_state* pool, const std::string& worker,
-                  const hold_report& report, steady_time sent,
-                  steady_time now, unix_time wall);
+                  const hold_report& report, steady_time sent, steady_time now,
+                  unix_time wall);
 // The worker's address has another incarnation under another id.
-void observe_replaced(pool_state* pool, const std::string& worker, steady_time now);
-void observe_start(pool_state* pool, const start_order& order, start_answer answer,
-                   steady_time now);
+void observe_replaced(pool_state* pool, const std::string& worker,
+                      steady_time now);
+void observe_start(pool_state* pool, const start_order& order,
+                   start_answer answer, steady_time now);
 void observe_stop(pool_state* pool, const stop_order& order, bool confirmed,
                   steady_time now);
 // `valid_until` bounds the tickets; `answered` is false if the question got
 // no answer.
 void observe_advice(pool_state* pool, const advice_order& order, bool answered,
-                    const std::vector<ticket>& tickets,
-                    steady_time valid_until, steady_time now);
+                    const std::vector<ticket>& tickets, steady_time valid_until,
+                    steady_time now);
 
 // ---- Decisions ------------------------------------------------------------
 
@@ -241,7 +246,8 @@
 };
 
 journal_batch take_batch(pool_state* pool, unix_time wall);
-std::vector<start_order> batch_written(pool_state* pool, const journal_batch& batch,
+std::vector<start_order> batch_written(pool_state* pool,
+                                       const journal_batch& batch,
                                        steady_time now);
 
 }  // namespace ebonygrade::pool
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -37,7 +37,8 @@
 // Makes steps ready whose predecessors are done, completes occurrences and
 // the job.
 void advance_job(pool_state* pool, job* job, unix_time wall);
-void end_job(pool_state* pool, job* job, wire::job_outcome outcome, unix_time wall);
+void end_job(pool_state* pool, job* job, wire::job_outcome outcome,
+             unix_time wall);
 
 // Wants every run of the step stopped, but not those of `except_run`.
 void stop_runs(pool_state* pool, const std::string& job, const step_run* only);
--- a/src/pool/types.h
+++ b/src/pool/types.h
@@ -71,9 +71,9 @@
   double stretch = 1;  // Objective: stretch times the work, plus the target.
   milliseconds target{0};
   bool needs_advice = false;
-  milliseconds advice_fixed{0};       // Time that one question takes.
-  milliseconds advice_validity{0};    // Of a ticket.
-  double advice_ms_per_worker = 0;    // Added for each worker named.
+  milliseconds advice_fixed{0};     // Time that one question takes.
+  milliseconds advice_validity{0};  // Of a ticket.
+  double advice_ms_per_worker = 0;  // Added for each worker named.
 };
 
 // ---- Orders ---------------------------------------------------------------
@@ -101,19 +101,19 @@
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
   std::vector<std::string> workers;
-  milliseconds expected{0};  // Time that the service takes for it.
-  milliseconds validity{0};  // Of the tickets, from the answer on.
-  bool urgent = false;
+  milliseconds expected{0};    // Time that the service takes for it.
+  milliseconds validity{0};    // Of the tickets, from the answer on.
+  std::uint32_t priority = 0;  // 0 goes first.
 };
 
 // ---- Answers --------------------------------------------------------------
 
 enum class start_answer {
   running,
-  ended,              // The run, or a later one, has ended or was stopped.
-  late,               // The lease in the order has passed.
+  ended,  // The run, or a later one, has ended or was stopped.
+  late,   // The lease in the order has passed.
   no_room,
-  fenced,             // The worker knows a newer owner.
+  fenced,  // The worker knows a newer owner.
   bad_ticket,
   other_incarnation,  // Another life of the worker has its address.
   unhealthy,          // The worker did nothing.
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -22,15 +22,14 @@
 
 bool is_current(const task& task, const placement& placed,
                 const std::string& worker) {
-  return task.placed && task.worker == worker &&
-         task.last_run == placed.run;
+  return task.placed && task.worker == worker && task.last_run == placed.run;
 }
 
 void count_failure(worker* worker, steady_time now) {
   ++worker->failures_in_row;
   if (worker->failures_in_row < kFailuresToAvoid) return;
-  std::uint32_t doublings = std::min(
-      worker->failures_in_row - kFailuresToAvoid, kMaxAvoidDoublings);
+  std::uint32_t doublings =
+      std::min(worker->failures_in_row - kFailuresToAvoid, kMaxAvoidDoublings);
   worker->avoid_until = now + kAvoidTime * (1 << doublings);
 }
 
@@ -114,9 +113,9 @@
     ++pool->counters.ends_other;
   }
   job* job = find_job(pool, end.task.job);
-  step_run* step =
-      job == nullptr ? nullptr
-                     : find_step(job, end.task.occurrence, end.task.step);
+  step_run* step = job == nullptr
+                       ? nullptr
+                       : find_step(job, end.task.occurrence, end.task.step);
   bool counts = step != nullptr && job->outcome == wire::OPEN &&
                 end.task.index < step->tasks.size() &&
                 !step->tasks[end.task.index].done;
@@ -152,9 +151,9 @@
     stray.task = row.task;
     stray.run = row.run;
     job* job = find_job(pool, row.task.job);
-    step_run* step = job == nullptr ? nullptr
-                                    : find_step(job, row.task.occurrence,
-                                                row.task.step);
+    step_run* step = job == nullptr
+                         ? nullptr
+                         : find_step(job, row.task.occurrence, row.task.step);
     if (step != nullptr) stray.need = need_of(definition(*job, *step));
     stray.phase = phase::running;
     stray.since = now;
@@ -176,9 +175,9 @@
   }
   if (row.checkpoint.empty()) return;
   job* job = find_job(pool, row.task.job);
-  step_run* step = job == nullptr ? nullptr
-                                  : find_step(job, row.task.occurrence,
-                                              row.task.step);
+  step_run* step = job == nullptr
+                       ? nullptr
+                       : find_step(job, row.task.occurrence, row.task.step);
   if (step == nullptr || row.task.index >= step->tasks.size()) return;
   if (definition(*job, *step).gang()) {
     for (task& member : step->tasks) member.checkpoint = row.checkpoint;
@@ -264,9 +263,9 @@
                            (placed - worker->placements.data()));
   worker->used = worker->used - over.need;
   job* job = find_job(pool, over.task.job);
-  step_run* step = job == nullptr ? nullptr
-                                  : find_step(job, over.task.occurrence,
-                                              over.task.step);
+  step_run* step = job == nullptr
+                       ? nullptr
+                       : find_step(job, over.task.occurrence, over.task.step);
   if (step == nullptr || over.task.index >= step->tasks.size()) return;
   struct task& owner = step->tasks[over.task.index];
   if (!is_current(owner, over, worker->entry.id)) return;
@@ -289,14 +288,13 @@
   }
 }
 
-void stop_runs(pool_state* pool, const std::string& job,
-               const step_run* only) {
+void stop_runs(pool_state* pool, const std::string& job, const step_run* only) {
   for (std::pair<const std::string, worker>& each : pool->workers) {
     for (placement& placed : each.second.placements) {
       if (placed.task.job != job) continue;
-      bool other_step = only != nullptr &&
-                        (placed.task.step != only->step ||
-                         placed.task.occurrence != only->occurrence);
+      bool other_step =
+          only != nullptr && (placed.task.step != only->step ||
+                              placed.task.occurrence != only->occurrence);
       if (!other_step) placed.stop_wanted = true;
     }
   }
@@ -341,8 +339,8 @@
 }
 
 void observe_hold(pool_state* pool, const std::string& id,
-                  const hold_report& report, steady_time sent,
-                  steady_time now, unix_time wall) {
+                  const hold_report& report, steady_time sent, steady_time now,
+                  unix_time wall) {
   worker* known = find_worker(pool, id);
   if (known == nullptr) return;
   if (report.incarnation_ms < known->entry.incarnation_ms) return;
--- a/src/poold/advisers.cpp
+++ b/src/poold/advisers.cpp
@@ -14,8 +14,14 @@
 constexpr milliseconds kSilence{3200};
 constexpr milliseconds kAvoidTime{2000};
 constexpr milliseconds kAnswerSlack{1500};
-// The service refuses a caller with 32 questions waiting.
-constexpr std::size_t kMaxOpen = 24;
+// A question goes to a daemon whose earlier one is about to be answered, so
+// that the service doesn't stand idle for the way there and back.
+constexpr milliseconds kNearlyFree{20};
+constexpr std::size_t kMaxOpen = 3;
+// Questions that take longer may not occupy every daemon.
+constexpr milliseconds kLongQuestion{40};
+// Of the daemons, one in so many takes no long questions.
+constexpr std::size_t kKeptFreeOneIn = 4;
 
 http::client_options adviser_options() {
   http::client_options options;
@@ -30,7 +36,7 @@
     : context_(context), clock_(clock) {
   if (service_address.empty()) return;
   std::shared_ptr<adviser> local = std::make_shared<adviser>();
-  local->client = std::make_shared<http::client>(context, service_address,
+  local->client = std::make_unique<http::client>(context, service_address,
                                                  adviser_options());
   local->local = true;
   advisers_[""] = std::move(local);
@@ -41,53 +47,88 @@
   std::shared_ptr<adviser>& known = advisers_[daemon];
   if (!known || known->address != peer_address) {
     known = std::make_shared<adviser>();
-    known->client = std::make_shared<http::client>(context_, peer_address,
+    known->client = std::make_unique<http::client>(context_, peer_address,
                                                    adviser_options());
     known->address = peer_address;
     known->target = kAdvicePath;
   }
   known->heard = clock_.now();
+  dispatch();
 }
 
-advisers::adviser* advisers::choose(steady_time now) {
-  adviser* best = nullptr;
-  for (const std::pair<const std::string, std::shared_ptr<adviser>>& each :
+bool advisers::is_available(const adviser& adviser, steady_time now) const {
+  if (adviser.avoid_until > now) return false;
+  return adviser.local || now - adviser.heard <= kSilence;
+}
+
+std::shared_ptr<advisers::adviser> advisers::choose(
+    const pool::advice_order& order, steady_time now) {
+  std::shared_ptr<adviser> best;
+  std::size_t available = 0;
+  std::size_t with_long = 0;
+  for (std::pair<const std::string, std::shared_ptr<adviser>>& each :
        advisers_) {
     adviser& candidate = *each.second;
-    bool silent = !candidate.local && now - candidate.heard > kSilence;
-    if (silent || candidate.open >= kMaxOpen) continue;
-    if (candidate.avoid_until > now) continue;
-    candidate.free_at = std::max(candidate.free_at, now);
-    if (best == nullptr || candidate.free_at < best->free_at) best = &candidate;
+    if (!is_available(candidate, now)) continue;
+    ++available;
+    if (candidate.open_long > 0) ++with_long;
+    if (candidate.open >= kMaxOpen) continue;
+    if (candidate.open == 0) candidate.free_at = now;
+    if (candidate.free_at > now + kNearlyFree) continue;
+    if (!best || candidate.free_at < best->free_at) best = each.second;
   }
+  bool is_long = order.expected > kLongQuestion;
+  std::size_t kept_free = available < 2 ? 0 : available / kKeptFreeOneIn + 1;
+  if (is_long && with_long + kept_free >= available) return nullptr;
   return best;
 }
 
 void advisers::ask(const pool::advice_order& order, handler handler) {
+  waiting_.emplace(order.priority, question{order, std::move(handler)});
+  dispatch();
+}
+
+void advisers::dispatch() {
   steady_time now = clock_.now();
-  adviser* chosen = choose(now);
-  if (chosen == nullptr) return handler(std::nullopt);
-  chosen->free_at += order.expected;
+  std::multimap<std::uint32_t, question>::iterator each = waiting_.begin();
+  while (each != waiting_.end()) {
+    std::shared_ptr<adviser> chosen = choose(each->second.order, now);
+    if (!chosen) {
+      // A shorter question may still find a daemon.
+      ++each;
+      continue;
+    }
+    question next = std::move(each->second);
+    each = waiting_.erase(each);
+    send(std::move(chosen), std::move(next), now);
+  }
+}
+
+void advisers::send(std::shared_ptr<adviser> chosen, question asked,
+                    steady_time now) {
+  bool is_long = asked.order.expected > kLongQuestion;
+  chosen->free_at = std::max(chosen->free_at, now) + asked.order.expected;
   ++chosen->open;
-  http::request message = platform::encode_advice(order);
+  if (is_long) ++chosen->open_long;
+  http::request message = platform::encode_advice(asked.order);
   if (!chosen->local) message.target(chosen->target);
   milliseconds timeout =
       std::chrono::duration_cast<milliseconds>(chosen->free_at - now) +
       kAnswerSlack;
-  std::shared_ptr<adviser> held;
-  for (std::pair<const std::string, std::shared_ptr<adviser>>& each :
-       advisers_) {
-    if (each.second.get() == chosen) held = each.second;
-  }
-  chosen->client->call(
-      "advise", std::move(message), timeout,
-      [this, held, handler = std::move(handler)](http::call_result&& result) {
-        --held->open;
-        std::optional<std::vector<pool::ticket>> tickets;
-        if (result.has_value()) tickets = platform::decode_advice(*result);
-        if (!tickets) held->avoid_until = clock_.now() + kAvoidTime;
-        handler(std::move(tickets));
-      });
+  http::client& client = *chosen->client;
+  client.call("advise", std::move(message), timeout,
+              [this, chosen, is_long,
+               answer = std::move(asked.answer)](http::call_result&& result) {
+                --chosen->open;
+                if (is_long) --chosen->open_long;
+                std::optional<std::vector<pool::ticket>> tickets;
+                if (result.has_value()) {
+                  tickets = platform::decode_advice(*result);
+                }
+                if (!tickets) chosen->avoid_until = clock_.now() + kAvoidTime;
+                answer(std::move(tickets));
+                dispatch();
+              });
 }
 
 }  // namespace ebonygrade::poold
--- a/src/poold/advisers.h
+++ b/src/poold/advisers.h
@@ -1,13 +1,19 @@
 // Spreads questions to the advice service over the daemons: it answers one
 // call at a time for each calling VM, so each daemon is a queue of its own.
+//
+// Questions wait here, the urgent ones first, until a daemon is free for
+// them. Some daemons are kept free of long questions, so that an urgent one
+// never waits behind nothing but long ones.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "clock/clock.h"
@@ -28,12 +34,12 @@
 
   // Another daemon is there to ask.
   void heard_of(const std::string& daemon, const std::string& peer_address);
-  // Nothing in the handler: no usable answer.
+  // Nothing in the handler: no usable answer. May be called at once.
   void ask(const pool::advice_order& order, handler handler);
 
  private:
   struct adviser {
-    std::shared_ptr<http::client> client;
+    std::unique_ptr<http::client> client;
     std::string address;
     std::string target;  // Where the client takes the question.
     bool local = false;
@@ -41,13 +47,25 @@
     steady_time free_at;  // When its questions so far will be answered.
     steady_time avoid_until;
     std::size_t open = 0;
+    std::size_t open_long = 0;
+  };
+  struct question {
+    pool::advice_order order;
+    handler answer;
   };
 
-  adviser* choose(steady_time now);
+  bool is_available(const adviser& adviser, steady_time now) const;
+  // The adviser that answers such a question soonest, if one may take it now.
+  std::shared_ptr<adviser> choose(const pool::advice_order& order,
+                                  steady_time now);
+  void dispatch();
+  void send(std::shared_ptr<adviser> chosen, question asked, steady_time now);
 
   boost::asio::io_context& context_;
   const clock::clock& clock_;
   std::map<std::string, std::shared_ptr<adviser>> advisers_;
+  // By priority, then in the order of asking.
+  std::multimap<std::uint32_t, question> waiting_;
 };
 
 }  // namespace ebonygrade::poold
--- a/src/poold/appender.cpp
+++ b/src/poold/appender.cpp
@@ -22,6 +22,7 @@
   handler_ = std::move(handler);
   busy_ = true;
   uncertain_ = false;
+  repetitions_ = 0;
   attempt();
 }
 
@@ -32,7 +33,7 @@
 
 void appender::attempt() {
   platform::append_request request{topic_, producer_, std::nullopt};
-  store_.append(request, records_,
+  store_.append(request, records_, repetitions_,
                 [self = shared_from_this()](append_result result) {
                   if (!self->stopped_) self->on_result(result);
                 });
@@ -60,6 +61,7 @@
     }
   } else if (result.fate == append_fate::unknown) {
     uncertain_ = true;
+    ++repetitions_;
   } else if (!uncertain_ && !keep_trying_()) {
     return settle(write_outcome::given_up);
   }
--- a/src/poold/appender.h
+++ b/src/poold/appender.h
@@ -53,6 +53,7 @@
   std::function<void(write_outcome)> handler_;
   bool busy_ = false;
   bool uncertain_ = false;
+  std::uint32_t repetitions_ = 0;  // Of attempts without an answer.
   bool stopped_ = false;
   http::backoff backoff_{milliseconds(40), 3, 0};
   std::mt19937 random_;
--- a/src/poold/entry.cpp
+++ b/src/poold/entry.cpp
@@ -19,6 +19,9 @@
 // long: enough to pass over a restart, and short beside any objective.
 constexpr milliseconds kRefuseAfter{90};
 constexpr char kRetryAfterSeconds[] = "1";
+// A caller whose record may or may not be stored is told so after this, so
+// that it can ask another daemon, which may reach the store.
+constexpr milliseconds kUncertainTime{1000};
 // Replies about unknown jobs need a copy of the journal no older than this.
 constexpr milliseconds kFreshEnough{1000};
 constexpr milliseconds kTimerPeriod{50};
@@ -64,9 +67,9 @@
       std::to_string(std::chrono::duration_cast<milliseconds>(
                          clock.wall_now().time_since_epoch())
                          .count());
-  appender_ = std::make_shared<appender>(
-      context, store, std::string(platform::kJournalTopic),
-      platform::producer{producer, 1, 0});
+  appender_ = std::make_shared<appender>(context, store,
+                                         std::string(platform::kJournalTopic),
+                                         platform::producer{producer, 1, 0});
 }
 
 void entry::set_manifest(std::shared_ptr<const pool::manifest> manifest) {
@@ -96,12 +99,12 @@
   asked.deadline = clock_.now() + time_limit(request);
   if (asked.id.empty() && asked.method == http::verb::get) {
     return answer(http::json_response(
-        http::status::ok, platform::encode_not_started(
-                              jobs::not_started(table_, route->name))));
+        http::status::ok,
+        platform::encode_not_started(jobs::not_started(table_, route->name))));
   }
   if (!platform::is_job_id(asked.id)) {
-    return answer(http::error_response(http::status::bad_request,
-                                       "not a job id", "id"));
+    return answer(
+        http::error_response(http::status::bad_request, "not a job id", "id"));
   }
   switch (asked.method) {
     case http::verb::post:
@@ -125,8 +128,8 @@
   if (job.has_error()) {
     events::emit(events::id::bad_request, "submit", "", "job={} queue={} {}",
                  asked.id, asked.route->name, job.error().detail);
-    return answer(http::error_response(http::status::bad_request,
-                                       job.error().detail));
+    return answer(
+        http::error_response(http::status::bad_request, job.error().detail));
   }
   job->set_queue(asked.route->name);
   job->set_service(asked.route->policy.service);
@@ -138,6 +141,7 @@
       std::make_shared<waiting_write>(waiting_write{
           {jobs::submission_key(asked.id), job->SerializeAsString(), 0},
           std::move(answer),
+          clock_.now(),
           asked.deadline,
           asked.id,
           asked.route->name});
@@ -155,8 +159,8 @@
     if (found == nullptr) {
       return answer(http::error_response(http::status::gone, "no such job"));
     }
-    answer(http::json_response(
-        http::status::ok, platform::encode_state(jobs::state_of(*found))));
+    answer(http::json_response(http::status::ok,
+                               platform::encode_state(jobs::state_of(*found))));
   });
 }
 
@@ -178,6 +182,7 @@
     write(std::make_shared<waiting_write>(waiting_write{
         {jobs::cancellation_key(id), record.SerializeAsString(), 0},
         answer,
+        clock_.now(),
         deadline,
         id,
         queue,
@@ -187,7 +192,8 @@
   when_current(asked.deadline, std::move(answer), std::move(then));
 }
 
-// ---- Reading what others have written -----------------------------------------
+// ---- Reading what others have written
+// -----------------------------------------
 
 void entry::when_current(steady_time deadline, http::responder answer,
                          std::function<void()> then) {
@@ -208,9 +214,13 @@
   }
 }
 
-// ---- Writing ------------------------------------------------------------------
+// ---- Writing
+// ------------------------------------------------------------------
 
 void entry::write(std::shared_ptr<waiting_write> wanted) {
+  // Behind an append that the store doesn't answer nothing gets through soon,
+  // and nothing of this request has left the daemon yet.
+  if (appender_->uncertain()) return refuse(*wanted, "the store is silent");
   queue_.push_back(std::move(wanted));
   arm_timer();
   flush();
@@ -235,39 +245,45 @@
       });
 }
 
+void entry::refuse(waiting_write& wanted, std::string_view reason) {
+  if (std::exchange(wanted.answered, true)) return;
+  events::emit(events::id::job_refused, "journal", "",
+               "job={} queue={} status=503 reason=\"{}\"", wanted.job,
+               wanted.queue, reason);
+  wanted.answer(come_back(reason));
+}
+
+void entry::refuse_queue(std::string_view reason) {
+  write_list behind = std::exchange(queue_, {});
+  for (const std::shared_ptr<waiting_write>& each : behind) {
+    refuse(*each, reason);
+  }
+}
+
 void entry::on_written(const write_list& batch, write_outcome outcome) {
   for (const std::shared_ptr<waiting_write>& each : batch) {
-    if (each->answered) continue;
-    each->answered = true;
-    if (outcome == write_outcome::written) {
-      events::emit(each->cancels ? events::id::job_cancelled
-                                 : events::id::job_accepted,
-                   "journal", "", "job={} queue={}", each->job, each->queue);
-      each->answer(http::json_response(http::status::ok, "{}"));
-    } else {
-      events::emit(events::id::job_refused, "journal", "",
-                   "job={} queue={} status=503 reason=store", each->job,
-                   each->queue);
-      each->answer(come_back("the store takes no records"));
+    if (outcome != write_outcome::written) {
+      refuse(*each, "the store takes no records");
+      continue;
     }
+    if (std::exchange(each->answered, true)) continue;
+    events::emit(
+        each->cancels ? events::id::job_cancelled : events::id::job_accepted,
+        "journal", "", "job={} queue={}", each->job, each->queue);
+    each->answer(http::json_response(http::status::ok, "{}"));
   }
   // What has waited behind a store that takes nothing is refused with it.
-  if (outcome == write_outcome::written) return;
-  write_list behind = std::exchange(queue_, {});
-  for (const std::shared_ptr<waiting_write>& each : behind) {
-    if (each->answered) continue;
-    each->answered = true;
-    events::emit(events::id::job_refused, "journal", "",
-                 "job={} queue={} status=503 reason=store", each->job,
-                 each->queue);
-    each->answer(come_back("the store takes no records"));
+  if (outcome != write_outcome::written) {
+    refuse_queue("the store takes no records");
   }
 }
 
 void entry::check_deadlines() {
   steady_time now = clock_.now();
+  if (appender_->uncertain()) refuse_queue("the store is silent");
   for (const std::shared_ptr<waiting_write>& each : in_flight_) {
-    if (each->answered || each->deadline > now) continue;
+    bool give_up = each->deadline <= now || now - each->asked > kUncertainTime;
+    if (each->answered || !give_up || !appender_->uncertain()) continue;
     each->answered = true;
     events::emit(events::id::job_refused, "journal", "",
                  "job={} queue={} status=504 reason=unknown", each->job,
@@ -275,17 +291,6 @@
     each->answer(http::error_response(http::status::gateway_timeout,
                                       "the store has not answered"));
   }
-  write_list still;
-  for (std::shared_ptr<waiting_write>& each : queue_) {
-    // Nothing of these has left this daemon.
-    if (each->deadline <= now) {
-      each->answered = true;
-      each->answer(come_back("the store is slow"));
-    } else {
-      still.push_back(std::move(each));
-    }
-  }
-  queue_ = std::move(still);
   std::vector<waiting_reader> waiting = std::exchange(readers_, {});
   for (waiting_reader& each : waiting) {
     if (each.deadline <= now || now - each.asked > kFreshEnough) {
--- a/src/poold/entry.h
+++ b/src/poold/entry.h
@@ -9,14 +9,15 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "http/server.h"
 #include "jobs/job_table.h"
+#include "pool/manifest.h"
 #include "poold/appender.h"
 #include "poold/store.h"
 #include "poold/topic_follower.h"
-#include "pool/manifest.h"
 
 namespace ebonygrade::poold {
 
@@ -36,6 +37,7 @@
   struct waiting_write {
     jobs::record record;
     http::responder answer;
+    steady_time asked;
     steady_time deadline;
     std::string job;
     std::string queue;
@@ -62,6 +64,9 @@
   void check_current();
   void write(std::shared_ptr<waiting_write> wanted);
   void flush();
+  // The request has not been stored and never will be.
+  void refuse(waiting_write& wanted, std::string_view reason);
+  void refuse_queue(std::string_view reason);
   void on_written(const write_list& batch, write_outcome outcome);
   void check_deadlines();
   void arm_timer();
@@ -80,7 +85,7 @@
   topic_follower& journal_;
   std::shared_ptr<const pool::manifest> manifest_;
   std::shared_ptr<appender> appender_;
-  write_list queue_;     // For the next append.
+  write_list queue_;      // For the next append.
   write_list in_flight_;  // Of the present one.
   std::vector<waiting_reader> readers_;
   boost::asio::steady_timer timer_;
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -17,10 +17,17 @@
 // states, which may be older. Each read is a priced call to the store.
 constexpr milliseconds kOwnerReadPause{20};
 constexpr milliseconds kFollowerReadPause{250};
+// Short, so that a connection that has gone silent is soon given up.
+constexpr milliseconds kJournalWait{400};
 constexpr milliseconds kOperatorReadPause{250};
 // Without a record of the owner for so long, its place is free: several
 // heartbeats, and more than an answer of a store that is slowed sixty times.
-constexpr milliseconds kOwnerSilence{1500};
+constexpr milliseconds kOwnerSilence{1800};
+// Sooner, if the owner is asked and doesn't confirm that it is there.
+constexpr milliseconds kProbeAfter{700};
+constexpr milliseconds kProbeTimeout{350};
+// Two reads of the journal that failed, or one that was lost.
+constexpr milliseconds kReadGap{900};
 // Spread of the daemons' claims, so that they seldom meet.
 constexpr milliseconds kClaimSpread{250};
 // Epochs that claims at one offset of the journal choose from.
@@ -113,12 +120,14 @@
          clock_.now() - store_.last_answer() < kStoreSilence;
 }
 
-// ---- Following the store ------------------------------------------------------
+// ---- Following the store
+// ------------------------------------------------------
 
 void node::follow_journal() {
   follower_options options;
   options.topic = platform::kJournalTopic;
   options.pause = kFollowerReadPause;
+  options.wait = kJournalWait;
   topic_follower::handlers handlers;
   handlers.on_all = [this](const std::vector<jobs::record>& records) {
     on_journal(records);
@@ -154,9 +163,13 @@
                           change.kind == jobs::change_kind::cancelled;
     if (owner_ && concerns_owner) owner_->on_change(table_, change);
   }
-  if (table_.owner_records != owner_records_) {
+  steady_time now = clock_.now();
+  // After a time without reads the owner gets its time to write again.
+  bool resumed = now - journal_read_ > kReadGap;
+  journal_read_ = now;
+  if (table_.owner_records != owner_records_ || resumed) {
     owner_records_ = table_.owner_records;
-    owner_heard_ = clock_.now();
+    owner_heard_ = now;
   }
   check_claim();
   entry_->journal_read();
@@ -182,7 +195,8 @@
   }
 }
 
-// ---- Ownership ----------------------------------------------------------------
+// ---- Ownership
+// ----------------------------------------------------------------
 
 void node::arm_tick() {
   tick_.expires_after(kTick);
@@ -196,24 +210,29 @@
 void node::on_tick() {
   steady_time now = clock_.now();
   if (owner_ || draining_) return;
-  announce(now);
+  bool moved = table_.owner.record.peer_address() != owner_address_;
+  if (moved || now - announced_ >= kAnnounceEvery) announce(now);
   consider_claim(now);
 }
 
 void node::consider_claim(steady_time now) {
   if (claiming_ || !manifest_ || !journal_->loaded()) return;
   const wire::ownership_record& last = table_.owner.record;
-  bool nobody = last.epoch() == 0 || last.released();
+  bool nobody =
+      last.epoch() == 0 || last.released() || last.daemon() == settings_.id;
   // Silence counts only while this daemon itself reads the journal.
   bool reads = now - journal_->current_as_of() < kOwnerSilence;
-  bool silent = reads && now - owner_heard_ > kOwnerSilence;
-  if (!nobody && !silent) {
+  milliseconds silence =
+      std::chrono::duration_cast<milliseconds>(now - owner_heard_);
+  bool suspected = reads && silence > kProbeAfter && owner_denied_;
+  bool silent = reads && silence > kOwnerSilence;
+  if (!nobody && !suspected && !silent) {
     claim_after_ = steady_time();
+    if (reads && silence > kProbeAfter) announce(now);
     return;
   }
   if (claim_after_ == steady_time()) {
-    std::uniform_int_distribution<std::int64_t> spread(0,
-                                                       kClaimSpread.count());
+    std::uniform_int_distribution<std::int64_t> spread(0, kClaimSpread.count());
     claim_after_ = now + milliseconds(spread(random_));
   }
   if (now < claim_after_) return;
@@ -236,7 +255,7 @@
   record.set_daemon(settings_.id);
   record.set_epoch(claimed_epoch_);
   record.set_peer_address(settings_.peer_address);
-  store_.append(request, {{jobs::kOwnerKey, record.SerializeAsString(), 0}},
+  store_.append(request, {{jobs::kOwnerKey, record.SerializeAsString(), 0}}, 0,
                 [this](append_result) {
                   // Whoever stands in the journal has won.
                   claiming_ = false;
@@ -274,26 +293,38 @@
   journal_->set_pause(kFollowerReadPause);
 }
 
-// ---- Other daemons --------------------------------------------------------------
+// ---- Other daemons
+// --------------------------------------------------------------
 
 void node::announce(steady_time now) {
   const std::string& address = table_.owner.record.peer_address();
-  if (address.empty() || address == settings_.peer_address) return;
-  if (now - announced_ < kAnnounceEvery && address == owner_address_) return;
-  announced_ = now;
+  if (announcing_ || address.empty() || address == settings_.peer_address) {
+    return;
+  }
   if (address != owner_address_) {
     owner_address_ = address;
+    owner_denied_ = false;
     owner_link_ = std::make_unique<http::client>(context_, address,
                                                  http::client_options());
   }
+  announcing_ = true;
+  announced_ = now;
   wire::presence presence;
   presence.set_daemon(settings_.id);
   presence.set_peer_address(settings_.peer_address);
+  std::uint64_t epoch = table_.owner.record.epoch();
   owner_link_->call("announce",
                     http::json_request(http::verb::post, kPresencePath,
                                        http::to_compact_json(presence)),
-                    // The owner hears of this daemon again in a second.
-                    [](http::call_result&&) {});
+                    kProbeTimeout, [this, epoch](http::call_result&& result) {
+                      announcing_ = false;
+                      wire::owner_status status;
+                      bool told =
+                          result.has_value() &&
+                          http::from_json(result->body(), &status).has_value();
+                      owner_denied_ = !told || status.epoch() != epoch ||
+                                      !status.journal_reachable();
+                    });
 }
 
 void node::handle_peer(http::request&& request, http::responder answer) {
@@ -301,8 +332,8 @@
     return relay_advice(std::move(request), std::move(answer));
   }
   if (request.target() == kMetricsPath) {
-    return answer(http::text_response(http::status::ok, "text/plain",
-                                      metrics_text()));
+    return answer(
+        http::text_response(http::status::ok, "text/plain", metrics_text()));
   }
   if (request.target() != kPresencePath) {
     return answer(
@@ -313,8 +344,13 @@
     return answer(
         http::error_response(http::status::bad_request, "no presence"));
   }
-  if (owner_) owner_->heard_of(presence.daemon(), presence.peer_address());
-  answer(http::json_response(http::status::ok, "{}"));
+  wire::owner_status status;
+  if (owner_) {
+    owner_->heard_of(presence.daemon(), presence.peer_address());
+    status.set_epoch(owner_->epoch());
+    status.set_journal_reachable(owner_->reaches_journal());
+  }
+  answer(http::json_response(http::status::ok, http::to_compact_json(status)));
 }
 
 // The advice service counts its callers by VM, so each daemon asks for itself.
@@ -323,23 +359,21 @@
     return answer(http::error_response(http::status::service_unavailable,
                                        "no advice service"));
   }
-  advice_->call("advise",
-                http::json_request(http::verb::post, "/advise",
-                                   std::move(request.body())),
-                [answer](http::call_result&& result) {
-                  if (result.has_value()) {
-                    http::response reply = std::move(*result);
-                    return answer(
-                        http::json_response(reply.result(), reply.body()));
-                  }
-                  answer(http::error_response(http::status::bad_gateway,
-                                              "no advice"));
-                });
+  advice_->call(
+      "advise",
+      http::json_request(http::verb::post, "/advise",
+                         std::move(request.body())),
+      [answer](http::call_result&& result) {
+        if (result.has_value()) {
+          http::response reply = std::move(*result);
+          return answer(http::json_response(reply.result(), reply.body()));
+        }
+        answer(http::error_response(http::status::bad_gateway, "no advice"));
+      });
 }
 
 std::string node::metrics_text() const {
-  std::string text = "ebonygrade_pool_owner " +
-                     std::to_string(owner_ ? 1 : 0) +
+  std::string text = "ebonygrade_pool_owner " + std::to_string(owner_ ? 1 : 0) +
                      "\nebonygrade_pool_store_calls_total " +
                      std::to_string(store_.calls()) +
                      "\nebonygrade_pool_jobs_known " +
@@ -347,7 +381,8 @@
   return text;
 }
 
-// ---- Graceful stop ----------------------------------------------------------------
+// ---- Graceful stop
+// ----------------------------------------------------------------
 
 void node::drain(std::function<void()> done) {
   draining_ = true;
@@ -358,16 +393,16 @@
     });
   }
   drain_timer_.expires_after(kBalancerTime);
-  drain_timer_.async_wait([this, done = std::move(done)](
-                              boost::system::error_code failed) {
-    if (failed) return;
-    callers_.stop(done);
-    drain_timer_.expires_after(settings_.drain_grace - kBalancerTime -
-                               kDrainMargin);
-    drain_timer_.async_wait([done](boost::system::error_code late) {
-      if (!late) done();
-    });
-  });
+  drain_timer_.async_wait(
+      [this, done = std::move(done)](boost::system::error_code failed) {
+        if (failed) return;
+        callers_.stop(done);
+        drain_timer_.expires_after(settings_.drain_grace - kBalancerTime -
+                                   kDrainMargin);
+        drain_timer_.async_wait([done](boost::system::error_code late) {
+          if (!late) done();
+        });
+      });
 }
 
 }  // namespace ebonygrade::poold
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -73,6 +73,9 @@
   boost::asio::steady_timer tick_;
   boost::asio::steady_timer drain_timer_;
   steady_time owner_heard_;
+  steady_time journal_read_;
+  bool announcing_ = false;
+  bool owner_denied_ = false;  // Asked, the owner didn't confirm that it is.
   std::uint64_t owner_records_ = 0;
   steady_time announced_;
   steady_time claim_after_;
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -17,7 +17,9 @@
 // Least time between two appends; what comes meanwhile shares one.
 constexpr milliseconds kFlushPause{20};
 // Followers take an owner for dead after several of these.
-constexpr milliseconds kHeartbeat{400};
+constexpr milliseconds kHeartbeat{300};
+// Three heartbeats: the owner then tells others that it can't write.
+constexpr milliseconds kJournalSilence{1000};
 // Entries change when a worker's state does, and with each of its heartbeats.
 constexpr milliseconds kDiscoveryPause{250};
 // Taken off a ticket's time for the way of its answer.
@@ -88,9 +90,8 @@
 void owner::depose() {
   if (stopped_) return;
   stop();
-  boost::asio::post(context_, [self = shared_from_this()] {
-    self->on_deposed_();
-  });
+  boost::asio::post(context_,
+                    [self = shared_from_this()] { self->on_deposed_(); });
 }
 
 void owner::on_change(const jobs::table& table, const jobs::change& change) {
@@ -112,6 +113,10 @@
   decide_soon();
 }
 
+bool owner::reaches_journal() const {
+  return clock_.now() - last_record_ < kJournalSilence;
+}
+
 void owner::heard_of(const std::string& daemon,
                      const std::string& peer_address) {
   advisers_.heard_of(daemon, peer_address);
@@ -310,26 +315,25 @@
   std::unordered_map<std::string, std::shared_ptr<worker_link>>::iterator link =
       links_.find(order.worker);
   if (link == links_.end()) return;
-  link->second->send_stop(order,
-                          [self = shared_from_this(), order](bool confirmed) {
-                            if (self->stopped_) return;
-                            pool::observe_stop(&self->pool_, order, confirmed,
-                                               self->clock_.now());
-                          });
+  link->second->send_stop(
+      order, [self = shared_from_this(), order](bool confirmed) {
+        if (self->stopped_) return;
+        pool::observe_stop(&self->pool_, order, confirmed, self->clock_.now());
+      });
 }
 
 void owner::ask(const pool::advice_order& order) {
   std::weak_ptr<owner> weak = weak_from_this();
-  advisers_.ask(order, [weak, order](
-                           std::optional<std::vector<pool::ticket>> tickets) {
-    std::shared_ptr<owner> self = weak.lock();
-    if (!self || self->stopped_) return;
-    steady_time now = self->clock_.now();
-    pool::observe_advice(&self->pool_, order, tickets.has_value(),
-                         tickets.value_or(std::vector<pool::ticket>()),
-                         now + order.validity - kTicketMargin, now);
-    self->decide_soon();
-  });
+  advisers_.ask(
+      order, [weak, order](std::optional<std::vector<pool::ticket>> tickets) {
+        std::shared_ptr<owner> self = weak.lock();
+        if (!self || self->stopped_) return;
+        steady_time now = self->clock_.now();
+        pool::observe_advice(&self->pool_, order, tickets.has_value(),
+                             tickets.value_or(std::vector<pool::ticket>()),
+                             now + order.validity - kTicketMargin, now);
+        self->decide_soon();
+      });
 }
 
 // ---- Journal ----------------------------------------------------------------
@@ -362,10 +366,8 @@
   }
   journal_->write(
       std::move(records), [] { return true; },
-      [self = shared_from_this(),
-       batch = std::move(batch)](write_outcome outcome) {
-        self->on_written(batch, outcome);
-      });
+      [self = shared_from_this(), batch = std::move(batch)](
+          write_outcome outcome) { self->on_written(batch, outcome); });
 }
 
 jobs::record owner::ownership_record(bool released) const {
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -15,14 +15,14 @@
 #include <vector>
 
 #include "jobs/job_table.h"
+#include "pool/manifest.h"
+#include "pool/pool.h"
 #include "poold/advisers.h"
 #include "poold/appender.h"
 #include "poold/settings.h"
 #include "poold/store.h"
 #include "poold/topic_follower.h"
 #include "poold/worker_link.h"
-#include "pool/manifest.h"
-#include "pool/pool.h"
 
 namespace ebonygrade::poold {
 
@@ -50,6 +50,8 @@
   void on_manifest(const pool::manifest& manifest);
   void heard_of(const std::string& daemon, const std::string& peer_address);
 
+  // Whether its records have reached the journal lately.
+  bool reaches_journal() const;
   std::uint64_t epoch() const { return epoch_; }
   const pool::pool_state& state() const { return pool_; }
 
--- a/src/poold/settings.cpp
+++ b/src/poold/settings.cpp
@@ -56,9 +56,9 @@
     if (!value) return;
     std::optional<milliseconds> parsed = settings::parse_duration(*value);
     if (!parsed || parsed->count() <= 0) {
-      return problem(name(section, key),
-                     "expected a duration such as 500ms, found '" + *value +
-                         "'");
+      return problem(
+          name(section, key),
+          "expected a duration such as 500ms, found '" + *value + "'");
     }
     *out = *parsed;
   }
@@ -83,8 +83,8 @@
     return "[" + std::string(section) + "] " + key;
   }
   void problem(const std::string& where, const std::string& what) {
-    problems_->push_back({error::code::invalid_argument, "read settings",
-                          file_, where.empty() ? what : where + ": " + what});
+    problems_->push_back({error::code::invalid_argument, "read settings", file_,
+                          where.empty() ? what : where + ": " + what});
   }
 
   std::string file_;
--- a/src/poold/settings.h
+++ b/src/poold/settings.h
@@ -21,10 +21,10 @@
   std::string ready_address;   // IP:PORT of the readiness check.
   std::string peer_address;    // IP:PORT for other daemons and metrics.
   std::string store_address;
-  std::string advice_address;  // Empty: no queue asks for advice.
-  milliseconds lease{6000};         // Longest that workers grant.
-  milliseconds stop_time{400};      // A worker's stop takes at most so long.
-  milliseconds drain_grace{6000};   // From SIGTERM to SIGKILL.
+  std::string advice_address;        // Empty: no queue asks for advice.
+  milliseconds lease{6000};          // Longest that workers grant.
+  milliseconds stop_time{400};       // A worker's stop takes at most so long.
+  milliseconds drain_grace{6000};    // From SIGTERM to SIGKILL.
   milliseconds status_time{120000};  // Ended jobs stay readable so long.
   std::string log_level = "info";
 };
--- a/src/poold/store.cpp
+++ b/src/poold/store.cpp
@@ -1,5 +1,6 @@
 #include "poold/store.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "events/events.h"
@@ -8,10 +9,16 @@
 
 namespace {
 
-// Twice the answer time of a store that is slowed sixty times.
+// Four times the answer time of a store that is slowed sixty times.
 constexpr milliseconds kCallTimeout{1000};
+// An append whose answer is lost is repeated after a multiple of the usual
+// time, within these bounds.
+constexpr milliseconds kShortestAppendTimeout{150};
+constexpr int kAppendTimeFactor = 5;
+// Weight of the newest append in the smoothed time, one part in so many.
+constexpr int kSmoothing = 4;
 // A long poll may be answered so much later than its wait.
-constexpr milliseconds kReadSlack{1000};
+constexpr milliseconds kReadSlack{700};
 constexpr std::size_t kReadConnections = 6;
 constexpr std::size_t kAppendConnections = 4;
 
@@ -43,13 +50,24 @@
   }
 }
 
+milliseconds store::append_timeout(std::uint32_t repetitions) const {
+  constexpr std::uint32_t kMaxDoublings = 3;
+  milliseconds first =
+      std::max(kShortestAppendTimeout, append_time_ * kAppendTimeFactor);
+  return std::min(first * (1 << std::min(repetitions, kMaxDoublings)),
+                  kCallTimeout);
+}
+
 void store::append(const platform::append_request& request,
                    const std::vector<jobs::record>& records,
+                   std::uint32_t repetitions,
                    std::function<void(append_result)> handler) {
   ++calls_;
+  steady_time sent = clock_.now();
   appends_.call(
       "append", platform::encode_append(request, records),
-      [this, handler = std::move(handler)](http::call_result&& result) {
+      append_timeout(repetitions),
+      [this, sent, handler = std::move(handler)](http::call_result&& result) {
         append_result out;
         if (result.has_error()) {
           failed(result.error().cause);
@@ -61,11 +79,13 @@
         if (out.reply.outcome == platform::append_outcome::not_done) {
           failed(http::status_failure(*result, "append", "store"));
           out.fate = append_fate::not_done;
-        } else if (out.reply.outcome ==
-                   platform::append_outcome::unreadable) {
+        } else if (out.reply.outcome == platform::append_outcome::unreadable) {
           failed(http::status_failure(*result, "append", "store"));
         } else {
           answered();
+          milliseconds taken =
+              std::chrono::duration_cast<milliseconds>(last_answer_ - sent);
+          append_time_ += (taken - append_time_) / kSmoothing;
           out.fate = append_fate::settled;
         }
         handler(std::move(out));
@@ -76,23 +96,22 @@
     std::string_view topic, std::uint64_t from, milliseconds wait,
     std::function<void(error::result<platform::read_reply>)> handler) {
   ++calls_;
-  reads_.call("read log", platform::encode_read(topic, from, wait),
-              wait + kReadSlack,
-              [this, from, handler = std::move(handler)](
-                  http::call_result&& result) {
-                if (result.has_error()) {
-                  failed(result.error().cause);
-                  return handler(result.error().cause);
-                }
-                error::result<platform::read_reply> reply =
-                    platform::decode_read(*result, from);
-                if (reply.has_error()) {
-                  failed(reply.error());
-                } else {
-                  answered();
-                }
-                handler(std::move(reply));
-              });
+  reads_.call(
+      "read log", platform::encode_read(topic, from, wait), wait + kReadSlack,
+      [this, from, handler = std::move(handler)](http::call_result&& result) {
+        if (result.has_error()) {
+          failed(result.error().cause);
+          return handler(result.error().cause);
+        }
+        error::result<platform::read_reply> reply =
+            platform::decode_read(*result, from);
+        if (reply.has_error()) {
+          failed(reply.error());
+        } else {
+          answered();
+        }
+        handler(std::move(reply));
+      });
 }
 
 void store::newest(
@@ -100,8 +119,7 @@
     std::function<void(error::result<platform::newest_reply>)> handler) {
   ++calls_;
   reads_.call("read newest", platform::encode_newest(topic, after),
-              [this, handler = std::move(handler)](
-                  http::call_result&& result) {
+              [this, handler = std::move(handler)](http::call_result&& result) {
                 if (result.has_error()) {
                   failed(result.error().cause);
                   return handler(result.error().cause);
--- a/src/poold/store.h
+++ b/src/poold/store.h
@@ -34,13 +34,15 @@
   store(boost::asio::io_context& context, const std::string& address,
         const clock::clock& clock);
 
+  // `repetitions` of the same append went without an answer; each doubles
+  // the time that this one is given.
   void append(const platform::append_request& request,
               const std::vector<jobs::record>& records,
+              std::uint32_t repetitions,
               std::function<void(append_result)> handler);
   // Waits up to `wait` for a record at `from`.
-  void read(
-      std::string_view topic, std::uint64_t from, milliseconds wait,
-      std::function<void(error::result<platform::read_reply>)> handler);
+  void read(std::string_view topic, std::uint64_t from, milliseconds wait,
+            std::function<void(error::result<platform::read_reply>)> handler);
   void newest(
       std::string_view topic, std::string_view after,
       std::function<void(error::result<platform::newest_reply>)> handler);
@@ -51,6 +53,8 @@
 
  private:
   void answered();
+  // For the first attempt of an append; repetitions get more.
+  milliseconds append_timeout(std::uint32_t repetitions) const;
   void failed(const error::failure& cause);
 
   const clock::clock& clock_;
@@ -58,6 +62,7 @@
   http::client reads_;
   http::client appends_;
   steady_time last_answer_;
+  milliseconds append_time_{20};  // Smoothed, of answered appends.
   bool down_ = false;
   std::uint64_t calls_ = 0;
 };
--- a/src/poold/topic_follower.cpp
+++ b/src/poold/topic_follower.cpp
@@ -28,16 +28,15 @@
   read();
 }
 
-void topic_follower::again(milliseconds pause,
-                           void (topic_follower::*step)()) {
+void topic_follower::again(milliseconds pause, void (topic_follower::*step)()) {
   pausing_ = true;
   timer_.expires_after(pause);
-  timer_.async_wait([self = shared_from_this(),
-                     step](boost::system::error_code failed) {
-    if (failed || self->stopped_ || !self->pausing_) return;
-    self->pausing_ = false;
-    (self.get()->*step)();
-  });
+  timer_.async_wait(
+      [self = shared_from_this(), step](boost::system::error_code failed) {
+        if (failed || self->stopped_ || !self->pausing_) return;
+        self->pausing_ = false;
+        (self.get()->*step)();
+      });
 }
 
 void topic_follower::load_page(const std::string& after) {
@@ -74,25 +73,24 @@
 void topic_follower::read() {
   if (stopped_) return;
   steady_time sent = clock_.now();
-  store_.read(
-      options_.topic, next_, options_.wait,
-      [self = shared_from_this(),
-       sent](error::result<platform::read_reply> reply) {
-        if (self->stopped_) return;
-        if (reply.has_error()) {
-          return self->again(next_pause(self->backoff_, self->random_),
-                             &topic_follower::read);
-        }
-        succeeded(self->backoff_);
-        if (reply->trimmed) return self->load();
-        self->next_ = reply->next;
-        if (reply->next >= reply->end) self->current_as_of_ = sent;
-        self->handlers_.on_records(reply->records);
-        if (self->stopped_) return;
-        bool behind = reply->next < reply->end;
-        self->again(behind ? milliseconds(0) : self->options_.pause,
-                    &topic_follower::read);
-      });
+  store_.read(options_.topic, next_, options_.wait,
+              [self = shared_from_this(),
+               sent](error::result<platform::read_reply> reply) {
+                if (self->stopped_) return;
+                if (reply.has_error()) {
+                  return self->again(next_pause(self->backoff_, self->random_),
+                                     &topic_follower::read);
+                }
+                succeeded(self->backoff_);
+                if (reply->trimmed) return self->load();
+                self->next_ = reply->next;
+                if (reply->next >= reply->end) self->current_as_of_ = sent;
+                self->handlers_.on_records(reply->records);
+                if (self->stopped_) return;
+                bool behind = reply->next < reply->end;
+                self->again(behind ? milliseconds(0) : self->options_.pause,
+                            &topic_follower::read);
+              });
 }
 
 }  // namespace ebonygrade::poold
--- a/src/poold/topic_follower.h
+++ b/src/poold/topic_follower.h
@@ -19,8 +19,8 @@
 
 struct follower_options {
   std::string topic;
-  milliseconds wait{1000};   // Longest that one read waits for a record.
-  milliseconds pause{250};   // Between two reads; bounds their rate.
+  milliseconds wait{1000};  // Longest that one read waits for a record.
+  milliseconds pause{250};  // Between two reads; bounds their rate.
 };
 
 class topic_follower : public std::enable_shared_from_this<topic_follower> {
--- a/src/poold/worker_link.cpp
+++ b/src/poold/worker_link.cpp
@@ -69,10 +69,8 @@
   // The first poll is to learn the worker's state at once.
   order.wait = answered_once_ ? kPollWait : milliseconds(0);
   steady_time sent = clock_.now();
-  client_.call("hold", platform::encode_hold(order),
-               order.wait + kAnswerSlack,
-               [self = shared_from_this(),
-                sent](http::call_result&& result) {
+  client_.call("hold", platform::encode_hold(order), order.wait + kAnswerSlack,
+               [self = shared_from_this(), sent](http::call_result&& result) {
                  if (!self->stopped_) self->on_reply(std::move(result), sent);
                });
 }
@@ -95,12 +93,11 @@
   poll_after(first ? milliseconds(0) : kPollPause);
 }
 
-void worker_link::send_start(
-    const pool::start_order& order,
-    std::function<void(pool::start_answer)> handler) {
+void worker_link::send_start(const pool::start_order& order,
+                             std::function<void(pool::start_answer)> handler) {
   client_.call("start", platform::encode_start(order, fence_),
-               [self = shared_from_this(), handler = std::move(handler)](
-                   http::call_result&& result) {
+               [self = shared_from_this(),
+                handler = std::move(handler)](http::call_result&& result) {
                  if (self->stopped_) return;
                  if (result.has_error()) {
                    return handler(pool::start_answer::none);
@@ -112,8 +109,8 @@
 void worker_link::send_stop(const pool::stop_order& order,
                             std::function<void(bool)> handler) {
   client_.call("stop", platform::encode_stop(order, fence_),
-               [self = shared_from_this(), handler = std::move(handler)](
-                   http::call_result&& result) {
+               [self = shared_from_this(),
+                handler = std::move(handler)](http::call_result&& result) {
                  if (self->stopped_) return;
                  handler(result.has_value() && platform::decode_stop(*result));
                });
