--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -215,8 +215,9 @@
                   const hold_report& report, steady_time sent, steady_time now,
                   unix_time wall);
 // The worker's address has another incarnation under another id.
+// The incarnation, of the time of the call, is over.
 void observe_replaced(pool_state* pool, const std::string& worker,
-                      steady_time now);
+                      std::int64_t incarnation_ms);
 void observe_start(pool_state* pool, const start_order& order,
                    start_answer answer, steady_time now);
 void observe_stop(pool_state* pool, const stop_order& order, bool confirmed,
--- a/src/pool/simulated_cell.cpp
+++ b/src/pool/simulated_cell.cpp
@@ -58,6 +58,13 @@
     std::size_t which = random_() % workers_.size();
     std::next(workers_.begin(), static_cast<std::ptrdiff_t>(which))
         ->second->crash(now_);
+    at(between(200, 1500), [this, which] {
+      observe_entry(
+          &owner_->state,
+          std::next(workers_.begin(), static_cast<std::ptrdiff_t>(which))
+              ->second->entry(),
+          now_);
+    });
     at(options_.crash_every, events_repeat_[1]);
   };
   std::function<void()> outages = [this] {
@@ -172,16 +179,16 @@
     at(kCallTimeout, std::move(unanswered));
     return;
   }
-  at(between(1, 40), [this, call = std::move(call),
-                      answered = std::move(answered),
-                      unanswered = std::move(unanswered)] {
-    call();
-    if (chance(options_.lost_answers)) {
-      at(kCallTimeout, unanswered);
-    } else {
-      at(between(1, 40), answered);
-    }
-  });
+  at(between(1, 40),
+     [this, call = std::move(call), answered = std::move(answered),
+      unanswered = std::move(unanswered)] {
+       call();
+       if (chance(options_.lost_answers)) {
+         at(kCallTimeout, unanswered);
+       } else {
+         at(between(1, 40), answered);
+       }
+     });
 }
 
 void simulated_cell::poll(std::shared_ptr<owner> owner,
@@ -197,9 +204,9 @@
       [this, owner, worker, until, acked, report, accepted, expected] {
         // A lease that was meant for another incarnation is not given.
         bool same = workers_[worker]->incarnation_ms() == expected;
-        *accepted = workers_[worker]->hold(
-            owner->epoch, same ? acked : 0, same ? until : worker_time(0),
-            now_, report.get());
+        *accepted = workers_[worker]->hold(owner->epoch, same ? acked : 0,
+                                           same ? until : worker_time(0), now_,
+                                           report.get());
       },
       [this, owner, worker, report, accepted, sent] {
         if (!owner->alive) return;
@@ -217,9 +224,15 @@
                                 const start_order& order) {
   std::shared_ptr<start_answer> answer =
       std::make_shared<start_answer>(start_answer::none);
+  std::int64_t meant_for =
+      owner->state.workers[order.worker].entry.incarnation_ms;
   carry(
-      [this, owner, order, answer] {
-        *answer = workers_[order.worker]->start(order, owner->epoch, now_);
+      [this, owner, order, answer, meant_for] {
+        simulated_worker& worker = *workers_[order.worker];
+        // An order names the incarnation that it is for; others refuse it.
+        *answer = worker.incarnation_ms() == meant_for
+                      ? worker.start(order, owner->epoch, now_)
+                      : start_answer::other_incarnation;
       },
       [this, owner, order, answer] {
         if (owner->alive) {
@@ -263,7 +276,10 @@
     bool complete = each.second.progress.outcome() == wire::COMPLETE;
     bool failed = each.second.progress.outcome() == wire::FAILED;
     if (complete && !ledger_.job_done(each.first)) wrong.push_back(each.first);
-    if (failed && ledger_.job_done(each.first)) wrong.push_back(each.first);
+    // A good end that a crash took away before it was acknowledged is none.
+    if (failed && ledger_.job_acknowledged(each.first)) {
+      wrong.push_back(each.first);
+    }
   }
   return wrong;
 }
@@ -279,8 +295,8 @@
     event next = std::move(first->second);
     events_.erase(first);
     next();
-    for (std::pair<const std::string, std::unique_ptr<simulated_worker>>&
-             each : workers_) {
+    for (std::pair<const std::string, std::unique_ptr<simulated_worker>>& each :
+         workers_) {
       each.second->tick(now_);
     }
   }
--- a/src/pool/simulated_cell.h
+++ b/src/pool/simulated_cell.h
@@ -19,14 +19,14 @@
   std::uint64_t seed = 1;
   std::size_t workers = 4;
   std::size_t jobs = 12;
-  double lost = 0;       // Share of calls to workers that don't arrive.
+  double lost = 0;          // Share of calls to workers that don't arrive.
   double lost_answers = 0;  // Share of calls whose answer doesn't come back.
-  double late = 0;       // Share of orders carried out 2 to 12 s later.
-  double fails = 0;      // Share of runs that fail.
+  double late = 0;          // Share of orders carried out 2 to 12 s later.
+  double fails = 0;         // Share of runs that fail.
   milliseconds takeover_every{0};  // A new owner claims the pool; 0: never.
-  double frozen_owner = 0;  // Share of takeovers whose old owner goes on.
-  milliseconds crash_every{0};     // A worker crashes and comes back.
-  milliseconds outage_every{0};    // The journal takes nothing for 3 s.
+  double frozen_owner = 0;       // Share of takeovers whose old owner goes on.
+  milliseconds crash_every{0};   // A worker crashes and comes back.
+  milliseconds outage_every{0};  // The journal takes nothing for 3 s.
   milliseconds faults_for{15000};  // After this everything works.
 };
 
--- a/src/pool/simulated_worker.cpp
+++ b/src/pool/simulated_worker.cpp
@@ -13,7 +13,8 @@
 
 }  // namespace
 
-// ---- Ledger -------------------------------------------------------------------
+// ---- Ledger
+// -------------------------------------------------------------------
 
 void ledger::add_job(const std::string& id, const wire::job_submission& job,
                      std::uint32_t attempts) {
@@ -37,12 +38,29 @@
   return true;
 }
 
-std::uint32_t ledger::failures(const task_key& task) const {
-  std::map<task_key, std::set<std::uint32_t>>::const_iterator found =
-      failed_.find(task);
-  return found == failed_.end()
-             ? 0
-             : static_cast<std::uint32_t>(found->second.size());
+bool ledger::job_acknowledged(const std::string& id) const {
+  const wire::job_submission& job = jobs_.at(id).submission;
+  for (int step = 0; step < job.steps_size(); ++step) {
+    for (std::uint32_t i = 0; i < job.steps(step).count(); ++i) {
+      task_key task{id, 0, static_cast<std::uint32_t>(step), i};
+      if (done_acknowledged_.count(task) == 0) return false;
+    }
+  }
+  return true;
+}
+
+// Only failures that are acknowledged, then or later, use up attempts.
+void ledger::check_attempts(const task_key& task, std::uint32_t attempts) {
+  const std::set<std::uint32_t>& known = failed_acknowledged_[task];
+  for (const std::set<std::uint32_t>& before : before_starts_[task]) {
+    std::ptrdiff_t used =
+        std::count_if(before.begin(), before.end(),
+                      [&](std::uint32_t run) { return known.count(run) > 0; });
+    if (used >= static_cast<std::ptrdiff_t>(attempts)) {
+      report("budget: " + name_of(task, *before.rbegin()));
+      return;
+    }
+  }
 }
 
 void ledger::begins(const std::string& worker, const task_key& task,
@@ -64,13 +82,16 @@
   for (std::uint32_t earlier : step.after()) {
     if (!step_done(task.job, earlier)) report("order: " + name_of(task, run));
   }
-  if (failures(task) >= job->second.attempts) {
-    report("budget: " + name_of(task, run));
-  }
+  before_starts_[task].push_back(failed_[task]);
+  check_attempts(task, job->second.attempts);
   alive.insert({worker, run});
 }
 
 void ledger::acknowledged(const end_row& end) {
+  if (end.how == end_kind::failed) {
+    failed_acknowledged_[end.task].insert(end.run);
+    check_attempts(end.task, jobs_.at(end.task.job).attempts);
+  }
   if (end.how != end_kind::done) return;
   if (started_after_.count({end.task, end.run}) > 0) {
     report("acknowledged and started again: " + name_of(end.task, end.run));
@@ -85,7 +106,8 @@
   if (how == end_kind::failed) failed_[task].insert(run);
 }
 
-// ---- Gangs ----------------------------------------------------------------------
+// ---- Gangs
+// ----------------------------------------------------------------------
 
 gang_board::name gang_board::name_of(const task_key& task, std::uint32_t run) {
   return {task.job, task.step, run};
@@ -113,8 +135,7 @@
 }
 
 steady_time gang_board::ends_at(const task_key& task, std::uint32_t run) const {
-  std::map<name, gang>::const_iterator found =
-      gangs_.find(name_of(task, run));
+  std::map<name, gang>::const_iterator found = gangs_.find(name_of(task, run));
   return found == gangs_.end() ? steady_time::max() : found->second.ends_at;
 }
 
@@ -130,7 +151,8 @@
   return found;
 }
 
-// ---- Worker -------------------------------------------------------------------
+// ---- Worker
+// -------------------------------------------------------------------
 
 simulated_worker::simulated_worker(std::string id, resources capacity,
                                    behaviour behaviour, ledger* ledger,
@@ -223,8 +245,7 @@
     gangs_->leave(this, each.first, each.second.run);
     for (const std::pair<simulated_worker*, task_key>& other :
          gangs_->others(each.first, each.second.run)) {
-      other.first->end_member(other.second, each.second.run,
-                              end_kind::broken);
+      other.first->end_member(other.second, each.second.run, end_kind::broken);
     }
   }
   runs_.clear();
@@ -273,9 +294,10 @@
   made.run = order.run;
   made.need = {step.cpu_milli(), step.memory_mb(), step.gpus()};
   std::uniform_real_distribution<double> spread(0.5, 1.5);
-  made.ends_at = now + milliseconds(static_cast<std::int64_t>(
-                           spread(random_) *
-                           static_cast<double>(behaviour_.task_time.count())));
+  made.ends_at =
+      now +
+      milliseconds(static_cast<std::int64_t>(
+          spread(random_) * static_cast<double>(behaviour_.task_time.count())));
   resources used = made.need;
   for (const std::pair<const task_key, live_run>& each : runs_) {
     used = used + each.second.need;
@@ -319,10 +341,10 @@
   for (const end_row& end : ends_) {
     if (end.number <= acked) ledger_->acknowledged(end);
   }
-  ends_.erase(std::remove_if(
-                  ends_.begin(), ends_.end(),
-                  [&](const end_row& end) { return end.number <= acked; }),
-              ends_.end());
+  ends_.erase(
+      std::remove_if(ends_.begin(), ends_.end(),
+                     [&](const end_row& end) { return end.number <= acked; }),
+      ends_.end());
   out->clock = clock(now);
   out->incarnation_ms = incarnation_ms_;
   for (const std::pair<const task_key, live_run>& each : runs_) {
--- a/src/pool/simulated_worker.h
+++ b/src/pool/simulated_worker.h
@@ -33,13 +33,14 @@
   void acknowledged(const end_row& end);
   void report(std::string broken) { broken_.push_back(std::move(broken)); }
 
-  bool is_done(const task_key& task) const { 
+  bool is_done(const task_key& task) const {
     std::map<task_key, std::set<std::uint32_t>>::const_iterator found =
         done_.find(task);
     return found != done_.end() && !found->second.empty();
   }
   bool job_done(const std::string& id) const;
-  std::uint32_t failures(const task_key& task) const;
+  // The same, of ends that were acknowledged.
+  bool job_acknowledged(const std::string& id) const;
   const std::vector<std::string>& broken() const { return broken_; }
   std::uint64_t starts() const { return starts_; }
 
@@ -48,6 +49,7 @@
     wire::job_submission submission;
     std::uint32_t attempts = 1;
   };
+  void check_attempts(const task_key& task, std::uint32_t attempts);
   bool step_done(const std::string& id, std::uint32_t step) const;
 
   std::map<std::string, known_job> jobs_;
@@ -58,6 +60,9 @@
   // Good ends after which the task was started again.
   std::set<std::pair<task_key, std::uint32_t>> started_after_;
   std::map<task_key, std::set<std::uint32_t>> failed_;
+  std::map<task_key, std::set<std::uint32_t>> failed_acknowledged_;
+  // The failed runs before each start.
+  std::map<task_key, std::vector<std::set<std::uint32_t>>> before_starts_;
   std::vector<std::string> broken_;
   std::uint64_t starts_ = 0;
 };
@@ -70,8 +75,7 @@
  public:
   void join(simulated_worker* worker, const task_key& task, std::uint32_t run,
             std::uint32_t count, steady_time now, milliseconds work);
-  void leave(simulated_worker* worker, const task_key& task,
-             std::uint32_t run);
+  void leave(simulated_worker* worker, const task_key& task, std::uint32_t run);
   // When the gang of this member ends as done; the end of time while members
   // are missing.
   steady_time ends_at(const task_key& task, std::uint32_t run) const;
--- a/src/pool/types.h
+++ b/src/pool/types.h
@@ -81,6 +81,7 @@
 struct start_order {
   std::string worker;
   std::string address;
+  std::int64_t incarnation_ms = 0;  // Of the worker, as known when sent.
   task_key task;
   std::uint32_t run = 0;
   std::shared_ptr<const wire::job_submission> job;
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -213,7 +213,9 @@
 }
 
 // A crash ends everything; what was ordered and not confirmed may still
-// arrive at the new incarnation and has to be stopped there.
+// arrive at the new incarnation and has to be stopped there. Orders of an
+// earlier owner are shut out only once the new incarnation has answered under
+// this owner's fencing token, so unverified runs wait for its report.
 void begin_incarnation(pool_state* pool, worker* worker,
                        std::int64_t incarnation_ms) {
   worker->entry.incarnation_ms = incarnation_ms;
@@ -222,11 +224,14 @@
   worker->failures_in_row = 0;
   std::vector<std::pair<task_key, std::uint32_t>> over;
   for (placement& placed : worker->placements) {
-    if (placed.phase == phase::sent) {
+    // Copies of the order without an answer may still reach the new life.
+    bool may_arrive = placed.phase == phase::sent || placed.starts_sent > 1;
+    if (may_arrive) {
+      placed.phase = phase::sent;
       placed.stop_wanted = true;
       placed.stop_confirmed = false;
       placed.stop_sent = {};
-    } else if (placed.phase != phase::recording) {
+    } else if (placed.phase == phase::running) {
       over.emplace_back(placed.task, placed.run);
     }
   }
@@ -363,10 +368,11 @@
 }
 
 void observe_replaced(pool_state* pool, const std::string& id,
-                      steady_time now) {
-  (void)now;
+                      std::int64_t incarnation_ms) {
   worker* known = find_worker(pool, id);
   if (known == nullptr) return;
+  // What runs in a later incarnation is not concerned.
+  if (known->entry.incarnation_ms != incarnation_ms) return;
   known->listed = false;
   known->fenced = false;
   drop_all(pool, known);
@@ -389,8 +395,11 @@
       pool->deposed = true;
       return;
     case start_answer::other_incarnation:
-      observe_replaced(pool, order.worker, now);
-      return;
+      if (known->entry.incarnation_ms == order.incarnation_ms) {
+        observe_replaced(pool, order.worker, order.incarnation_ms);
+        return;
+      }
+      break;
     case start_answer::none:
       // decide() sends another copy or a stop.
       placed->since = now;
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -188,12 +188,15 @@
         pool_.workers.find(name);
     if (known != pool_.workers.end()) {
       order.acked_end = known->second.acked_end;
+      order.incarnation_ms = known->second.entry.incarnation_ms;
     }
     return order;
   };
   handlers.on_hold = [this](const std::string& name,
-                            const platform::hold_reply* reply,
-                            steady_time sent) { on_hold(name, reply, sent); };
+                            const platform::hold_reply* reply, steady_time sent,
+                            std::int64_t incarnation_ms) {
+    on_hold(name, reply, sent, incarnation_ms);
+  };
   link = std::make_shared<worker_link>(context_, clock_, worker, address,
                                        epoch_, std::move(handlers));
   link->start();
@@ -208,7 +211,8 @@
 }
 
 void owner::on_hold(const std::string& worker,
-                    const platform::hold_reply* reply, steady_time sent) {
+                    const platform::hold_reply* reply, steady_time sent,
+                    std::int64_t incarnation_ms) {
   if (stopped_) return;
   if (reply == nullptr) return;
   switch (reply->outcome) {
@@ -223,7 +227,7 @@
     case platform::hold_outcome::replaced:
       events::emit(events::id::worker_rebooted, "hold", worker,
                    "another worker has its address");
-      pool::observe_replaced(&pool_, worker, clock_.now());
+      pool::observe_replaced(&pool_, worker, incarnation_ms);
       close_link(worker);
       break;
     case platform::hold_outcome::unhealthy:
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -63,7 +63,7 @@
   void open_link(const std::string& worker, const std::string& address);
   void close_link(const std::string& worker);
   void on_hold(const std::string& worker, const platform::hold_reply* reply,
-               steady_time sent);
+               steady_time sent, std::int64_t incarnation_ms);
   void decide_soon();
   void decide_at(steady_time when);
   void decide();
--- a/src/poold/worker_link.cpp
+++ b/src/poold/worker_link.cpp
@@ -75,15 +75,16 @@
                });
 }
 
-void worker_link::on_reply(http::call_result&& result, steady_time sent) {
+void worker_link::on_reply(http::call_result&& result, steady_time sent,
+                           std::int64_t incarnation_ms) {
   if (result.has_error()) {
-    handlers_.on_hold(worker_, nullptr, sent);
+    handlers_.on_hold(worker_, nullptr, sent, incarnation_ms);
     return poll_after(kRetryPause);
   }
   platform::hold_reply reply = platform::decode_hold(*result);
   bool answered = reply.outcome == platform::hold_outcome::answered;
   bool first = answered && !std::exchange(answered_once_, true);
-  handlers_.on_hold(worker_, &reply, sent);
+  handlers_.on_hold(worker_, &reply, sent, incarnation_ms);
   if (stopped_) return;
   if (!answered) return poll_after(kRetryPause);
   if (!reply.report.ended.empty()) {
--- a/src/poold/worker_link.h
+++ b/src/poold/worker_link.h
@@ -23,9 +23,11 @@
   struct handlers {
     // Asked before each poll: the lease to ask for, and the ends to forget.
     std::function<platform::hold_order(const std::string& worker)> prepare;
-    // Nothing came back: `reply` is null.
+    // Nothing came back: `reply` is null. `incarnation_ms` is that of the
+    // prepared order.
     std::function<void(const std::string& worker,
-                       const platform::hold_reply* reply, steady_time sent)>
+                       const platform::hold_reply* reply, steady_time sent,
+                       std::int64_t incarnation_ms)>
         on_hold;
   };
 
@@ -46,7 +48,8 @@
  private:
   void poll();
   void poll_after(milliseconds pause);
-  void on_reply(http::call_result&& result, steady_time sent);
+  void on_reply(http::call_result&& result, steady_time sent,
+                std::int64_t incarnation_ms);
 
   const clock::clock& clock_;
   std::string worker_;
