--- a/src/pool/simulated_cell.h
+++ b/src/pool/simulated_cell.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "pool/pool.h"
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -266,23 +266,25 @@
 
 void owner::write_notes() {
   for (const pool::note& each : std::exchange(pool_.notes, {})) {
-    events::id number = events::id::task_placed;
     switch (each.kind) {
       case pool::note_kind::placed:
+        events::emit(events::id::task_placed, "decide", "", "job={} {}",
+                     each.job, each.detail);
         break;
       case pool::note_kind::run_ended:
       case pool::note_kind::run_lost:
-        number = events::id::task_ended;
+        events::emit(events::id::task_ended, "observe", each.worker,
+                     "job={} {}", each.job, each.detail);
         break;
       case pool::note_kind::job_ended:
-        number = events::id::job_ended;
+        events::emit(events::id::job_ended, "observe", "", "job={} {}",
+                     each.job, each.detail);
         break;
       case pool::note_kind::worker_avoided:
-        number = events::id::worker_avoided;
+        events::emit(events::id::worker_avoided, "decide", each.worker,
+                     "job={} {}", each.job, each.detail);
         break;
     }
-    events::emit(number, "decide", each.worker, "job={} {}", each.job,
-                 each.detail);
   }
 }
 
--- a/src/poold/worker_link.cpp
+++ b/src/poold/worker_link.cpp
@@ -69,10 +69,13 @@
   // The first poll is to learn the worker's state at once.
   order.wait = answered_once_ ? kPollWait : milliseconds(0);
   steady_time sent = clock_.now();
-  client_.call("hold", platform::encode_hold(order), order.wait + kAnswerSlack,
-               [self = shared_from_this(), sent](http::call_result&& result) {
-                 if (!self->stopped_) self->on_reply(std::move(result), sent);
-               });
+  client_.call(
+      "hold", platform::encode_hold(order), order.wait + kAnswerSlack,
+      [self = shared_from_this(), sent,
+       incarnation = order.incarnation_ms](http::call_result&& result) {
+        if (self->stopped_) return;
+        self->on_reply(std::move(result), sent, incarnation);
+      });
 }
 
 void worker_link::on_reply(http::call_result&& result, steady_time sent,
