--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -50,6 +50,7 @@
   start_refused = 823,
   worker_avoided = 824,
   manifest_in_force = 831,
+  journal_loaded = 832,
 };
 
 struct definition {
@@ -147,6 +148,8 @@
     definition{id::manifest_in_force, "manifest_in_force", level::info,
                "A version of the operator's manifest took effect here.",
                "none"},
+    definition{id::journal_loaded, "journal_loaded", level::info,
+               "The newest record of every key was read.", "topic"},
 };
 
 // The definition of an event.
--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -46,9 +46,15 @@
   const queue_policy* policy = nullptr;
 };
 
+// After an interruption many urgent jobs are late at once. They are small and
+// still worth something for a short time, while lesser work can wait longer,
+// so lateness counts within a priority only.
 bool goes_first(const candidate_step& a, const candidate_step& b) {
-  if (a.tier != b.tier) return a.tier < b.tier;
+  bool a_worthless = a.tier == tier::worthless;
+  bool b_worthless = b.tier == tier::worthless;
+  if (a_worthless != b_worthless) return b_worthless;
   if (a.priority != b.priority) return a.priority < b.priority;
+  if (a.tier != b.tier) return a.tier < b.tier;
   return a.deadline < b.deadline;
 }
 
--- a/src/poold/entry.cpp
+++ b/src/poold/entry.cpp
@@ -267,9 +267,13 @@
       continue;
     }
     if (std::exchange(each->answered, true)) continue;
-    events::emit(
-        each->cancels ? events::id::job_cancelled : events::id::job_accepted,
-        "journal", "", "job={} queue={}", each->job, each->queue);
+    if (each->cancels) {
+      events::emit(events::id::job_cancelled, "journal", "", "job={} queue={}",
+                   each->job, each->queue);
+    } else {
+      events::emit(events::id::job_accepted, "journal", "", "job={} queue={}",
+                   each->job, each->queue);
+    }
     each->answer(http::json_response(http::status::ok, "{}"));
   }
   // What has waited behind a store that takes nothing is refused with it.
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -24,12 +24,12 @@
 // heartbeats, and more than an answer of a store that is slowed sixty times.
 constexpr milliseconds kOwnerSilence{1800};
 // Sooner, if the owner is asked and doesn't confirm that it is there.
-constexpr milliseconds kProbeAfter{700};
+constexpr milliseconds kProbeAfter{500};
 constexpr milliseconds kProbeTimeout{350};
 // Two reads of the journal that failed, or one that was lost.
 constexpr milliseconds kReadGap{900};
 // Spread of the daemons' claims, so that they seldom meet.
-constexpr milliseconds kClaimSpread{250};
+constexpr milliseconds kClaimSpread{150};
 // Epochs that claims at one offset of the journal choose from.
 constexpr std::uint64_t kEpochsPerOffset = 1000;
 // A daemon that can't read the store for so long doesn't take callers.
@@ -166,12 +166,21 @@
   steady_time now = clock_.now();
   // After a time without reads the owner gets its time to write again.
   bool resumed = now - journal_read_ > kReadGap;
+  heard_live_ |=
+      table_.owner_records != owner_records_ && journal_read_ != steady_time();
   journal_read_ = now;
   if (table_.owner_records != owner_records_ || resumed) {
     owner_records_ = table_.owner_records;
     owner_heard_ = now;
   }
   check_claim();
+  if (claim_wanted_ && !claiming_) {
+    claim_wanted_ = false;
+    consider_claim(now);
+    if (claim_wanted_) claim();
+  }
+  bool moved = table_.owner.record.peer_address() != owner_address_;
+  if (moved && !owner_ && !draining_) announce(now);
   entry_->journal_read();
 }
 
@@ -216,7 +225,8 @@
 }
 
 void node::consider_claim(steady_time now) {
-  if (claiming_ || !manifest_ || !journal_->loaded()) return;
+  if (owner_ || draining_ || claiming_) return;
+  if (!manifest_ || !journal_->loaded()) return;
   const wire::ownership_record& last = table_.owner.record;
   bool nobody =
       last.epoch() == 0 || last.released() || last.daemon() == settings_.id;
@@ -224,11 +234,13 @@
   bool reads = now - journal_->current_as_of() < kOwnerSilence;
   milliseconds silence =
       std::chrono::duration_cast<milliseconds>(now - owner_heard_);
-  bool suspected = reads && silence > kProbeAfter && owner_denied_;
+  // A daemon that has just started has no reason to trust the record.
+  bool doubtful = !heard_live_ || silence > kProbeAfter;
+  bool suspected = reads && doubtful && owner_denied_;
   bool silent = reads && silence > kOwnerSilence;
   if (!nobody && !suspected && !silent) {
     claim_after_ = steady_time();
-    if (reads && silence > kProbeAfter) announce(now);
+    if (reads && doubtful) announce(now);
     return;
   }
   if (claim_after_ == steady_time()) {
@@ -236,7 +248,10 @@
     claim_after_ = now + milliseconds(spread(random_));
   }
   if (now < claim_after_) return;
-  claim();
+  // The claim must name the end of the journal, which moves with each accepted
+  // job, so it follows upon a read at once.
+  claim_wanted_ = true;
+  journal_->hurry();
 }
 
 void node::claim() {
@@ -257,9 +272,9 @@
   record.set_peer_address(settings_.peer_address);
   store_.append(request, {{jobs::kOwnerKey, record.SerializeAsString(), 0}}, 0,
                 [this](append_result) {
-                  // Whoever stands in the journal has won.
+                  // Whoever stands in the journal has won. If the end has
+                  // moved meanwhile, the next read is followed by a new claim.
                   claiming_ = false;
-                  claim_after_ = steady_time();
                   journal_->hurry();
                 });
 }
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -74,12 +74,14 @@
   boost::asio::steady_timer drain_timer_;
   steady_time owner_heard_;
   steady_time journal_read_;
+  bool heard_live_ = false;  // The owner wrote since this daemon started.
   bool announcing_ = false;
   bool owner_denied_ = false;  // Asked, the owner didn't confirm that it is.
   std::uint64_t owner_records_ = 0;
   steady_time announced_;
   steady_time claim_after_;
   bool claiming_ = false;
+  bool claim_wanted_ = false;        // As soon as the journal has been read.
   std::uint64_t claimed_epoch_ = 0;  // Of the last claim sent; 0: none.
   bool draining_ = false;
   std::mt19937 random_;
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -17,9 +17,9 @@
 // Least time between two appends; what comes meanwhile shares one.
 constexpr milliseconds kFlushPause{20};
 // Followers take an owner for dead after several of these.
-constexpr milliseconds kHeartbeat{300};
+constexpr milliseconds kHeartbeat{200};
 // Three heartbeats: the owner then tells others that it can't write.
-constexpr milliseconds kJournalSilence{1000};
+constexpr milliseconds kJournalSilence{600};
 // Entries change when a worker's state does, and with each of its heartbeats.
 constexpr milliseconds kDiscoveryPause{250};
 // Taken off a ticket's time for the way of its answer.
--- a/src/poold/topic_follower.cpp
+++ b/src/poold/topic_follower.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "events/events.h"
+
 namespace ebonygrade::poold {
 
 topic_follower::topic_follower(boost::asio::io_context& context, store& store,
@@ -65,6 +67,8 @@
         self->loaded_ = true;
         self->current_as_of_ = sent;
         std::vector<jobs::record> all = std::exchange(self->pages_, {});
+        events::emit(events::id::journal_loaded, "load", self->options_.topic,
+                     "records={} next={}", all.size(), self->next_);
         self->handlers_.on_all(all);
         if (!self->stopped_) self->read();
       });
