--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -151,6 +151,11 @@
   return static_cast<std::uint32_t>(std::max<std::int64_t>(0, slots));
 }
 
+// The advice service has ruled the worker out for the step.
+bool is_denied(const step_run& step, const std::string& worker) {
+  return step.asked.count(worker) > 0 && step.granted.count(worker) == 0;
+}
+
 // Whom to count as an option: with a valid ticket only, or whoever the advice
 // allows, so far as it is known.
 enum class tickets { needed, ignored };
@@ -181,9 +186,7 @@
       made.slots = std::min(made.slots, step.max_per_worker() - there);
     }
     if (wanted.policy->needs_advice) {
-      if (wanted.step->advised && wanted.step->granted.count(each.first) == 0) {
-        continue;
-      }
+      if (is_denied(*wanted.step, each.first)) continue;
       const held_ticket* held = valid_ticket(*wanted.step, each.first, now);
       if (held != nullptr) made.ticket = held->value;
       if (mode == tickets::needed && held == nullptr) continue;
@@ -340,7 +343,7 @@
       [](const task& each) { return !each.done && !each.placed; }));
 }
 
-// Every worker that might ever run the step; the grant never changes.
+// Every worker that might run the step: what is granted never changes.
 std::vector<std::string> workers_to_learn(pool_state* pool,
                                           const candidate_step& wanted) {
   const wire::step_definition& step = definition(*wanted.owner, *wanted.step);
@@ -359,7 +362,8 @@
   return names;
 }
 
-// Workers with room now, the best first, for tickets that have expired.
+// Workers with room now, the best first, whose tickets have expired or that
+// came after the first question.
 std::vector<std::string> workers_to_renew(
     pool_state* pool, const candidate_step& wanted,
     const std::unordered_set<std::string>& reserved, steady_time now) {
@@ -388,8 +392,8 @@
   bool urgent = wanted.policy->priority == 0;
   if (!urgent && pool->open_questions >= kMaxOpenQuestions) return;
   std::vector<std::string> names =
-      step.advised ? workers_to_renew(pool, wanted, reserved, now)
-                   : workers_to_learn(pool, wanted);
+      step.asked.empty() ? workers_to_learn(pool, wanted)
+                         : workers_to_renew(pool, wanted, reserved, now);
   if (names.empty()) return;
   constexpr std::size_t kMostWorkers = 100;  // Limit of the advice service.
   if (names.size() > kMostWorkers) names.resize(kMostWorkers);
@@ -418,8 +422,8 @@
   resources need = need_of(step);
   std::vector<std::pair<std::int64_t, worker*>> able;
   for (std::pair<const std::string, worker>& each : pool->workers) {
-    bool allowed = !wanted.policy->needs_advice || !wanted.step->advised ||
-                   wanted.step->granted.count(each.first) > 0;
+    bool allowed =
+        !wanted.policy->needs_advice || !is_denied(*wanted.step, each.first);
     if (!allowed || !is_usable(each.second, *wanted.owner, step, now)) continue;
     if (!fits(need, each.second.entry.capacity)) continue;
     able.emplace_back(room_of(each.second).cpu_milli, &each.second);
@@ -596,11 +600,9 @@
     step->advice_after = now + kAdvicePause;
     return;
   }
-  if (!step->advised) {
-    for (const ticket& each : tickets) step->granted.insert(each.worker);
-    step->advised = true;
-  }
+  step->asked.insert(order.workers.begin(), order.workers.end());
   for (const ticket& each : tickets) {
+    step->granted.insert(each.worker);
     step->tickets[each.worker] = {each.value, valid_until};
   }
   if (tickets.empty()) step->advice_after = now + kAdvicePause;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -110,10 +110,10 @@
   std::uint32_t done = 0;
   bool ready = false;  // Every step before it is done.
   // Advice: which workers may run the step, and the tickets that prove it.
-  bool advised = false;
   bool advice_open = false;
-  steady_time advice_after;  // Ask no sooner.
-  std::unordered_set<std::string> granted;
+  steady_time advice_after;                 // Ask no sooner.
+  std::unordered_set<std::string> asked;    // Workers asked about so far.
+  std::unordered_set<std::string> granted;  // Of these; never changes.
   std::unordered_map<std::string, held_ticket> tickets;
 };
 
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -48,6 +48,36 @@
   CHECK(pool.state.jobs[kJob].outcome == wire::OPEN);
 }
 
+// Found by isma-painel, deploy/days/reborn-workers.toml, seed 245638162217.
+TEST_CASE("workers that came after the first advice are asked about") {
+  test_pool pool;
+  pool.policy.needs_advice = true;
+  pool.policy.advice_validity = milliseconds(2000);
+  set_queues(&pool.state, {{kQueue, pool.policy}});
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  decisions first;
+  pool.round(&first);
+  REQUIRE(first.advice.size() == 1);
+  CHECK(first.advice[0].workers == std::vector<std::string>{"w1"});
+  observe_advice(&pool.state, first.advice[0], true, {{"w1", "t1"}}, pool.now,
+                 pool.now);
+  // The only worker that may run the step goes, another one comes.
+  observe_entry_gone(&pool.state, "w1");
+  pool.advance(milliseconds(500));
+  pool.add_worker("w2");
+  decisions second;
+  pool.round(&second);
+  REQUIRE(second.advice.size() == 1);
+  CHECK(second.advice[0].workers == std::vector<std::string>{"w2"});
+  observe_advice(&pool.state, second.advice[0], true, {{"w2", "t2"}},
+                 pool.now + milliseconds(2000), pool.now);
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].worker == "w2");
+  CHECK(starts[0].ticket == "t2");
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
