Pass calls to the store on through another daemon

Ruled out: passing submissions on alone, as states, cancels and the owner's own records need the store as well.

--- a/src/poold/advisers.cpp
+++ b/src/poold/advisers.cpp
@@ -61,6 +61,18 @@
   return adviser.local || now - adviser.heard <= kSilence;
 }
 
+std::vector<std::string> advisers::peer_addresses() const {
+  std::vector<std::string> addresses;
+  for (const std::pair<const std::string, std::shared_ptr<adviser>>& each :
+       advisers_) {
+    bool silent = clock_.now() - each.second->heard > kSilence;
+    if (!each.second->local && !silent) {
+      addresses.push_back(each.second->address);
+    }
+  }
+  return addresses;
+}
+
 std::shared_ptr<advisers::adviser> advisers::choose(
     const pool::advice_order& order, steady_time now) {
   std::shared_ptr<adviser> best;
--- a/src/poold/advisers.h
+++ b/src/poold/advisers.h
@@ -34,6 +34,8 @@
 
   // Another daemon is there to ask.
   void heard_of(const std::string& daemon, const std::string& peer_address);
+  // Addresses of the daemons that were heard of lately.
+  std::vector<std::string> peer_addresses() const;
   // Nothing in the handler: no usable answer. May be called at once.
   void ask(const pool::advice_order& order, handler handler);
 
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -337,15 +337,52 @@
                       bool told =
                           result.has_value() &&
                           http::from_json(result->body(), &status).has_value();
+                      if (told) learn_peers(status);
                       owner_denied_ = !told || status.epoch() != epoch ||
                                       !status.journal_reachable();
                     });
 }
 
+void node::learn_peers(const wire::owner_status& status) {
+  if (status.epoch() == 0) return;
+  std::vector<std::string> relays(status.peer_addresses().begin(),
+                                  status.peer_addresses().end());
+  if (status.journal_reachable()) {
+    relays.insert(relays.begin(), owner_address_);
+  }
+  store_.set_relays(relays);
+}
+
+void node::relay_store_call(http::request&& request, http::responder answer) {
+  std::string target(request.target());
+  http::request message{request.method(), target.substr(kStorePath.size()),
+                        http::kHttpVersion11};
+  if (request.method() == http::verb::post) {
+    message.set(boost::beast::http::field::content_type,
+                "application/octet-stream");
+    message.body() = std::move(request.body());
+    message.prepare_payload();
+  }
+  store_.relay(std::move(message), [answer](http::call_result&& result) {
+    if (result.has_error()) {
+      // The caller can't know whether the store has seen the call.
+      return answer(http::error_response(http::status::bad_gateway,
+                                         to_string(result.error().cause)));
+    }
+    http::response reply = std::move(*result);
+    answer(http::text_response(reply.result(), "application/octet-stream",
+                               std::move(reply.body())));
+  });
+}
+
 void node::handle_peer(http::request&& request, http::responder answer) {
   if (request.target() == kAdvicePath) {
     return relay_advice(std::move(request), std::move(answer));
   }
+  std::string_view target(request.target().data(), request.target().size());
+  if (target.starts_with(kStorePath)) {
+    return relay_store_call(std::move(request), std::move(answer));
+  }
   if (request.target() == kMetricsPath) {
     return answer(
         http::text_response(http::status::ok, "text/plain", metrics_text()));
@@ -361,6 +398,9 @@
   }
   wire::owner_status status;
   if (owner_) {
+    for (const std::string& each : owner_->peer_addresses()) {
+      if (each != presence.peer_address()) status.add_peer_addresses(each);
+    }
     owner_->heard_of(presence.daemon(), presence.peer_address());
     status.set_epoch(owner_->epoch());
     status.set_journal_reachable(owner_->reaches_journal());
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -51,6 +51,8 @@
   void resign();
   void announce(steady_time now);
   void handle_peer(http::request&& request, http::responder answer);
+  void learn_peers(const wire::owner_status& status);
+  void relay_store_call(http::request&& request, http::responder answer);
   void relay_advice(http::request&& request, http::responder answer);
   std::string metrics_text() const;
 
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -50,6 +50,9 @@
   void on_manifest(const pool::manifest& manifest);
   void heard_of(const std::string& daemon, const std::string& peer_address);
 
+  std::vector<std::string> peer_addresses() const {
+    return advisers_.peer_addresses();
+  }
   // Whether its records have reached the journal lately.
   bool reaches_journal() const;
   std::uint64_t epoch() const { return epoch_; }
--- a/src/poold/peer_paths.h
+++ b/src/poold/peer_paths.h
@@ -1,10 +1,14 @@
 // Routes that daemons call at each other's peer address.
 #pragma once
 
+#include <string_view>
+
 namespace ebonygrade::poold {
 
 inline constexpr char kAdvicePath[] = "/v1/advice";
 inline constexpr char kPresencePath[] = "/v1/presence";
+// Followed by the path and query of the call to the store.
+inline constexpr std::string_view kStorePath = "/v1/store";
 inline constexpr char kMetricsPath[] = "/metrics";
 
 }  // namespace ebonygrade::poold
--- a/src/poold/store.cpp
+++ b/src/poold/store.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "events/events.h"
+#include "poold/peer_paths.h"
 
 namespace ebonygrade::poold {
 
@@ -19,8 +20,13 @@
 constexpr int kSmoothing = 4;
 // A long poll may be answered so much later than its wait.
 constexpr milliseconds kReadSlack{700};
+// A call that is passed on for another daemon; longer than any of its own.
+constexpr milliseconds kRelayTimeout{2000};
 constexpr std::size_t kReadConnections = 6;
 constexpr std::size_t kAppendConnections = 4;
+// A way that failed is tried again after this, if there is another one.
+constexpr milliseconds kAvoidDirect{1000};
+constexpr milliseconds kAvoidRelay{3000};
 
 http::client_options options_with(std::size_t connections) {
   http::client_options options;
@@ -29,25 +35,104 @@
   return options;
 }
 
+bool is_refusal(const http::response& reply) {
+  return reply.result() == http::status::too_many_requests ||
+         reply.result() == http::status::service_unavailable ||
+         reply.result() == http::status::bad_gateway;
+}
+
 }  // namespace
 
 store::store(boost::asio::io_context& context, const std::string& address,
              const clock::clock& clock)
-    : clock_(clock),
-      reads_(context, address, options_with(kReadConnections)),
-      appends_(context, address, options_with(kAppendConnections)) {}
-
-void store::answered() {
-  last_answer_ = clock_.now();
-  if (std::exchange(down_, false)) {
-    events::emit(events::id::log_up, "call store", "", "");
+    : context_(context), clock_(clock), direct_(make_way(address, "")) {}
+
+std::shared_ptr<store::way> store::make_way(const std::string& address,
+                                            const std::string& prefix) {
+  std::shared_ptr<way> made = std::make_shared<way>();
+  made->address = address;
+  made->prefix = prefix;
+  made->reads = std::make_unique<http::client>(context_, address,
+                                               options_with(kReadConnections));
+  made->appends = std::make_unique<http::client>(
+      context_, address, options_with(kAppendConnections));
+  return made;
+}
+
+void store::set_relays(const std::vector<std::string>& addresses) {
+  std::vector<std::shared_ptr<way>> kept;
+  for (const std::string& address : addresses) {
+    std::vector<std::shared_ptr<way>>::iterator known = std::find_if(
+        relays_.begin(), relays_.end(), [&](const std::shared_ptr<way>& each) {
+          return each->address == address;
+        });
+    kept.push_back(known == relays_.end()
+                       ? make_way(address, std::string(kStorePath))
+                       : *known);
   }
+  relays_ = std::move(kept);
 }
 
-void store::failed(const error::failure& cause) {
+std::shared_ptr<store::way> store::choose() {
+  steady_time now = clock_.now();
+  if (direct_->avoid_until <= now) return direct_;
+  for (std::size_t i = 0; i < relays_.size(); ++i) {
+    const std::shared_ptr<way>& each =
+        relays_[(next_relay_ + i) % relays_.size()];
+    if (each->avoid_until > now) continue;
+    // The same one as long as it works.
+    next_relay_ = (next_relay_ + i) % relays_.size();
+    return each;
+  }
+  return direct_;
+}
+
+void store::observe(way& way, std::string_view step,
+                    const http::call_result& result) {
+  if (result.has_value() && !is_refusal(*result)) {
+    last_answer_ = clock_.now();
+    if (std::exchange(down_, false)) {
+      events::emit(events::id::log_up, step, way.address, "");
+    }
+    return;
+  }
+  bool direct = way.prefix.empty();
+  way.avoid_until = clock_.now() + (direct ? kAvoidDirect : kAvoidRelay);
   if (!std::exchange(down_, true)) {
-    events::emit(events::id::log_down, cause);
+    events::emit(events::id::log_down,
+                 result.has_error()
+                     ? result.error().cause
+                     : http::status_failure(*result, step, way.address));
+  }
+}
+
+void store::call(std::string_view step, http::request&& request, bool appends,
+                 milliseconds timeout,
+                 std::function<void(http::call_result&&)> handler) {
+  ++calls_;
+  std::shared_ptr<way> chosen = choose();
+  if (!chosen->prefix.empty()) {
+    request.target(chosen->prefix + std::string(request.target()));
   }
+  http::client& client = appends ? *chosen->appends : *chosen->reads;
+  client.call(step, std::move(request), timeout,
+              [this, chosen, step = std::string(step),
+               handler = std::move(handler)](http::call_result&& result) {
+                observe(*chosen, step, result);
+                handler(std::move(result));
+              });
+}
+
+void store::relay(http::request&& request,
+                  std::function<void(http::call_result&&)> handler) {
+  if (direct_->avoid_until > clock_.now()) {
+    return handler(http::error_response(http::status::service_unavailable,
+                                        "the store doesn't serve this daemon"));
+  }
+  ++calls_;
+  bool appends = request.method() == http::verb::post;
+  http::client& client = appends ? *direct_->appends : *direct_->reads;
+  client.call("relay", std::move(request), kRelayTimeout, std::move(handler));
 }
 
 milliseconds store::append_timeout(std::uint32_t repetitions) const {
@@ -62,77 +147,53 @@
                    const std::vector<jobs::record>& records,
                    std::uint32_t repetitions,
                    std::function<void(append_result)> handler) {
-  ++calls_;
   steady_time sent = clock_.now();
-  appends_.call(
-      "append", platform::encode_append(request, records),
-      append_timeout(repetitions),
-      [this, sent, handler = std::move(handler)](http::call_result&& result) {
-        append_result out;
-        if (result.has_error()) {
-          failed(result.error().cause);
-          bool sent = result.error().maybe_sent;
-          out.fate = sent ? append_fate::unknown : append_fate::not_done;
-          return handler(std::move(out));
-        }
-        out.reply = platform::decode_append(*result);
-        if (out.reply.outcome == platform::append_outcome::not_done) {
-          failed(http::status_failure(*result, "append", "store"));
-          out.fate = append_fate::not_done;
-        } else if (out.reply.outcome == platform::append_outcome::unreadable) {
-          failed(http::status_failure(*result, "append", "store"));
-        } else {
-          answered();
-          milliseconds taken =
-              std::chrono::duration_cast<milliseconds>(last_answer_ - sent);
-          append_time_ += (taken - append_time_) / kSmoothing;
-          out.fate = append_fate::settled;
-        }
-        handler(std::move(out));
-      });
+  call("append", platform::encode_append(request, records), true,
+       append_timeout(repetitions),
+       [this, sent, handler = std::move(handler)](http::call_result&& result) {
+         append_result out;
+         if (result.has_error()) {
+           bool sent_out = result.error().maybe_sent;
+           out.fate = sent_out ? append_fate::unknown : append_fate::not_done;
+           return handler(std::move(out));
+         }
+         // A daemon that passes calls on answers so if its own call failed.
+         if (result->result() == http::status::bad_gateway) {
+           return handler(std::move(out));
+         }
+         out.reply = platform::decode_append(*result);
+         if (out.reply.outcome == platform::append_outcome::not_done) {
+           out.fate = append_fate::not_done;
+         } else if (out.reply.outcome != platform::append_outcome::unreadable) {
+           milliseconds taken =
+               std::chrono::duration_cast<milliseconds>(clock_.now() - sent);
+           append_time_ += (taken - append_time_) / kSmoothing;
+           out.fate = append_fate::settled;
+         }
+         handler(std::move(out));
+       });
 }
 
 void store::read(
     std::string_view topic, std::uint64_t from, milliseconds wait,
     std::function<void(error::result<platform::read_reply>)> handler) {
-  ++calls_;
-  reads_.call(
-      "read log", platform::encode_read(topic, from, wait), wait + kReadSlack,
-      [this, from, handler = std::move(handler)](http::call_result&& result) {
-        if (result.has_error()) {
-          failed(result.error().cause);
-          return handler(result.error().cause);
-        }
-        error::result<platform::read_reply> reply =
-            platform::decode_read(*result, from);
-        if (reply.has_error()) {
-          failed(reply.error());
-        } else {
-          answered();
-        }
-        handler(std::move(reply));
-      });
+  call("read log", platform::encode_read(topic, from, wait), false,
+       wait + kReadSlack,
+       [from, handler = std::move(handler)](http::call_result&& result) {
+         if (result.has_error()) return handler(result.error().cause);
+         handler(platform::decode_read(*result, from));
+       });
 }
 
 void store::newest(
     std::string_view topic, std::string_view after,
     std::function<void(error::result<platform::newest_reply>)> handler) {
-  ++calls_;
-  reads_.call("read newest", platform::encode_newest(topic, after),
-              [this, handler = std::move(handler)](http::call_result&& result) {
-                if (result.has_error()) {
-                  failed(result.error().cause);
-                  return handler(result.error().cause);
-                }
-                error::result<platform::newest_reply> reply =
-                    platform::decode_newest(*result);
-                if (reply.has_error()) {
-                  failed(reply.error());
-                } else {
-                  answered();
-                }
-                handler(std::move(reply));
-              });
+  call("read newest", platform::encode_newest(topic, after), false,
+       kCallTimeout,
+       [handler = std::move(handler)](http::call_result&& result) {
+         if (result.has_error()) return handler(result.error().cause);
+         handler(platform::decode_newest(*result));
+       });
 }
 
 }  // namespace ebonygrade::poold
--- a/src/poold/store.h
+++ b/src/poold/store.h
@@ -1,9 +1,16 @@
-// The platform's store as this daemon calls it: one client, typed results,
-// and what was learned of its health.
+// The platform's store as this daemon calls it: typed results, and what was
+// learned of its health.
+//
+// The store may turn this daemon away while it serves others. Calls then go
+// through another daemon, which passes them on unchanged; an append that went
+// without an answer may be repeated by another way, as the store knows it by
+// its producer and number.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,20 +54,44 @@
       std::string_view topic, std::string_view after,
       std::function<void(error::result<platform::newest_reply>)> handler);
 
+  // Daemons that may pass calls on.
+  void set_relays(const std::vector<std::string>& addresses);
+  // Passes a call of another daemon on: 503 without a call if the store has
+  // turned this daemon away, too.
+  void relay(http::request&& request,
+             std::function<void(http::call_result&&)> handler);
+
   // When an answer last came that was not a refusal.
   steady_time last_answer() const { return last_answer_; }
   std::uint64_t calls() const { return calls_; }
 
  private:
-  void answered();
-  // For the first attempt of an append; repetitions get more.
+  // One way to the store.
+  struct way {
+    std::string prefix;  // Of the path; empty for the direct way.
+    std::string address;
+    // Reads may wait for long, so appends have connections of their own.
+    std::unique_ptr<http::client> reads;
+    std::unique_ptr<http::client> appends;
+    steady_time avoid_until;
+  };
+
+  std::shared_ptr<way> make_way(const std::string& address,
+                                const std::string& prefix);
+  std::shared_ptr<way> choose();
+  void call(std::string_view step, http::request&& request, bool appends,
+            milliseconds timeout,
+            std::function<void(http::call_result&&)> handler);
+  // Takes note of how a call went.
+  void observe(way& way, std::string_view step,
+               const http::call_result& result);
   milliseconds append_timeout(std::uint32_t repetitions) const;
-  void failed(const error::failure& cause);
 
+  boost::asio::io_context& context_;
   const clock::clock& clock_;
-  // Reads may wait for long, so appends have connections of their own.
-  http::client reads_;
-  http::client appends_;
+  std::shared_ptr<way> direct_;
+  std::vector<std::shared_ptr<way>> relays_;
+  std::size_t next_relay_ = 0;
   steady_time last_answer_;
   milliseconds append_time_{20};  // Smoothed, of answered appends.
   bool down_ = false;
