Let the owner write submissions and cancellations

Entries now hand the record to the owner, which appends it with its own; without an answer an entry appends by itself, which the id makes harmless.

--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -49,6 +49,7 @@
   task_ended = 822,
   start_refused = 823,
   worker_avoided = 824,
+  step_done = 825,
   manifest_in_force = 831,
   journal_loaded = 832,
 };
@@ -145,6 +146,9 @@
     definition{id::worker_avoided, "worker_avoided", level::warning,
                "A run made no progress; the worker gets no starts for a time.",
                "worker"},
+    definition{id::step_done, "step_done", level::info,
+               "The last task of a step ended well; steps after it may start.",
+               "worker"},
     definition{id::manifest_in_force, "manifest_in_force", level::info,
                "A version of the operator's manifest took effect here.",
                "none"},
--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -441,10 +441,28 @@
   }
 }
 
+// Keeps the workers on which the gang would fit now while its tickets are
+// being renewed. False if it doesn't fit.
+bool keep_room_for(pool_state* pool, const candidate_step& wanted,
+                   std::unordered_set<std::string>* reserved, steady_time now) {
+  std::uint32_t count = static_cast<std::uint32_t>(wanted.step->tasks.size());
+  std::vector<option> options =
+      options_for(pool, wanted, tickets::ignored, *reserved, count, now);
+  if (total_slots(options) < count) return false;
+  sort_best_fit(&options);
+  std::uint32_t slots = 0;
+  for (const option& each : options) {
+    if (slots >= count) break;
+    slots += each.slots;
+    reserved->insert(each.worker->entry.id);
+  }
+  return true;
+}
+
 void place_waiting(pool_state* pool, decisions* out, steady_time now,
                    unix_time wall) {
   std::unordered_set<std::string> reserved;
-  bool gang_waits = false;
+  bool gang_waits_for_room = false;
   for (const candidate_step& each : candidates(pool, wall)) {
     bool gang = definition(*each.owner, *each.step).gang();
     bool placed = true;
@@ -459,9 +477,12 @@
       ask_advice(pool, each, reserved, out, now);
     }
     // Urgent gangs are small and need no reservation.
-    if (placed || gang_waits || each.priority == 0) continue;
+    if (placed || each.priority == 0) continue;
     if (each.tier == tier::worthless) continue;
-    gang_waits = true;
+    if (each.step->advice_open && keep_room_for(pool, each, &reserved, now)) {
+      continue;
+    }
+    if (std::exchange(gang_waits_for_room, true)) continue;
     reserve_for(pool, each, &reserved, now);
   }
 }
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -57,7 +57,8 @@
     worker.entry.id = saved.worker();
     worker.entry.incarnation_ms = saved.incarnation_ms();
   }
-  worker.lease_end = std::max(worker.lease_end, now + 2 * pool->limits.lease);
+  worker.lease_end =
+      std::max(worker.lease_end, now + longest_foreign_lease(pool->limits));
   placement placed;
   placed.task = {job->id, step->occurrence, step->step, saved.index()};
   placed.run = saved.last_run();
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -42,6 +42,19 @@
   milliseconds status_time{120000};  // Ended jobs are remembered so long.
 };
 
+// An owner that can't reach the journal gives no leases after this, so that
+// they run out even where it alone reaches a worker.
+inline milliseconds isolation_limit(const limits& limits) {
+  return limits.lease / 2;
+}
+// No lease of an earlier owner lasts longer than this after a claim; a
+// worker's clock may be 2% slow.
+inline milliseconds longest_foreign_lease(const limits& limits) {
+  constexpr int kDriftPercent = 3;
+  milliseconds longest = isolation_limit(limits) + limits.lease;
+  return longest + longest * kDriftPercent / 100;
+}
+
 // ---- Workers --------------------------------------------------------------
 
 enum class phase {
@@ -150,7 +163,14 @@
 };
 
 // Something that an operator may want to know of a job later.
-enum class note_kind { placed, run_ended, run_lost, job_ended, worker_avoided };
+enum class note_kind {
+  placed,
+  run_ended,
+  run_lost,
+  step_done,
+  job_ended,
+  worker_avoided,
+};
 
 struct note {
   note_kind kind = note_kind::placed;
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -48,6 +48,36 @@
   CHECK(pool.state.jobs[kJob].outcome == wire::OPEN);
 }
 
+// Found by isma-painel scale-2: gangs at the end of a day waited for each
+// other's advice, one after the other, with most of the room free.
+TEST_CASE("a gang that waits for advice doesn't hold up another one") {
+  test_pool pool;
+  pool.policy.needs_advice = true;
+  pool.policy.priority = 1;
+  pool.policy.advice_validity = milliseconds(2000);
+  set_queues(&pool.state, {{kQueue, pool.policy}});
+  for (int i = 0; i < 8; ++i) pool.add_worker("w" + std::to_string(i));
+  wire::step_definition gang = test_pool::step(4, 3000);
+  gang.set_gang(true);
+  pool.submit("00000000000000aa", {gang});
+  pool.submit("00000000000000ab", {gang});
+  decisions first;
+  pool.round(&first);
+  REQUIRE(first.advice.size() == 2);
+  // Both learn that they may use every worker, with tickets that expire.
+  for (const advice_order& each : first.advice) {
+    std::vector<ticket> tickets;
+    for (const std::string& worker : each.workers) {
+      tickets.push_back({worker, "t"});
+    }
+    observe_advice(&pool.state, each, true, tickets, pool.now, pool.now);
+  }
+  pool.advance(milliseconds(50));
+  decisions second;
+  pool.round(&second);
+  CHECK(second.advice.size() == 2);
+}
+
 // Found by isma-painel, deploy/days/reborn-workers.toml, seed 245638162217.
 TEST_CASE("workers that came after the first advice are asked about") {
   test_pool pool;
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -138,6 +138,10 @@
     task_ended(pool, job, step, end, worker->entry.id, attempts, wall);
     if (step->tasks[end.task.index].done) stop_task(pool, end.task);
   }
+  if (step->done == step->tasks.size()) {
+    add_note(pool, note_kind::step_done, job->id, worker->entry.id,
+             describe(end.task, end.run));
+  }
   update_waiting(pool, *job, *step);
   advance_job(pool, job, wall);
 }
--- a/src/poold/entry.cpp
+++ b/src/poold/entry.cpp
@@ -22,6 +22,9 @@
 // A caller whose record may or may not be stored is told so after this, so
 // that it can ask another daemon, which may reach the store.
 constexpr milliseconds kUncertainTime{1000};
+// For the owner's answer; an append to a store that is slowed sixty times,
+// and the one before it, take less.
+constexpr milliseconds kOwnerWriteTime{900};
 // Replies about unknown jobs need a copy of the journal no older than this.
 constexpr milliseconds kFreshEnough{1000};
 constexpr milliseconds kTimerPeriod{50};
@@ -53,12 +56,14 @@
 
 entry::entry(boost::asio::io_context& context, store& store,
              const clock::clock& clock, const std::string& daemon,
-             const jobs::table& table, topic_follower& journal)
+             const jobs::table& table, topic_follower& journal,
+             owner_writer by_owner)
     : context_(context),
       clock_(clock),
       daemon_(daemon),
       table_(table),
       journal_(journal),
+      by_owner_(std::move(by_owner)),
       timer_(context) {
   // The name holds the time of the start, so that no earlier life of this
   // daemon has numbered appends under it.
@@ -218,14 +223,37 @@
 // ------------------------------------------------------------------
 
 void entry::write(std::shared_ptr<waiting_write> wanted) {
-  // Behind an append that the store doesn't answer nothing gets through soon,
-  // and nothing of this request has left the daemon yet.
+  milliseconds left =
+      std::chrono::duration_cast<milliseconds>(wanted->deadline - clock_.now());
+  by_owner_(wanted->record, std::min(left, kOwnerWriteTime),
+            [self = shared_from_this(), wanted](bool written) {
+              if (self->stopped_) return;
+              if (written) return self->confirm(*wanted);
+              wanted->tried = true;
+              self->write_directly(wanted);
+            });
+}
+
+void entry::write_directly(std::shared_ptr<waiting_write> wanted) {
+  // Behind an append that the store doesn't answer nothing gets through soon.
   if (appender_->uncertain()) return refuse(*wanted, "the store is silent");
   queue_.push_back(std::move(wanted));
   arm_timer();
   flush();
 }
 
+void entry::confirm(waiting_write& wanted) {
+  if (std::exchange(wanted.answered, true)) return;
+  if (wanted.cancels) {
+    events::emit(events::id::job_cancelled, "journal", "", "job={} queue={}",
+                 wanted.job, wanted.queue);
+  } else {
+    events::emit(events::id::job_accepted, "journal", "", "job={} queue={}",
+                 wanted.job, wanted.queue);
+  }
+  wanted.answer(http::json_response(http::status::ok, "{}"));
+}
+
 void entry::flush() {
   if (!appender_->idle() || queue_.empty()) return;
   in_flight_ = std::exchange(queue_, {});
@@ -247,9 +275,15 @@
 
 void entry::refuse(waiting_write& wanted, std::string_view reason) {
   if (std::exchange(wanted.answered, true)) return;
+  // What the owner was asked to write may be in the journal after all.
+  int status = wanted.tried ? 504 : 503;
   events::emit(events::id::job_refused, "journal", "",
-               "job={} queue={} status=503 reason=\"{}\"", wanted.job,
-               wanted.queue, reason);
+               "job={} queue={} status={} reason=\"{}\"", wanted.job,
+               wanted.queue, status, reason);
+  if (wanted.tried) {
+    return wanted.answer(
+        http::error_response(http::status::gateway_timeout, reason));
+  }
   wanted.answer(come_back(reason));
 }
 
@@ -266,15 +300,7 @@
       refuse(*each, "the store takes no records");
       continue;
     }
-    if (std::exchange(each->answered, true)) continue;
-    if (each->cancels) {
-      events::emit(events::id::job_cancelled, "journal", "", "job={} queue={}",
-                   each->job, each->queue);
-    } else {
-      events::emit(events::id::job_accepted, "journal", "", "job={} queue={}",
-                   each->job, each->queue);
-    }
-    each->answer(http::json_response(http::status::ok, "{}"));
+    confirm(*each);
   }
   // What has waited behind a store that takes nothing is refused with it.
   if (outcome != write_outcome::written) {
--- a/src/poold/entry.h
+++ b/src/poold/entry.h
@@ -21,13 +21,20 @@
 
 namespace ebonygrade::poold {
 
+// Asks the pool's owner to write a record; the handler gets true if it has,
+// false if that is not known.
+using owner_writer =
+    std::function<void(const jobs::record& record, milliseconds timeout,
+                       std::function<void(bool)> handler)>;
+
 class entry : public std::enable_shared_from_this<entry> {
  public:
   // All references must outlive the object. `manifest` may become non-null
   // later.
   entry(boost::asio::io_context& context, store& store,
         const clock::clock& clock, const std::string& daemon,
-        const jobs::table& table, topic_follower& journal);
+        const jobs::table& table, topic_follower& journal,
+        owner_writer by_owner);
 
   void set_manifest(std::shared_ptr<const pool::manifest> manifest);
   void handle(http::request&& request, http::responder answer);
@@ -43,6 +50,7 @@
     std::string queue;
     bool cancels = false;
     bool answered = false;
+    bool tried = false;  // The owner may have written it.
   };
   using write_list = std::vector<std::shared_ptr<waiting_write>>;
 
@@ -62,7 +70,11 @@
   void when_current(steady_time deadline, http::responder answer,
                     std::function<void()> then);
   void check_current();
+  // By the owner if it answers, so that one append serves many callers, else
+  // by this daemon itself.
   void write(std::shared_ptr<waiting_write> wanted);
+  void write_directly(std::shared_ptr<waiting_write> wanted);
+  void confirm(waiting_write& wanted);
   void flush();
   // The request has not been stored and never will be.
   void refuse(waiting_write& wanted, std::string_view reason);
@@ -83,6 +95,7 @@
   std::string daemon_;
   const jobs::table& table_;
   topic_follower& journal_;
+  owner_writer by_owner_;
   std::shared_ptr<const pool::manifest> manifest_;
   std::shared_ptr<appender> appender_;
   write_list queue_;      // For the next append.
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -13,9 +13,10 @@
 namespace {
 
 constexpr milliseconds kTick{100};
-// Reads of the journal: the owner needs submissions soon, the others serve
-// states, which may be older. Each read is a priced call to the store.
-constexpr milliseconds kOwnerReadPause{20};
+// Reads of the journal. Submissions reach the owner directly, so it reads only
+// what others had to write without it; states that callers are told may be a
+// little old. Each read is a priced call to the store.
+constexpr milliseconds kOwnerReadPause{100};
 constexpr milliseconds kFollowerReadPause{250};
 // Short, so that a connection that has gone silent is soon given up.
 constexpr milliseconds kJournalWait{400};
@@ -103,8 +104,12 @@
 
 error::result<void> node::start() {
   follow_journal();
-  entry_ = std::make_shared<entry>(context_, store_, clock_, settings_.id,
-                                   table_, *journal_);
+  entry_ = std::make_shared<entry>(
+      context_, store_, clock_, settings_.id, table_, *journal_,
+      [this](const jobs::record& record, milliseconds timeout,
+             std::function<void(bool)> handler) {
+        write_by_owner(record, timeout, std::move(handler));
+      });
   follow_operator();
   error::result<void> bound = callers_.listen(settings_.client_address);
   if (bound.has_value()) bound = readiness_.listen(settings_.ready_address);
@@ -152,17 +157,19 @@
   operator_->start();
 }
 
-void node::on_journal(const std::vector<jobs::record>& records) {
-  for (const jobs::record& each : records) {
-    jobs::change change = jobs::apply(&table_, each);
-    if (change.kind == jobs::change_kind::owner && owner_ &&
-        table_.owner.record.epoch() > owner_->epoch()) {
-      resign();
-    }
-    bool concerns_owner = change.kind == jobs::change_kind::submitted ||
-                          change.kind == jobs::change_kind::cancelled;
-    if (owner_ && concerns_owner) owner_->on_change(table_, change);
+void node::take_record(const jobs::record& record) {
+  jobs::change change = jobs::apply(&table_, record);
+  if (change.kind == jobs::change_kind::owner && owner_ &&
+      table_.owner.record.epoch() > owner_->epoch()) {
+    resign();
   }
+  bool concerns_owner = change.kind == jobs::change_kind::submitted ||
+                        change.kind == jobs::change_kind::cancelled;
+  if (owner_ && concerns_owner) owner_->on_change(table_, change);
+}
+
+void node::on_journal(const std::vector<jobs::record>& records) {
+  for (const jobs::record& each : records) take_record(each);
   steady_time now = clock_.now();
   // After a time without reads the owner gets its time to write again.
   bool resumed = now - journal_read_ > kReadGap;
@@ -291,8 +298,9 @@
 }
 
 void node::become_owner(std::uint64_t epoch) {
-  owner_ = std::make_shared<owner>(context_, store_, clock_, settings_, epoch,
-                                   [this] { resign(); });
+  owner_ = std::make_shared<owner>(
+      context_, store_, clock_, settings_, epoch, [this] { resign(); },
+      [this](const jobs::record& record) { take_record(record); });
   owner_->start(table_, *manifest_);
   journal_->set_pause(kOwnerReadPause);
   journal_->hurry();
@@ -375,7 +383,47 @@
   });
 }
 
+void node::write_by_owner(const jobs::record& record, milliseconds timeout,
+                          std::function<void(bool)> handler) {
+  if (owner_) return owner_->write(record, std::move(handler));
+  if (!owner_link_ || owner_denied_) return handler(false);
+  wire::caller_record message;
+  message.set_key(record.key);
+  message.set_value(record.value);
+  message.set_epoch(table_.owner.record.epoch());
+  http::request request{http::verb::post, kRecordPath, http::kHttpVersion11};
+  request.body() = message.SerializeAsString();
+  request.prepare_payload();
+  owner_link_->call(
+      "write record", std::move(request), timeout,
+      [this, handler = std::move(handler)](http::call_result&& result) {
+        bool written =
+            result.has_value() && result->result() == http::status::ok;
+        if (!written) owner_denied_ = true;
+        handler(written);
+      });
+}
+
+void node::write_for_peer(http::request&& request, http::responder answer) {
+  wire::caller_record message;
+  if (!message.ParseFromString(request.body()) || message.key().empty()) {
+    return answer(http::error_response(http::status::bad_request, "no record"));
+  }
+  if (!owner_ || owner_->epoch() != message.epoch()) {
+    return answer(http::error_response(http::status::conflict,
+                                       "not the owner of this epoch"));
+  }
+  owner_->write({message.key(), message.value(), 0}, [answer](bool written) {
+    answer(http::text_response(
+        written ? http::status::ok : http::status::bad_gateway, "text/plain",
+        ""));
+  });
+}
+
 void node::handle_peer(http::request&& request, http::responder answer) {
+  if (request.target() == kRecordPath) {
+    return write_for_peer(std::move(request), std::move(answer));
+  }
   if (request.target() == kAdvicePath) {
     return relay_advice(std::move(request), std::move(answer));
   }
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -37,13 +37,15 @@
 
 owner::owner(boost::asio::io_context& context, store& store,
              const clock::clock& clock, const node_settings& settings,
-             std::uint64_t epoch, std::function<void()> on_deposed)
+             std::uint64_t epoch, std::function<void()> on_deposed,
+             std::function<void(const jobs::record&)> on_record)
     : context_(context),
       store_(store),
       clock_(clock),
       settings_(settings),
       epoch_(epoch),
       on_deposed_(std::move(on_deposed)),
+      on_record_(std::move(on_record)),
       // The claim was the first append of the epoch.
       journal_(std::make_shared<appender>(
           context, store, std::string(platform::kJournalTopic),
@@ -77,6 +79,7 @@
 
 void owner::stop() {
   stopped_ = true;
+  for (caller_write& each : std::exchange(callers_, {})) each.handler(false);
   decide_timer_.cancel();
   flush_timer_.cancel();
   journal_->stop();
@@ -183,7 +186,11 @@
   worker_link::handlers handlers;
   handlers.prepare = [this](const std::string& name) {
     platform::hold_order order;
-    order.until = pool::give_lease(&pool_, name, clock_.now());
+    bool isolated =
+        clock_.now() - last_record_ > pool::isolation_limit(pool_.limits);
+    if (!isolated) {
+      order.until = pool::give_lease(&pool_, name, clock_.now());
+    }
     std::unordered_map<std::string, pool::worker>::const_iterator known =
         pool_.workers.find(name);
     if (known != pool_.workers.end()) {
@@ -276,6 +283,10 @@
         events::emit(events::id::task_ended, "observe", each.worker,
                      "job={} {}", each.job, each.detail);
         break;
+      case pool::note_kind::step_done:
+        events::emit(events::id::step_done, "observe", each.worker, "job={} {}",
+                     each.job, each.detail);
+        break;
       case pool::note_kind::job_ended:
         events::emit(events::id::job_ended, "observe", "", "job={} {}",
                      each.job, each.detail);
@@ -344,6 +355,12 @@
 
 // ---- Journal ----------------------------------------------------------------
 
+void owner::write(jobs::record record, std::function<void(bool)> handler) {
+  if (stopped_ || releasing_) return handler(false);
+  callers_.push_back({std::move(record), std::move(handler)});
+  flush_soon();
+}
+
 void owner::flush_soon() {
   if (flush_scheduled_ || stopped_ || !journal_->idle()) return;
   flush_scheduled_ = true;
@@ -362,18 +379,23 @@
   pool::journal_batch batch = pool::take_batch(&pool_, wall_now());
   bool release_now = releasing_ && on_released_ != nullptr;
   bool silent = clock_.now() - last_record_ >= kHeartbeat;
-  if (batch.records.empty() && !silent && !release_now) {
+  std::vector<caller_write> callers = std::exchange(callers_, {});
+  if (batch.records.empty() && callers.empty() && !silent && !release_now) {
     apply_written(batch);
     return;
   }
   std::vector<jobs::record> records = batch.records;
+  for (const caller_write& each : callers) records.push_back(each.record);
   if (records.empty() || release_now) {
     records.push_back(ownership_record(release_now));
   }
   journal_->write(
       std::move(records), [] { return true; },
-      [self = shared_from_this(), batch = std::move(batch)](
-          write_outcome outcome) { self->on_written(batch, outcome); });
+      [self = shared_from_this(), batch = std::move(batch),
+       callers = std::move(callers)](write_outcome outcome) {
+        self->on_written(batch, outcome);
+        self->on_callers_written(callers, outcome);
+      });
 }
 
 jobs::record owner::ownership_record(bool released) const {
@@ -400,6 +422,15 @@
   flush_soon();
 }
 
+void owner::on_callers_written(const std::vector<caller_write>& callers,
+                               write_outcome outcome) {
+  for (const caller_write& each : callers) {
+    bool written = outcome == write_outcome::written;
+    if (written) on_record_(each.record);
+    each.handler(written);
+  }
+}
+
 void owner::apply_written(const pool::journal_batch& batch) {
   for (const pool::start_order& each :
        pool::batch_written(&pool_, batch, clock_.now())) {
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -33,10 +33,12 @@
 class owner : public std::enable_shared_from_this<owner> {
  public:
   // `epoch` is the fencing token that the claim gave; `on_deposed` is called
-  // once, later, when another owner is known to exist.
+  // once, later, when another owner is known to exist; `on_record` for each
+  // record of a caller that has been written.
   owner(boost::asio::io_context& context, store& store,
         const clock::clock& clock, const node_settings& settings,
-        std::uint64_t epoch, std::function<void()> on_deposed);
+        std::uint64_t epoch, std::function<void()> on_deposed,
+        std::function<void(const jobs::record&)> on_record);
 
   // Takes over the jobs that the journal knows.
   void start(const jobs::table& table, const pool::manifest& manifest);
@@ -46,6 +48,9 @@
   // the pool is free, and calls `done`.
   void release(std::function<void()> done);
 
+  // Writes a record of a caller, together with the owner's own. The handler
+  // gets false if the owner can't tell that it was written.
+  void write(jobs::record record, std::function<void(bool)> handler);
   void on_change(const jobs::table& table, const jobs::change& change);
   void on_manifest(const pool::manifest& manifest);
   void heard_of(const std::string& daemon, const std::string& peer_address);
@@ -59,6 +64,11 @@
   const pool::pool_state& state() const { return pool_; }
 
  private:
+  struct caller_write {
+    jobs::record record;
+    std::function<void(bool)> handler;
+  };
+
   pool::unix_time wall_now() const;
   void start_discovery();
   void on_entries(const std::vector<jobs::record>& records, bool all);
@@ -79,6 +89,8 @@
   void flush();
   void on_written(const pool::journal_batch& batch, write_outcome outcome);
   void apply_written(const pool::journal_batch& batch);
+  void on_callers_written(const std::vector<caller_write>& callers,
+                          write_outcome outcome);
   jobs::record ownership_record(bool released) const;
   void depose();
   void finish_release();
@@ -89,6 +101,8 @@
   const node_settings& settings_;
   std::uint64_t epoch_;
   std::function<void()> on_deposed_;
+  std::function<void(const jobs::record&)> on_record_;
+  std::vector<caller_write> callers_;  // For the next append.
   pool::pool_state pool_;
   std::shared_ptr<appender> journal_;
   std::shared_ptr<topic_follower> discovery_;
--- a/src/poold/store.cpp
+++ b/src/poold/store.cpp
@@ -24,9 +24,10 @@
 constexpr milliseconds kRelayTimeout{2000};
 constexpr std::size_t kReadConnections = 6;
 constexpr std::size_t kAppendConnections = 4;
-// A way that failed is tried again after this, if there is another one.
-constexpr milliseconds kAvoidDirect{1000};
-constexpr milliseconds kAvoidRelay{3000};
+// A way that failed is tried again after this, if there is another one;
+// doubled with each further failure.
+constexpr milliseconds kAvoidTime{1000};
+constexpr std::uint32_t kMaxAvoidDoublings = 2;
 
 http::client_options options_with(std::size_t connections) {
   http::client_options options;
@@ -52,9 +53,9 @@
   std::shared_ptr<way> made = std::make_shared<way>();
   made->address = address;
   made->prefix = prefix;
-  made->reads = std::make_unique<http::client>(context_, address,
-                                               options_with(kReadConnections));
-  made->appends = std::make_unique<http::client>(
+  made->reads.client = std::make_unique<http::client>(
+      context_, address, options_with(kReadConnections));
+  made->appends.client = std::make_unique<http::client>(
       context_, address, options_with(kAppendConnections));
   return made;
 }
@@ -73,13 +74,17 @@
   relays_ = std::move(kept);
 }
 
-std::shared_ptr<store::way> store::choose() {
+store::lane& store::lane_of(way& way, bool appends) {
+  return appends ? way.appends : way.reads;
+}
+
+std::shared_ptr<store::way> store::choose(bool appends) {
   steady_time now = clock_.now();
-  if (direct_->avoid_until <= now) return direct_;
+  if (lane_of(*direct_, appends).avoid_until <= now) return direct_;
   for (std::size_t i = 0; i < relays_.size(); ++i) {
     const std::shared_ptr<way>& each =
         relays_[(next_relay_ + i) % relays_.size()];
-    if (each->avoid_until > now) continue;
+    if (lane_of(*each, appends).avoid_until > now) continue;
     // The same one as long as it works.
     next_relay_ = (next_relay_ + i) % relays_.size();
     return each;
@@ -87,17 +92,20 @@
   return direct_;
 }
 
-void store::observe(way& way, std::string_view step,
+void store::observe(way& way, bool appends, std::string_view step,
                     const http::call_result& result) {
+  lane& lane = lane_of(way, appends);
   if (result.has_value() && !is_refusal(*result)) {
+    lane.failures = 0;
+    lane.avoid_until = steady_time();
     last_answer_ = clock_.now();
     if (std::exchange(down_, false)) {
       events::emit(events::id::log_up, step, way.address, "");
     }
     return;
   }
-  bool direct = way.prefix.empty();
-  way.avoid_until = clock_.now() + (direct ? kAvoidDirect : kAvoidRelay);
+  std::uint32_t doublings = std::min(lane.failures++, kMaxAvoidDoublings);
+  lane.avoid_until = clock_.now() + kAvoidTime * (1 << doublings);
   if (!std::exchange(down_, true)) {
     events::emit(events::id::log_down,
                  result.has_error()
@@ -110,29 +118,30 @@
                  milliseconds timeout,
                  std::function<void(http::call_result&&)> handler) {
   ++calls_;
-  std::shared_ptr<way> chosen = choose();
+  std::shared_ptr<way> chosen = choose(appends);
   if (!chosen->prefix.empty()) {
     request.target(chosen->prefix + std::string(request.target()));
   }
-  http::client& client = appends ? *chosen->appends : *chosen->reads;
+  http::client& client = *lane_of(*chosen, appends).client;
   client.call(step, std::move(request), timeout,
-              [this, chosen, step = std::string(step),
+              [this, chosen, appends, step = std::string(step),
                handler = std::move(handler)](http::call_result&& result) {
-                observe(*chosen, step, result);
+                observe(*chosen, appends, step, result);
                 handler(std::move(result));
               });
 }
 
 void store::relay(http::request&& request,
                   std::function<void(http::call_result&&)> handler) {
-  if (direct_->avoid_until > clock_.now()) {
+  bool appends = request.method() == http::verb::post;
+  lane& lane = lane_of(*direct_, appends);
+  if (lane.avoid_until > clock_.now()) {
     return handler(http::error_response(http::status::service_unavailable,
                                         "the store doesn't serve this daemon"));
   }
   ++calls_;
-  bool appends = request.method() == http::verb::post;
-  http::client& client = appends ? *direct_->appends : *direct_->reads;
-  client.call("relay", std::move(request), kRelayTimeout, std::move(handler));
+  lane.client->call("relay", std::move(request), kRelayTimeout,
+                    std::move(handler));
 }
 
 milliseconds store::append_timeout(std::uint32_t repetitions) const {
--- a/src/poold/store.h
+++ b/src/poold/store.h
@@ -66,24 +66,30 @@
   std::uint64_t calls() const { return calls_; }
 
  private:
+  // Calls of one kind by one way. Reads may wait for long and may hang while
+  // appends are answered, so the two are kept apart.
+  struct lane {
+    std::unique_ptr<http::client> client;
+    steady_time avoid_until;
+    std::uint32_t failures = 0;  // Since the last answer.
+  };
   // One way to the store.
   struct way {
     std::string prefix;  // Of the path; empty for the direct way.
     std::string address;
-    // Reads may wait for long, so appends have connections of their own.
-    std::unique_ptr<http::client> reads;
-    std::unique_ptr<http::client> appends;
-    steady_time avoid_until;
+    lane reads;
+    lane appends;
   };
+  static lane& lane_of(way& way, bool appends);
 
   std::shared_ptr<way> make_way(const std::string& address,
                                 const std::string& prefix);
-  std::shared_ptr<way> choose();
+  std::shared_ptr<way> choose(bool appends);
   void call(std::string_view step, http::request&& request, bool appends,
             milliseconds timeout,
             std::function<void(http::call_result&&)> handler);
   // Takes note of how a call went.
-  void observe(way& way, std::string_view step,
+  void observe(way& way, bool appends, std::string_view step,
                const http::call_result& result);
   milliseconds append_timeout(std::uint32_t repetitions) const;
 
