Refuse callers at once while the store doesn't answer the owner

Cause: during an outage of the whole store callers waited 0.9 s for the owner and got 504, though their records had not left it. The owner now refuses what it has not sent; a daemon without an owner to ask says so, and the entry tries the store itself.

--- a/src/poold/entry.cpp
+++ b/src/poold/entry.cpp
@@ -226,10 +226,12 @@
   milliseconds left =
       std::chrono::duration_cast<milliseconds>(wanted->deadline - clock_.now());
   by_owner_(wanted->record, std::min(left, kOwnerWriteTime),
-            [self = shared_from_this(), wanted](bool written) {
+            [self = shared_from_this(), wanted](owner_answer answer) {
               if (self->stopped_) return;
-              if (written) return self->confirm(*wanted);
-              wanted->tried = true;
+              if (answer == owner_answer::written) {
+                return self->confirm(*wanted);
+              }
+              wanted->tried = answer == owner_answer::unknown;
               self->write_directly(wanted);
             });
 }
--- a/src/poold/entry.h
+++ b/src/poold/entry.h
@@ -16,16 +16,16 @@
 #include "jobs/job_table.h"
 #include "pool/manifest.h"
 #include "poold/appender.h"
+#include "poold/owner.h"
 #include "poold/store.h"
 #include "poold/topic_follower.h"
 
 namespace ebonygrade::poold {
 
-// Asks the pool's owner to write a record; the handler gets true if it has,
-// false if that is not known.
+// Asks the pool's owner to write a record.
 using owner_writer =
     std::function<void(const jobs::record& record, milliseconds timeout,
-                       std::function<void(bool)> handler)>;
+                       std::function<void(owner_answer)> handler)>;
 
 class entry : public std::enable_shared_from_this<entry> {
  public:
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -107,7 +107,7 @@
   entry_ = std::make_shared<entry>(
       context_, store_, clock_, settings_.id, table_, *journal_,
       [this](const jobs::record& record, milliseconds timeout,
-             std::function<void(bool)> handler) {
+             std::function<void(owner_answer)> handler) {
         write_by_owner(record, timeout, std::move(handler));
       });
   follow_operator();
@@ -383,10 +383,28 @@
   });
 }
 
+owner_answer node::owner_answer_of(const http::call_result& result) {
+  if (result.has_error()) {
+    // The next announcement tells whether the owner is there.
+    owner_denied_ = true;
+    return result.error().maybe_sent ? owner_answer::unknown
+                                     : owner_answer::refused;
+  }
+  switch (result->result()) {
+    case http::status::ok:
+      return owner_answer::written;
+    case http::status::conflict:
+    case http::status::service_unavailable:
+      return owner_answer::refused;
+    default:
+      return owner_answer::unknown;
+  }
+}
+
 void node::write_by_owner(const jobs::record& record, milliseconds timeout,
-                          std::function<void(bool)> handler) {
+                          std::function<void(owner_answer)> handler) {
   if (owner_) return owner_->write(record, std::move(handler));
-  if (!owner_link_ || owner_denied_) return handler(false);
+  if (!owner_link_ || owner_denied_) return handler(owner_answer::refused);
   wire::caller_record message;
   message.set_key(record.key);
   message.set_value(record.value);
@@ -397,10 +415,7 @@
   owner_link_->call(
       "write record", std::move(request), timeout,
       [this, handler = std::move(handler)](http::call_result&& result) {
-        bool written =
-            result.has_value() && result->result() == http::status::ok;
-        if (!written) owner_denied_ = true;
-        handler(written);
+        handler(owner_answer_of(result));
       });
 }
 
@@ -413,11 +428,16 @@
     return answer(http::error_response(http::status::conflict,
                                        "not the owner of this epoch"));
   }
-  owner_->write({message.key(), message.value(), 0}, [answer](bool written) {
-    answer(http::text_response(
-        written ? http::status::ok : http::status::bad_gateway, "text/plain",
-        ""));
-  });
+  owner_->write({message.key(), message.value(), 0},
+                [answer](owner_answer written) {
+                  http::status code = http::status::bad_gateway;
+                  if (written == owner_answer::written) {
+                    code = http::status::ok;
+                  } else if (written == owner_answer::refused) {
+                    code = http::status::service_unavailable;
+                  }
+                  answer(http::text_response(code, "text/plain", ""));
+                });
 }
 
 void node::handle_peer(http::request&& request, http::responder answer) {
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -40,10 +40,10 @@
   void follow_journal();
   void follow_operator();
   void take_record(const jobs::record& record);
-  // Lets the owner write a record; the handler gets true once it is written,
-  // false if that is not known.
+  // Lets the owner write a record.
   void write_by_owner(const jobs::record& record, milliseconds timeout,
-                      std::function<void(bool)> handler);
+                      std::function<void(owner_answer)> handler);
+  owner_answer owner_answer_of(const http::call_result& result);
   void write_for_peer(http::request&& request, http::responder answer);
   void on_journal(const std::vector<jobs::record>& records);
   void on_operator(const std::vector<jobs::record>& records);
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -79,7 +79,7 @@
 
 void owner::stop() {
   stopped_ = true;
-  for (caller_write& each : std::exchange(callers_, {})) each.handler(false);
+  refuse_callers();
   decide_timer_.cancel();
   flush_timer_.cancel();
   journal_->stop();
@@ -265,6 +265,7 @@
 void owner::decide() {
   last_decision_ = clock_.now();
   if (pool_.deposed) return depose();
+  if (journal_->uncertain()) refuse_callers();
   if (!releasing_) carry_out(pool::decide(&pool_, clock_.now(), wall_now()));
   write_notes();
   flush_soon();
@@ -355,8 +356,12 @@
 
 // ---- Journal ----------------------------------------------------------------
 
-void owner::write(jobs::record record, std::function<void(bool)> handler) {
-  if (stopped_ || releasing_) return handler(false);
+void owner::write(jobs::record record,
+                  std::function<void(owner_answer)> handler) {
+  // Behind an append that the store doesn't answer nothing gets through soon.
+  if (stopped_ || releasing_ || journal_->uncertain()) {
+    return handler(owner_answer::refused);
+  }
   callers_.push_back({std::move(record), std::move(handler)});
   flush_soon();
 }
@@ -422,12 +427,22 @@
   flush_soon();
 }
 
+void owner::refuse_callers() {
+  for (const caller_write& each : std::exchange(callers_, {})) {
+    each.handler(owner_answer::refused);
+  }
+}
+
 void owner::on_callers_written(const std::vector<caller_write>& callers,
                                write_outcome outcome) {
   for (const caller_write& each : callers) {
-    bool written = outcome == write_outcome::written;
-    if (written) on_record_(each.record);
-    each.handler(written);
+    if (outcome == write_outcome::written) {
+      on_record_(each.record);
+      each.handler(owner_answer::written);
+    } else {
+      // An attempt before the one that was fenced may have been written.
+      each.handler(owner_answer::unknown);
+    }
   }
 }
 
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -30,6 +30,13 @@
 // the store refuses what an earlier owner sends later.
 inline constexpr char kOwnerProducer[] = "owner";
 
+// What became of a record that the owner was asked to write.
+enum class owner_answer {
+  written,
+  refused,  // Not written, and never will be by the owner.
+  unknown,
+};
+
 class owner : public std::enable_shared_from_this<owner> {
  public:
   // `epoch` is the fencing token that the claim gave; `on_deposed` is called
@@ -48,9 +55,8 @@
   // the pool is free, and calls `done`.
   void release(std::function<void()> done);
 
-  // Writes a record of a caller, together with the owner's own. The handler
-  // gets false if the owner can't tell that it was written.
-  void write(jobs::record record, std::function<void(bool)> handler);
+  // Writes a record of a caller, together with the owner's own.
+  void write(jobs::record record, std::function<void(owner_answer)> handler);
   void on_change(const jobs::table& table, const jobs::change& change);
   void on_manifest(const pool::manifest& manifest);
   void heard_of(const std::string& daemon, const std::string& peer_address);
@@ -66,7 +72,7 @@
  private:
   struct caller_write {
     jobs::record record;
-    std::function<void(bool)> handler;
+    std::function<void(owner_answer)> handler;
   };
 
   pool::unix_time wall_now() const;
@@ -89,6 +95,7 @@
   void flush();
   void on_written(const pool::journal_batch& batch, write_outcome outcome);
   void apply_written(const pool::journal_batch& batch);
+  void refuse_callers();
   void on_callers_written(const std::vector<caller_write>& callers,
                           write_outcome outcome);
   jobs::record ownership_record(bool released) const;
