Test daemons against a stand-in of the platform; refuse callers when the store refuses

Its first finding: while the store refused with 503, callers of the owner's own entry got no answer at all, as the owner repeated their records with its own (node_test 'while the store refuses' failed first, status 0). The owner now gives callers' records up after one refusal and keeps its own. Tests of settings, steps, cancels, occurrences, repeated starts; filling work keeps away from serving tasks.

--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -156,6 +156,25 @@
   return step.asked.count(worker) > 0 && step.granted.count(worker) == 0;
 }
 
+// Work that fills unused room slows tasks that serve users of their own. The
+// two are kept on different workers.
+bool would_disturb(pool_state* pool, const worker& worker,
+                   const wire::step_definition& step) {
+  bool serves = step.latency_target_ms() > 0;
+  if (!step.fills() && !serves) return false;
+  for (const placement& each : worker.placements) {
+    job* job = find_job(pool, each.task.job);
+    step_run* other =
+        job == nullptr ? nullptr
+                       : find_step(job, each.task.occurrence, each.task.step);
+    if (other == nullptr) continue;
+    const wire::step_definition& there = definition(*job, *other);
+    if (step.fills() && there.latency_target_ms() > 0) return true;
+    if (serves && there.fills()) return true;
+  }
+  return false;
+}
+
 // Whom to count as an option: with a valid ticket only, or whoever the advice
 // allows, so far as it is known.
 enum class tickets { needed, ignored };
@@ -173,6 +192,7 @@
     if (!fits(need, room)) continue;
     if (!is_usable(candidate, *wanted.owner, step, now)) continue;
     if (reserved.count(each.first) > 0) continue;
+    if (would_disturb(pool, candidate, step)) continue;
     option made;
     made.worker = &candidate;
     made.room = room;
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -48,6 +48,171 @@
   CHECK(pool.state.jobs[kJob].outcome == wire::OPEN);
 }
 
+TEST_CASE("work that fills keeps away from tasks that serve") {
+  test_pool pool;
+  pool.add_worker("w1");
+  wire::step_definition serves = test_pool::step(1, 1000);
+  serves.set_long_running(true);
+  serves.set_latency_target_ms(50);
+  pool.submit("00000000000000aa", {serves});
+  CHECK(pool.round().size() == 1);
+  wire::step_definition fills = test_pool::step(1, 1000);
+  fills.set_fills(true);
+  pool.submit("00000000000000ab", {fills});
+  CHECK(pool.round().empty());
+  pool.add_worker("w2");
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].worker == "w2");
+}
+
+TEST_CASE("a task that lasts starts again however it ends") {
+  test_pool pool;
+  pool.add_worker("w1");
+  wire::step_definition lasts = test_pool::step(1, 1000);
+  lasts.set_long_running(true);
+  pool.submit(kJob, {lasts});
+  std::uint64_t number = 0;
+  for (end_kind how : {end_kind::failed, end_kind::done, end_kind::failed,
+                       end_kind::failed, end_kind::lapsed}) {
+    std::vector<start_order> starts = pool.round();
+    REQUIRE(starts.size() == 1);
+    pool.confirm(starts);
+    pool.advance(milliseconds(3000));
+    pool.hold("w1", {{}, 1, {}, {end_of(++number, starts[0], how)}});
+  }
+  pool.advance(milliseconds(10000));
+  pool.hold("w1", {});
+  CHECK(pool.round().size() == 1);
+  CHECK(pool.shown(kJob) == jobs::state::running);
+}
+
+TEST_CASE("an occurrence starts when it is due and not before") {
+  test_pool pool;
+  pool.add_worker("w1");
+  wire::job_submission job;
+  job.set_queue(kQueue);
+  job.set_service(kService);
+  job.set_repeats(2);
+  job.set_first_due_ms(
+      (pool.wall + milliseconds(500)).time_since_epoch().count());
+  job.set_interval_ms(300);
+  *job.add_steps() = test_pool::step(1, 1000);
+  pool.apply({jobs::submission_key(kJob), job.SerializeAsString(), 0});
+  add_job(&pool.state, kJob, pool.table.jobs[kJob], pool.now);
+  pool.advance(milliseconds(499));
+  CHECK(pool.round().empty());
+  pool.advance(milliseconds(1));
+  std::vector<start_order> first = pool.round();
+  REQUIRE(first.size() == 1);
+  CHECK(first[0].task.occurrence == 0);
+  pool.confirm(first);
+  pool.advance(milliseconds(300));
+  std::vector<start_order> second = pool.round();
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].task.occurrence == 1);
+  pool.confirm(second);
+  // The later occurrence may end first.
+  pool.hold(
+      "w1",
+      {{}, 1, {row_of(first[0])}, {end_of(1, second[0], end_kind::done)}});
+  pool.round();
+  CHECK(pool.shown(kJob) == jobs::state::running);
+  pool.hold("w1", {{}, 1, {}, {end_of(2, first[0], end_kind::done)}});
+  pool.round();
+  CHECK(pool.shown(kJob) == jobs::state::complete);
+}
+
+TEST_CASE("steps wait for those that they depend on") {
+  test_pool pool;
+  pool.add_worker("w1");
+  wire::step_definition second = test_pool::step(1, 1000);
+  second.add_after(0);
+  pool.submit(kJob, {test_pool::step(2, 1000), second});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 2);
+  pool.confirm(starts);
+  pool.hold(
+      "w1",
+      {{}, 1, {row_of(starts[1])}, {end_of(1, starts[0], end_kind::done)}});
+  CHECK(pool.round().empty());
+  pool.hold("w1", {{}, 1, {}, {end_of(2, starts[1], end_kind::done)}});
+  starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].task.step == 1);
+}
+
+TEST_CASE("a cancelled job's runs are stopped and its room stays taken") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 3000)});
+  std::vector<start_order> starts = pool.round();
+  pool.confirm(starts);
+  cancel_job(&pool.state, kJob, pool.wall);
+  decisions made;
+  pool.round(&made);
+  REQUIRE(made.stops.size() == 1);
+  CHECK(pool.shown(kJob) == jobs::state::cancelled);
+  pool.submit("00000000000000ab", {test_pool::step(1, 3000)});
+  CHECK(pool.round().empty());
+  observe_stop(&pool.state, made.stops[0], true, pool.now);
+  pool.hold("w1", {{}, 1, {row_of(starts[0])}, {}});
+  CHECK(pool.round().empty());
+  pool.hold("w1", {{}, 1, {}, {end_of(1, starts[0], end_kind::stopped)}});
+  CHECK(pool.round().size() == 1);
+}
+
+TEST_CASE("a start without an answer is repeated and then stopped") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  for (int copy = 0; copy < 2; ++copy) {
+    observe_start(&pool.state, starts[0], start_answer::none, pool.now);
+    pool.advance(milliseconds(10));
+    decisions made;
+    pool.round(&made);
+    REQUIRE(made.repeated_starts.size() == 1);
+    CHECK(made.repeated_starts[0].run == starts[0].run);
+  }
+  observe_start(&pool.state, starts[0], start_answer::none, pool.now);
+  pool.advance(milliseconds(10));
+  pool.round();
+  decisions made;
+  pool.advance(milliseconds(600));
+  pool.hold("w1", {});
+  pool.round(&made);
+  REQUIRE(made.stops.size() == 1);
+  // Only the confirmed stop, and a later report without the run, free it.
+  CHECK(pool.round().empty());
+  observe_stop(&pool.state, made.stops[0], true, pool.now);
+  pool.advance(milliseconds(10));
+  pool.hold("w1", {});
+  starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].run == 2);
+}
+
+TEST_CASE("a draining worker and one that lacks the label get no starts") {
+  test_pool pool;
+  pool.add_worker("w1");
+  worker_entry entry = pool.state.workers["w1"].entry;
+  entry.draining = true;
+  observe_entry(&pool.state, entry, pool.now);
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  CHECK(pool.round().empty());
+  entry.draining = false;
+  entry.kind = "a";
+  observe_entry(&pool.state, entry, pool.now);
+  wire::step_definition labelled = test_pool::step(1, 1000);
+  labelled.set_required_label("b");
+  pool.submit("00000000000000ab", {labelled});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].task.job == kJob);
+}
+
 // Found by isma-painel scale-2: gangs at the end of a day waited for each
 // other's advice, one after the other, with most of the room free.
 TEST_CASE("a gang that waits for advice doesn't hold up another one") {
--- a/src/poold/appender.cpp
+++ b/src/poold/appender.cpp
@@ -22,6 +22,7 @@
   handler_ = std::move(handler);
   busy_ = true;
   uncertain_ = false;
+  refused_ = false;
   repetitions_ = 0;
   attempt();
 }
@@ -62,8 +63,9 @@
   } else if (result.fate == append_fate::unknown) {
     uncertain_ = true;
     ++repetitions_;
-  } else if (!uncertain_ && !keep_trying_()) {
-    return settle(write_outcome::given_up);
+  } else {
+    refused_ = true;
+    if (!uncertain_ && !keep_trying_()) return settle(write_outcome::given_up);
   }
   timer_.expires_after(next_pause(backoff_, random_));
   timer_.async_wait([self = shared_from_this()](boost::system::error_code e) {
--- a/src/poold/appender.h
+++ b/src/poold/appender.h
@@ -37,6 +37,8 @@
   bool idle() const { return !busy_; }
   // An attempt of the present write has gone without an answer.
   bool uncertain() const { return busy_ && uncertain_; }
+  // An attempt of the present write has failed in any way.
+  bool struggles() const { return busy_ && (uncertain_ || refused_); }
   void stop();
 
  private:
@@ -53,6 +55,7 @@
   std::function<void(write_outcome)> handler_;
   bool busy_ = false;
   bool uncertain_ = false;
+  bool refused_ = false;
   std::uint32_t repetitions_ = 0;  // Of attempts without an answer.
   bool stopped_ = false;
   http::backoff backoff_{milliseconds(40), 3, 0};
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -35,6 +35,7 @@
   void drain(std::function<void()> done);
 
   bool is_ready() const;
+  bool owns_pool() const { return owner_ != nullptr; }
 
  private:
   void follow_journal();
--- /dev/null
+++ b/src/poold/node_test.cpp
@@ -0,0 +1,255 @@
+// Daemons, a store and workers in one process, talking over loopback. Nothing
+// here depends on how long a thing takes, but for a limit after which a
+// condition counts as never met.
+#include "poold/node.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/address.h"
+#include "standin/pool/keyed_store.h"
+#include "standin/pool/worker_host.h"
+
+namespace ebonygrade::poold {
+
+namespace {
+
+constexpr std::chrono::seconds kNever{20};
+constexpr char kHost[] = "jobs.example";
+constexpr char kJob[] = "00000000000000aa";
+constexpr char kBody[] =
+    R"({"spec":"s","steps":[{"count":2,"cpu":100,"memMb":1,"estMs":100}]})";
+constexpr char kManifest[] =
+    R"({"version":3,"routes":[{"name":"r","host":"jobs.example",)"
+    R"("pathPrefix":"/q/","service":"pool-a","priority":0,"attempts":2,)"
+    R"("stretch":2.0,"targetLatencyMs":500}],"services":[]})";
+
+struct cell {
+  boost::asio::io_context context{1};
+  clock::system_clock clock;
+  standin::keyed_store store{context};
+  pool::ledger ledger;
+  pool::gang_board gangs;
+  std::vector<std::unique_ptr<standin::worker_host>> workers;
+  std::vector<std::unique_ptr<node>> nodes;
+  std::vector<std::string> entries;  // Callers' addresses.
+
+  // Ports of loopback that the system has just given out and taken back.
+  std::string free_address() {
+    boost::asio::ip::tcp::acceptor probe(
+        context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+  }
+
+  void add_worker(const std::string& id) {
+    workers.push_back(std::make_unique<standin::worker_host>(
+        context, id, "pool-a", &ledger, &gangs, &store));
+  }
+
+  void add_node(const std::string& id) {
+    node_settings settings;
+    settings.id = id;
+    settings.zone = "zone-a";
+    settings.region = "region-a";
+    settings.client_address = free_address();
+    settings.ready_address = free_address();
+    settings.peer_address = free_address();
+    settings.store_address = store.address();
+    entries.push_back(settings.client_address);
+    nodes.push_back(std::make_unique<node>(context, clock, settings));
+    REQUIRE(nodes.back()->start().has_value());
+  }
+
+  bool until(const std::function<bool()>& condition) {
+    clock::steady_time end = clock.now() + kNever;
+    while (!condition() && clock.now() < end) {
+      context.run_one_for(std::chrono::milliseconds(50));
+    }
+    return condition();
+  }
+
+  // Status and body; 0 if nothing came.
+  std::pair<unsigned, std::string> ask(std::size_t entry, http::verb method,
+                                       const std::string& path,
+                                       const std::string& body = "") {
+    boost::asio::ip::tcp::socket socket(context);
+    std::pair<unsigned, std::string> out{0, ""};
+    bool done = false;
+    http::request request{method, path, http::kHttpVersion11};
+    request.body() = body;
+    request.prepare_payload();
+    boost::beast::flat_buffer buffer;
+    http::response reply;
+    socket.async_connect(
+        http::parse_address(entries.at(entry)).value(),
+        [&](boost::system::error_code failed) {
+          if (failed) return void(done = true);
+          request.set(boost::beast::http::field::host, kHost);
+          boost::beast::http::async_write(
+              socket, request,
+              [&](boost::system::error_code sent, std::size_t) {
+                if (sent) return void(done = true);
+                boost::beast::http::async_read(
+                    socket, buffer, reply,
+                    [&](boost::system::error_code got, std::size_t) {
+                      if (!got) out = {reply.result_int(), reply.body()};
+                      done = true;
+                    });
+              });
+        });
+    until([&] { return done; });
+    return out;
+  }
+
+  bool reaches(std::size_t entry, const std::string& state) {
+    return until([&] {
+      return ask(entry, http::verb::get, "/q/" + std::string(kJob)).second ==
+             R"({"state":")" + state + "\"}";
+    });
+  }
+};
+
+wire::job_submission submission() {
+  wire::job_submission job;
+  wire::step_definition* step = job.add_steps();
+  step->set_count(2);
+  return job;
+}
+
+TEST_CASE("a job is taken by one daemon and shown by the others") {
+  cell cell;
+  cell.ledger.add_job(kJob, submission(), 2);
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.add_worker("w1");
+  for (const char* id : {"n1", "n2", "n3"}) cell.add_node(id);
+  REQUIRE(cell.until([&] { return cell.nodes[0]->is_ready(); }));
+  std::string path = "/q/" + std::string(kJob);
+  REQUIRE(cell.until(
+      [&] { return cell.ask(0, http::verb::post, path, kBody).first == 200; }));
+  // A repetition elsewhere is the same job.
+  CHECK(cell.ask(1, http::verb::post, path, kBody).first == 200);
+  CHECK(cell.reaches(2, "complete"));
+  CHECK(cell.ledger.starts() == 2);
+  CHECK(cell.ledger.broken().empty());
+}
+
+TEST_CASE("unknown queues, jobs and bad bodies") {
+  cell cell;
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.add_node("n1");
+  REQUIRE(cell.until([&] { return cell.nodes[0]->is_ready(); }));
+  CHECK(cell.ask(0, http::verb::get, "/other/").first == 404);
+  CHECK(cell.ask(0, http::verb::get, "/q/").second == R"({"notStarted":0})");
+  CHECK(cell.ask(0, http::verb::get, "/q/" + std::string(kJob)).first == 410);
+  CHECK(cell.ask(0, http::verb::delete_, "/q/" + std::string(kJob)).first ==
+        410);
+  CHECK(cell.ask(0, http::verb::post, "/q/xyz", kBody).first == 400);
+  CHECK(cell.ask(0, http::verb::post, "/q/" + std::string(kJob), "{").first ==
+        400);
+  CHECK(cell.ask(0, http::verb::put, "/q/" + std::string(kJob)).first == 405);
+}
+
+TEST_CASE("before the first manifest callers are told to come back") {
+  cell cell;
+  cell.add_node("n1");
+  CHECK(cell.ask(0, http::verb::get, "/q/").first == 503);
+  CHECK_FALSE(cell.nodes[0]->is_ready());
+}
+
+TEST_CASE("the pool goes on after its owner is gone") {
+  cell cell;
+  cell.ledger.add_job(kJob, submission(), 2);
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.add_worker("w1");
+  cell.add_node("n1");
+  REQUIRE(cell.until([&] { return cell.nodes[0]->owns_pool(); }));
+  cell.add_node("n2");
+  REQUIRE(cell.until([&] { return cell.nodes[1]->is_ready(); }));
+  cell.nodes[0].reset();
+  std::string path = "/q/" + std::string(kJob);
+  REQUIRE(cell.until(
+      [&] { return cell.ask(1, http::verb::post, path, kBody).first == 200; }));
+  CHECK(cell.reaches(1, "complete"));
+  CHECK(cell.nodes[1]->owns_pool());
+  CHECK(cell.ledger.broken().empty());
+}
+
+TEST_CASE("a draining owner hands the pool over") {
+  cell cell;
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.add_node("n1");
+  REQUIRE(cell.until([&] { return cell.nodes[0]->owns_pool(); }));
+  cell.add_node("n2");
+  REQUIRE(cell.until([&] { return cell.nodes[1]->is_ready(); }));
+  bool drained = false;
+  cell.nodes[0]->drain([&] { drained = true; });
+  CHECK_FALSE(cell.nodes[0]->is_ready());
+  CHECK(cell.until([&] { return cell.nodes[1]->owns_pool(); }));
+  CHECK(cell.until([&] { return drained; }));
+}
+
+TEST_CASE("while the store refuses, callers are refused, and truthfully") {
+  cell cell;
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.add_node("n1");
+  REQUIRE(cell.until([&] { return cell.nodes[0]->owns_pool(); }));
+  cell.store.refuse(true);
+  std::string path = "/q/" + std::string(kJob);
+  std::size_t before = cell.store.records("keyed.journal").size();
+  unsigned status = cell.ask(0, http::verb::post, path, kBody).first;
+  bool stored = false;
+  for (std::size_t i = before; i < cell.store.records("keyed.journal").size();
+       ++i) {
+    stored |=
+        cell.store.records("keyed.journal")[i].key == "s" + std::string(kJob);
+  }
+  CHECK(status >= 503);
+  CHECK_FALSE(stored);
+  cell.store.refuse(false);
+  CHECK(cell.until(
+      [&] { return cell.ask(0, http::verb::post, path, kBody).first == 200; }));
+}
+
+TEST_CASE("an append whose answer is lost is written once") {
+  cell cell;
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.add_node("n1");
+  REQUIRE(cell.until([&] { return cell.nodes[0]->owns_pool(); }));
+  cell.store.lose_answers(2);
+  std::string path = "/q/" + std::string(kJob);
+  CHECK(cell.until(
+      [&] { return cell.ask(0, http::verb::post, path, kBody).first == 200; }));
+  int submissions = 0;
+  for (const standin::stored_record& each :
+       cell.store.records("keyed.journal")) {
+    submissions += each.key == "s" + std::string(kJob) ? 1 : 0;
+  }
+  CHECK(submissions == 1);
+}
+
+TEST_CASE("a daemon that missed dropped records starts over") {
+  cell cell;
+  cell.ledger.add_job(kJob, submission(), 2);
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.add_worker("w1");
+  cell.add_node("n1");
+  REQUIRE(cell.until([&] { return cell.nodes[0]->owns_pool(); }));
+  std::string path = "/q/" + std::string(kJob);
+  REQUIRE(cell.until(
+      [&] { return cell.ask(0, http::verb::post, path, kBody).first == 200; }));
+  cell.store.forget("keyed.journal");
+  cell.add_node("n2");
+  CHECK(cell.reaches(1, "complete"));
+  CHECK(cell.ledger.broken().empty());
+}
+
+}  // namespace
+
+}  // namespace ebonygrade::poold
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -265,7 +265,7 @@
 void owner::decide() {
   last_decision_ = clock_.now();
   if (pool_.deposed) return depose();
-  if (journal_->uncertain()) refuse_callers();
+  if (journal_->struggles()) refuse_callers();
   if (!releasing_) carry_out(pool::decide(&pool_, clock_.now(), wall_now()));
   write_notes();
   flush_soon();
@@ -359,7 +359,7 @@
 void owner::write(jobs::record record,
                   std::function<void(owner_answer)> handler) {
   // Behind an append that the store doesn't answer nothing gets through soon.
-  if (stopped_ || releasing_ || journal_->uncertain()) {
+  if (stopped_ || releasing_ || journal_->struggles()) {
     return handler(owner_answer::refused);
   }
   callers_.push_back({std::move(record), std::move(handler)});
@@ -389,17 +389,28 @@
     apply_written(batch);
     return;
   }
+  if (batch.records.empty() && callers.empty()) {
+    batch.records.push_back(ownership_record(release_now));
+  } else if (release_now) {
+    batch.records.push_back(ownership_record(true));
+  }
+  send(std::move(batch), std::move(callers));
+}
+
+void owner::send(pool::journal_batch batch, std::vector<caller_write> callers) {
   std::vector<jobs::record> records = batch.records;
   for (const caller_write& each : callers) records.push_back(each.record);
-  if (records.empty() || release_now) {
-    records.push_back(ownership_record(release_now));
-  }
+  // The owner's own records can wait for the store, callers can't.
+  bool has_callers = !callers.empty();
   journal_->write(
-      std::move(records), [] { return true; },
+      std::move(records), [has_callers] { return !has_callers; },
       [self = shared_from_this(), batch = std::move(batch),
-       callers = std::move(callers)](write_outcome outcome) {
-        self->on_written(batch, outcome);
+       callers = std::move(callers)](write_outcome outcome) mutable {
         self->on_callers_written(callers, outcome);
+        if (outcome != write_outcome::given_up) {
+          return self->on_written(batch, outcome);
+        }
+        if (!self->stopped_) self->send(std::move(batch), {});
       });
 }
 
@@ -436,12 +447,18 @@
 void owner::on_callers_written(const std::vector<caller_write>& callers,
                                write_outcome outcome) {
   for (const caller_write& each : callers) {
-    if (outcome == write_outcome::written) {
-      on_record_(each.record);
-      each.handler(owner_answer::written);
-    } else {
-      // An attempt before the one that was fenced may have been written.
-      each.handler(owner_answer::unknown);
+    switch (outcome) {
+      case write_outcome::written:
+        on_record_(each.record);
+        each.handler(owner_answer::written);
+        break;
+      case write_outcome::given_up:
+        each.handler(owner_answer::refused);
+        break;
+      case write_outcome::fenced:
+        // An attempt before the one that was fenced may have been written.
+        each.handler(owner_answer::unknown);
+        break;
     }
   }
 }
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -93,6 +93,7 @@
   void ask(const pool::advice_order& order);
   void flush_soon();
   void flush();
+  void send(pool::journal_batch batch, std::vector<caller_write> callers);
   void on_written(const pool::journal_batch& batch, write_outcome outcome);
   void apply_written(const pool::journal_batch& batch);
   void refuse_callers();
--- /dev/null
+++ b/src/poold/settings_test.cpp
@@ -0,0 +1,50 @@
+#include "poold/settings.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace ebonygrade::poold {
+
+namespace {
+
+constexpr char kValid[] =
+    "[daemon]\nid = n1\nzone = z\nregion = r\n"
+    "[listen]\nclients = 127.0.0.1:1\nreadiness = 127.0.0.1:2\n"
+    "peers = 127.0.0.1:3\n[store]\naddress = 127.0.0.1:4\n"
+    "[advice]\naddress =\n[workers]\nlease = 6s\nstop_time = 400ms\n"
+    "[shutdown]\ngrace = 6s\n[jobs]\nstatus_time = 120s\n";
+
+TEST_CASE("valid settings are read") {
+  settings_report report = parse_settings(kValid, "test.ini");
+  CHECK(report.problems.empty());
+  CHECK(report.value.id == "n1");
+  CHECK(report.value.store_address == "127.0.0.1:4");
+  CHECK(report.value.advice_address.empty());
+  CHECK(report.value.lease == milliseconds(6000));
+  CHECK(report.value.status_time == milliseconds(120000));
+}
+
+TEST_CASE("problems name the key") {
+  std::string text = kValid;
+  text.replace(text.find("127.0.0.1:4"), 11, "nowhere");
+  text.replace(text.find("id = n1"), 7, "id =");
+  text.replace(text.find("6s"), 2, "-1");
+  text += "[extra]\nkey = 1\n";
+  settings_report report = parse_settings(text, "test.ini");
+  REQUIRE(report.problems.size() == 4);
+  std::string all;
+  for (const error::failure& each : report.problems) all += each.detail + "\n";
+  for (const char* key :
+       {"[daemon] id", "[store] address", "[workers] lease", "[extra] key"}) {
+    CAPTURE(key, all);
+    CHECK(all.find(key) != std::string::npos);
+  }
+}
+
+TEST_CASE("a file that can't be opened is a problem") {
+  CHECK(load_settings("/no/such/file.ini").problems.size() == 1);
+}
+
+}  // namespace
+
+}  // namespace ebonygrade::poold
