--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "http/address.h"
