Carry out the operator's waves of upkeep

Machines are listed while a wave is open; those that run least go first, their workers get no starts meanwhile, never more than the wave allows are down, and a lasting step keeps the tasks that it may not miss. Settings take times with fractions of a second.

--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -50,6 +50,7 @@
   start_refused = 823,
   worker_avoided = 824,
   step_done = 825,
+  upkeep_ordered = 826,
   manifest_in_force = 831,
   journal_loaded = 832,
 };
@@ -149,6 +150,9 @@
     definition{id::step_done, "step_done", level::info,
                "The last task of a step ended well; steps after it may start.",
                "worker"},
+    definition{id::upkeep_ordered, "upkeep_ordered", level::info,
+               "The platform answered, or didn't, an order for upkeep.",
+               "machine"},
     definition{id::manifest_in_force, "manifest_in_force", level::info,
                "A version of the operator's manifest took effect here.",
                "none"},
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -9,6 +9,7 @@
 constexpr char kSubmission = 's';
 constexpr char kCancellation = 'c';
 constexpr char kProgress = 'p';
+constexpr char kWave = 'w';
 
 bool waits_for_start(const entry& job) {
   return job.submission && job.submission->repeats() == 0 &&
@@ -101,6 +102,10 @@
     forget(table, kind, id);
     return {};
   }
+  if (kind == kWave) {
+    if (!table->waves[id].ParseFromString(record.value)) ++table->unreadable;
+    return {};
+  }
   entry* job = &table->jobs[id];
   bool changed = false;
   change_kind what = change_kind::none;
@@ -163,5 +168,8 @@
 std::string progress_key(std::string_view id) {
   return std::string(1, kProgress) + std::string(id);
 }
+std::string wave_key(std::string_view number) {
+  return std::string(1, kWave) + std::string(number);
+}
 
 }  // namespace ebonygrade::jobs
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -44,6 +44,7 @@
   std::unordered_map<std::string, entry> jobs;
   // Jobs of a queue of which no task has started.
   std::unordered_map<std::string, std::int64_t> not_started;
+  std::unordered_map<std::string, wire::wave_record> waves;  // By number.
   owner_seen owner;
   std::uint64_t owner_records = 0;  // Records that show that an owner lives.
   std::uint64_t next = 0;           // Offset of the next record to read.
@@ -75,5 +76,6 @@
 std::string submission_key(std::string_view id);
 std::string cancellation_key(std::string_view id);
 std::string progress_key(std::string_view id);
+std::string wave_key(std::string_view number);
 
 }  // namespace ebonygrade::jobs
--- /dev/null
+++ b/src/pool/upkeep.cpp
@@ -0,0 +1,232 @@
+#include "pool/upkeep.h"
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+#include "pool/pool_pvt.h"
+
+namespace ebonygrade::pool {
+
+namespace {
+
+// Workers that are next get no starts for this long; it is renewed with each
+// round of decisions.
+constexpr milliseconds kHoldBack{2000};
+// Twice the time that an upkeep takes is planned for each machine, as lists
+// and new workers come late.
+constexpr int kPlannedUpkeeps = 2;
+
+const worker* worker_of(const pool_state& pool, const machine& machine) {
+  std::unordered_map<std::string, worker>::const_iterator found =
+      pool.workers.find(machine.worker);
+  return found == pool.workers.end() ? nullptr : &found->second;
+}
+
+// Tasks of the same step that are not at work anywhere.
+std::uint32_t tasks_away(const step_run& step) {
+  return static_cast<std::uint32_t>(
+      std::count_if(step.tasks.begin(), step.tasks.end(),
+                    [](const task& each) { return !each.placed; }));
+}
+
+// Whether taking the worker down would leave a lasting step with more tasks
+// away than it may miss.
+bool would_miss_too_many(pool_state* pool, const worker& worker) {
+  for (const placement& each : worker.placements) {
+    job* job = find_job(pool, each.task.job);
+    step_run* step = job == nullptr
+                         ? nullptr
+                         : find_step(job, each.task.occurrence, each.task.step);
+    if (step == nullptr) continue;
+    const wire::step_definition& wanted = definition(*job, *step);
+    if (!wanted.long_running() || wanted.may_miss() == 0) continue;
+    std::uint32_t here = static_cast<std::uint32_t>(
+        std::count_if(worker.placements.begin(), worker.placements.end(),
+                      [&](const placement& other) {
+                        return other.task.job == each.task.job &&
+                               other.task.step == each.task.step;
+                      }));
+    if (tasks_away(*step) + here > wanted.may_miss()) return true;
+  }
+  return false;
+}
+
+struct candidate {
+  const machine* target = nullptr;
+  std::int64_t cpu_in_use = 0;
+};
+
+std::vector<candidate> candidates(const upkeep_state& upkeep,
+                                  const pool_state& pool,
+                                  const wave_progress& progress) {
+  std::vector<candidate> found;
+  for (const std::string& id : progress.wave.machines) {
+    std::map<std::string, machine>::const_iterator known =
+        upkeep.machines.find(id);
+    if (known == upkeep.machines.end()) continue;
+    if (progress.begun.count(id) > 0 || progress.asked.count(id) > 0) continue;
+    if (known->second.state != machine_state::up) continue;
+    const worker* there = worker_of(pool, known->second);
+    found.push_back(
+        {&known->second, there == nullptr ? 0 : there->used.cpu_milli});
+  }
+  std::sort(found.begin(), found.end(),
+            [](const candidate& a, const candidate& b) {
+              if (a.cpu_in_use != b.cpu_in_use) {
+                return a.cpu_in_use < b.cpu_in_use;
+              }
+              return a.target->id < b.target->id;
+            });
+  return found;
+}
+
+// Whether the wave would be late if its machines had to empty first.
+bool is_urgent(const wave_progress& progress, std::size_t left,
+               milliseconds upkeep_time, steady_time now) {
+  std::uint32_t at_once = std::max<std::uint32_t>(1, progress.wave.max_down);
+  std::size_t rounds = (left + at_once - 1) / at_once;
+  milliseconds needed =
+      upkeep_time * static_cast<std::int64_t>(kPlannedUpkeeps * rounds);
+  return now + needed >= progress.due;
+}
+
+void work_on(upkeep_state* upkeep, pool_state* pool, wave_progress* progress,
+             milliseconds upkeep_time, steady_time now,
+             std::vector<upkeep_order>* out) {
+  std::vector<candidate> next = candidates(*upkeep, *pool, *progress);
+  bool urgent = is_urgent(*progress, next.size(), upkeep_time, now);
+  std::size_t down = progress->open.size() + progress->asked.size();
+  std::size_t room =
+      progress->wave.max_down > down ? progress->wave.max_down - down : 0;
+  std::size_t held_back = 0;
+  for (const candidate& each : next) {
+    if (held_back >= progress->wave.max_down) return;
+    worker* there = find_worker(pool, each.target->worker);
+    if (there != nullptr) {
+      if (would_miss_too_many(pool, *there)) continue;
+      there->avoid_until = std::max(there->avoid_until, now + kHoldBack);
+    }
+    ++held_back;
+    bool empty = there == nullptr || there->placements.empty();
+    if (room == 0 || (!empty && !urgent)) continue;
+    --room;
+    progress->asked.insert(each.target->id);
+    out->push_back({each.target->id, progress->wave.number});
+  }
+}
+
+void check_complete(const upkeep_state& upkeep, wave_progress* progress) {
+  if (progress->complete || !upkeep.listed) return;
+  bool all =
+      std::all_of(progress->wave.machines.begin(),
+                  progress->wave.machines.end(), [&](const std::string& id) {
+                    bool stays = upkeep.machines.count(id) > 0;
+                    return !stays || progress->begun.count(id) > 0;
+                  });
+  if (!all) return;
+  progress->complete = true;
+}
+
+}  // namespace
+
+std::vector<upkeep_order> observe_wave(upkeep_state* upkeep,
+                                       const upkeep_wave& wave,
+                                       const wire::wave_record& record,
+                                       steady_time now) {
+  std::vector<upkeep_order> again;
+  wave_progress& progress = upkeep->waves[wave.number];
+  bool is_new = progress.wave.number == 0;
+  progress.wave = wave;
+  if (!is_new) return again;
+  progress.due = now + wave.deadline;
+  progress.complete = record.complete();
+  for (const std::string& id : record.begun()) {
+    progress.begun.insert(id);
+    // It may still be down.
+    progress.open.insert(id);
+  }
+  for (const std::string& id : record.ordered()) {
+    if (progress.begun.count(id) > 0 || progress.complete) continue;
+    progress.asked.insert(id);
+    again.push_back({id, wave.number});
+  }
+  return again;
+}
+
+wire::wave_record record_of(const wave_progress& progress) {
+  wire::wave_record record;
+  for (const std::string& id : progress.begun) record.add_begun(id);
+  for (const std::string& id : progress.begun) record.add_ordered(id);
+  for (const std::string& id : progress.asked) record.add_ordered(id);
+  record.set_complete(progress.complete);
+  return record;
+}
+
+void observe_machines(upkeep_state* upkeep,
+                      const std::vector<machine>& machines) {
+  upkeep->machines.clear();
+  upkeep->listed = true;
+  for (const machine& each : machines) upkeep->machines[each.id] = each;
+  for (std::pair<const std::uint64_t, wave_progress>& each : upkeep->waves) {
+    std::erase_if(each.second.open, [&](const std::string& id) {
+      std::map<std::string, machine>::const_iterator known =
+          upkeep->machines.find(id);
+      // Gone for good, or up again with a worker.
+      return known == upkeep->machines.end() ||
+             (known->second.state == machine_state::up &&
+              !known->second.worker.empty());
+    });
+  }
+}
+
+void observe_upkeep(upkeep_state* upkeep, const upkeep_order& order,
+                    upkeep_answer answer) {
+  std::map<std::uint64_t, wave_progress>::iterator found =
+      upkeep->waves.find(order.wave);
+  if (found == upkeep->waves.end()) return;
+  wave_progress& progress = found->second;
+  switch (answer) {
+    case upkeep_answer::begun:
+    case upkeep_answer::none:
+      // Without an answer it may be down; the order is repeated, which the
+      // platform takes for the same upkeep.
+      progress.asked.erase(order.machine);
+      if (answer == upkeep_answer::none) return;
+      progress.begun.insert(order.machine);
+      progress.open.insert(order.machine);
+      // Its list entry is of before.
+      if (upkeep->machines.count(order.machine) > 0) {
+        upkeep->machines[order.machine].state = machine_state::upkeep;
+      }
+      return;
+    case upkeep_answer::busy:
+    case upkeep_answer::refused:
+    case upkeep_answer::fenced:
+      progress.asked.erase(order.machine);
+      return;
+  }
+}
+
+std::vector<upkeep_order> decide_upkeep(upkeep_state* upkeep, pool_state* pool,
+                                        milliseconds upkeep_time,
+                                        steady_time now) {
+  std::vector<upkeep_order> orders;
+  if (!upkeep->listed) return orders;
+  for (std::pair<const std::uint64_t, wave_progress>& each : upkeep->waves) {
+    check_complete(*upkeep, &each.second);
+    if (each.second.complete) continue;
+    work_on(upkeep, pool, &each.second, upkeep_time, now, &orders);
+  }
+  return orders;
+}
+
+bool has_open_wave(const upkeep_state& upkeep) {
+  return std::any_of(
+      upkeep.waves.begin(), upkeep.waves.end(),
+      [](const std::pair<const std::uint64_t, wave_progress>& each) {
+        return !each.second.complete;
+      });
+}
+
+}  // namespace ebonygrade::pool
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -5,6 +5,7 @@
 
 #include "events/events.h"
 #include "http/json.h"
+#include "platform/machines.h"
 #include "platform/manifest.h"
 #include "poold/peer_paths.h"
 
@@ -191,9 +192,22 @@
   entry_->journal_read();
 }
 
+void node::take_wave(const jobs::record& record) {
+  std::optional<pool::upkeep_wave> wave = platform::decode_wave(record.value);
+  if (!wave) {
+    events::emit(events::id::bundle_refused, "read wave", "",
+                 "key={} offset={} is no wave", record.key, record.offset);
+    return;
+  }
+  waves_[wave->number] = *wave;
+  if (owner_) owner_->on_wave(*wave, table_);
+}
+
 void node::on_operator(const std::vector<jobs::record>& records) {
   for (const jobs::record& each : records) {
-    if (each.key != platform::kManifestKey || each.value.empty()) continue;
+    if (each.value.empty()) continue;
+    if (each.key.starts_with(platform::kUpkeepKeyPrefix)) take_wave(each);
+    if (each.key != platform::kManifestKey) continue;
     std::optional<pool::manifest> decoded =
         platform::decode_manifest(each.value);
     if (!decoded) {
@@ -302,6 +316,9 @@
       context_, store_, clock_, settings_, epoch, [this] { resign(); },
       [this](const jobs::record& record) { take_record(record); });
   owner_->start(table_, *manifest_);
+  for (const std::pair<const std::uint64_t, pool::upkeep_wave>& each : waves_) {
+    owner_->on_wave(each.second, table_);
+  }
   journal_->set_pause(kOwnerReadPause);
   journal_->hurry();
 }
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -48,6 +49,7 @@
   void write_for_peer(http::request&& request, http::responder answer);
   void on_journal(const std::vector<jobs::record>& records);
   void on_operator(const std::vector<jobs::record>& records);
+  void take_wave(const jobs::record& record);
   void on_tick();
   void arm_tick();
   void consider_claim(steady_time now);
@@ -71,6 +73,7 @@
   std::shared_ptr<topic_follower> journal_;
   std::shared_ptr<topic_follower> operator_;
   std::shared_ptr<const pool::manifest> manifest_;
+  std::map<std::uint64_t, pool::upkeep_wave> waves_;
   std::shared_ptr<entry> entry_;
   std::shared_ptr<owner> owner_;
   http::server callers_;
--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -41,6 +41,7 @@
   std::vector<std::unique_ptr<standin::worker_host>> workers;
   std::vector<std::unique_ptr<node>> nodes;
   std::vector<std::string> entries;  // Callers' addresses.
+  std::string machines_address;
 
   // Ports of loopback that the system has just given out and taken back.
   std::string free_address() {
@@ -63,6 +64,7 @@
     settings.ready_address = free_address();
     settings.peer_address = free_address();
     settings.store_address = store.address();
+    settings.machines_address = machines_address;
     entries.push_back(settings.client_address);
     nodes.push_back(std::make_unique<node>(context, clock, settings));
     REQUIRE(nodes.back()->start().has_value());
@@ -235,6 +237,57 @@
   CHECK(submissions == 1);
 }
 
+// The platform's machines: one, whose upkeep is over at once.
+struct machine_service {
+  explicit machine_service(boost::asio::io_context& context)
+      : server(
+            context, {},
+            [this](http::request&& request, http::responder answer) {
+              if (request.method() == http::verb::post) {
+                fence = std::string(request["X-Fence-Token"]);
+                ++orders;
+                worker = "w2";
+              }
+              answer(http::json_response(
+                  http::status::ok,
+                  R"({"machines":[{"machine":"m1","pool":"pool-a","state":"up",)"
+                  R"("id":")" +
+                      worker + R"("}],"nextToken":null})"));
+            }) {
+    server.listen("127.0.0.1:0").value();
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(server.port());
+  }
+
+  std::string worker = "w1";
+  std::string fence;
+  int orders = 0;
+  http::server server;
+};
+
+TEST_CASE("a wave of upkeep is carried out once and told") {
+  cell cell;
+  machine_service machines(cell.context);
+  cell.machines_address = machines.address();
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.store.put("keyed.op", "wave/1",
+                 R"({"wave":1,"machines":["m1"],"deadlineS":5,"maxCount":1})");
+  cell.add_worker("w1");
+  cell.add_node("n1");
+  CHECK(cell.until([&] {
+    for (const standin::stored_record& each :
+         cell.store.records("keyed.status")) {
+      if (each.value == R"({"wave":1,"state":"complete"})") return true;
+    }
+    return false;
+  }));
+  CHECK(machines.orders == 1);
+  CHECK_FALSE(machines.fence.empty());
+  CHECK(cell.store.records("keyed.status").front().value ==
+        R"({"wave":1,"state":"running"})");
+}
+
 TEST_CASE("a daemon that missed dropped records starts over") {
   cell cell;
   cell.ledger.add_job(kJob, submission(), 2);
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -74,15 +74,39 @@
                "epoch={} jobs={} placed_on={} workers", epoch_,
                pool_.jobs.size(), pool_.workers.size());
   start_discovery();
+  start_upkeep();
   decide_soon();
 }
 
+void owner::start_upkeep() {
+  if (settings_.machines_address.empty()) return;
+  std::weak_ptr<owner> weak = weak_from_this();
+  upkeep_ = std::make_shared<upkeep_duty>(
+      context_, store_, clock_, settings_, epoch_, pool_,
+      [weak](const jobs::record& record, std::function<void(bool)> handler) {
+        std::shared_ptr<owner> self = weak.lock();
+        if (!self) return handler(false);
+        self->write(record, [handler](owner_answer answer) {
+          handler(answer == owner_answer::written);
+        });
+      });
+}
+
+void owner::on_wave(const pool::upkeep_wave& wave, const jobs::table& table) {
+  if (!upkeep_) return;
+  std::unordered_map<std::string, wire::wave_record>::const_iterator known =
+      table.waves.find(std::to_string(wave.number));
+  upkeep_->on_wave(
+      wave, known == table.waves.end() ? wire::wave_record() : known->second);
+}
+
 void owner::stop() {
   stopped_ = true;
   refuse_callers();
   decide_timer_.cancel();
   flush_timer_.cancel();
   journal_->stop();
+  if (upkeep_) upkeep_->stop();
   if (discovery_) discovery_->stop();
   for (std::pair<const std::string, std::shared_ptr<worker_link>>& each :
        links_) {
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -22,6 +22,7 @@
 #include "poold/settings.h"
 #include "poold/store.h"
 #include "poold/topic_follower.h"
+#include "poold/upkeep_duty.h"
 #include "poold/worker_link.h"
 
 namespace ebonygrade::poold {
@@ -58,6 +59,7 @@
   // Writes a record of a caller, together with the owner's own.
   void write(jobs::record record, std::function<void(owner_answer)> handler);
   void on_change(const jobs::table& table, const jobs::change& change);
+  void on_wave(const pool::upkeep_wave& wave, const jobs::table& table);
   void on_manifest(const pool::manifest& manifest);
   void heard_of(const std::string& daemon, const std::string& peer_address);
 
@@ -77,6 +79,7 @@
 
   pool::unix_time wall_now() const;
   void start_discovery();
+  void start_upkeep();
   void on_entries(const std::vector<jobs::record>& records, bool all);
   void on_entry(const jobs::record& record);
   void open_link(const std::string& worker, const std::string& address);
@@ -115,6 +118,7 @@
   std::shared_ptr<appender> journal_;
   std::shared_ptr<topic_follower> discovery_;
   advisers advisers_;
+  std::shared_ptr<upkeep_duty> upkeep_;  // Null without machines to ask.
   std::unordered_map<std::string, std::shared_ptr<worker_link>> links_;
   boost::asio::steady_timer decide_timer_;
   boost::asio::steady_timer flush_timer_;
--- a/src/poold/settings.cpp
+++ b/src/poold/settings.cpp
@@ -2,6 +2,7 @@
 
 #include <SimpleIni.h>
 
+#include <cstdlib>
 #include <fstream>
 #include <optional>
 #include <set>
@@ -15,6 +16,20 @@
 
 namespace {
 
+// Platforms give some times as fractions of a second: "1.5s", "250ms".
+std::optional<milliseconds> parse_decimal_duration(const std::string& text) {
+  std::size_t unit = text.find_first_not_of("0123456789.");
+  if (unit == 0 || unit == std::string::npos) return std::nullopt;
+  char* end = nullptr;
+  double value = std::strtod(text.c_str(), &end);
+  if (end != text.c_str() + unit) return std::nullopt;
+  std::string_view suffix = std::string_view(text).substr(unit);
+  constexpr double kMsPerSecond = 1000;
+  if (suffix == "s") value *= kMsPerSecond;
+  if (suffix != "s" && suffix != "ms") return std::nullopt;
+  return milliseconds(static_cast<std::int64_t>(value));
+}
+
 // Reads keys one by one, notes what is wrong, and then what nobody asked for.
 class reader {
  public:
@@ -54,7 +69,7 @@
   void duration(const char* section, const char* key, milliseconds* out) {
     std::optional<std::string> value = find(section, key);
     if (!value) return;
-    std::optional<milliseconds> parsed = settings::parse_duration(*value);
+    std::optional<milliseconds> parsed = parse_decimal_duration(*value);
     if (!parsed || parsed->count() <= 0) {
       return problem(
           name(section, key),
@@ -108,6 +123,8 @@
   ini.address("listen", "peers", true, &out.peer_address);
   ini.address("store", "address", true, &out.store_address);
   ini.address("advice", "address", false, &out.advice_address);
+  ini.address("machines", "address", false, &out.machines_address);
+  ini.duration("machines", "upkeep_time", &out.upkeep_time);
   ini.duration("workers", "lease", &out.lease);
   ini.duration("workers", "stop_time", &out.stop_time);
   ini.duration("shutdown", "grace", &out.drain_grace);
--- a/src/poold/settings.h
+++ b/src/poold/settings.h
@@ -22,6 +22,8 @@
   std::string peer_address;    // IP:PORT for other daemons and metrics.
   std::string store_address;
   std::string advice_address;        // Empty: no queue asks for advice.
+  std::string machines_address;      // Empty: no waves of upkeep.
+  milliseconds upkeep_time{2000};    // From an order to the new worker.
   milliseconds lease{6000};          // Longest that workers grant.
   milliseconds stop_time{400};       // A worker's stop takes at most so long.
   milliseconds drain_grace{6000};    // From SIGTERM to SIGKILL.
--- a/src/poold/settings_test.cpp
+++ b/src/poold/settings_test.cpp
@@ -24,6 +24,20 @@
   CHECK(report.value.status_time == milliseconds(120000));
 }
 
+TEST_CASE("times may be fractions of a second") {
+  std::string text = kValid;
+  text.replace(text.find("6s"), 2, "1.5s");
+  settings_report report = parse_settings(text, "test.ini");
+  CHECK(report.problems.empty());
+  CHECK(report.value.lease == milliseconds(1500));
+  for (const char* bad : {"1.5", "s", "1.2.3s", "1m", "-1s"}) {
+    std::string wrong = kValid;
+    wrong.replace(wrong.find("6s"), 2, bad);
+    CAPTURE(bad);
+    CHECK(parse_settings(wrong, "test.ini").problems.size() == 1);
+  }
+}
+
 TEST_CASE("problems name the key") {
   std::string text = kValid;
   text.replace(text.find("127.0.0.1:4"), 11, "nowhere");
