Come back to the store at once when a relay fails

A relay's failure brings the direct way back; it is avoided for 1 s, no longer doubled; reads of the operator's topic wait 0.6 s instead of 1 s.

--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -21,6 +21,7 @@
 constexpr milliseconds kFollowerReadPause{250};
 // Short, so that a connection that has gone silent is soon given up.
 constexpr milliseconds kJournalWait{400};
+constexpr milliseconds kOperatorWait{600};
 constexpr milliseconds kOperatorReadPause{250};
 // Without a record of the owner for so long, its place is free: several
 // heartbeats, and more than an answer of a store that is slowed sixty times.
@@ -148,6 +149,7 @@
   follower_options options;
   options.topic = platform::kOperatorTopic;
   options.pause = kOperatorReadPause;
+  options.wait = kOperatorWait;
   topic_follower::handlers handlers;
   handlers.on_all = [this](const std::vector<jobs::record>& records) {
     on_operator(records);
@@ -344,6 +346,8 @@
   if (address != owner_address_) {
     owner_address_ = address;
     owner_denied_ = false;
+    // What the former owner was asked to write is told as unknown.
+    if (owner_link_) owner_link_->close();
     owner_link_ = std::make_unique<http::client>(context_, address,
                                                  http::client_options());
   }
--- a/src/poold/store.cpp
+++ b/src/poold/store.cpp
@@ -24,10 +24,9 @@
 constexpr milliseconds kRelayTimeout{2000};
 constexpr std::size_t kReadConnections = 6;
 constexpr std::size_t kAppendConnections = 4;
-// A way that failed is tried again after this, if there is another one;
-// doubled with each further failure.
+// A way that failed is tried again after this, if there is another one. A
+// relay's failure brings the direct way back at once: the store may be, too.
 constexpr milliseconds kAvoidTime{1000};
-constexpr std::uint32_t kMaxAvoidDoublings = 2;
 
 http::client_options options_with(std::size_t connections) {
   http::client_options options;
@@ -96,7 +95,6 @@
                     const http::call_result& result) {
   lane& lane = lane_of(way, appends);
   if (result.has_value() && !is_refusal(*result)) {
-    lane.failures = 0;
     lane.avoid_until = steady_time();
     last_answer_ = clock_.now();
     if (std::exchange(down_, false)) {
@@ -104,8 +102,10 @@
     }
     return;
   }
-  std::uint32_t doublings = std::min(lane.failures++, kMaxAvoidDoublings);
-  lane.avoid_until = clock_.now() + kAvoidTime * (1 << doublings);
+  lane.avoid_until = clock_.now() + kAvoidTime;
+  if (!way.prefix.empty()) {
+    lane_of(*direct_, appends).avoid_until = steady_time();
+  }
   if (!std::exchange(down_, true)) {
     events::emit(events::id::log_down,
                  result.has_error()
--- a/src/poold/store.h
+++ b/src/poold/store.h
@@ -71,7 +71,6 @@
   struct lane {
     std::unique_ptr<http::client> client;
     steady_time avoid_until;
-    std::uint32_t failures = 0;  // Since the last answer.
   };
   // One way to the store.
   struct way {
