--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -256,7 +256,7 @@
 
 // Notes where the tasks went that were placed since `first`.
 void note_placed(pool_state* pool, const candidate_step& wanted,
-                 std::size_t first, unix_time wall) {
+                 std::size_t first, bool had_started, unix_time wall) {
   if (first >= pool->to_start.size()) return;
   std::string detail =
       "occurrence=" + std::to_string(wanted.step->occurrence) +
@@ -270,6 +270,7 @@
               "@" + each.worker;
   }
   add_note(pool, note_kind::placed, wanted.owner->id, {}, std::move(detail));
+  if (!had_started) pool->notes.back().after = wall - wanted.owner->accepted;
 }
 
 void place_tasks(pool_state* pool, const candidate_step& wanted,
@@ -487,12 +488,13 @@
     bool gang = definition(*each.owner, *each.step).gang();
     bool placed = true;
     std::size_t first = pool->to_start.size();
+    bool had_started = each.owner->started;
     if (gang) {
       placed = place_gang(pool, each, reserved, now);
     } else {
       place_tasks(pool, each, reserved, now);
     }
-    note_placed(pool, each, first, wall);
+    note_placed(pool, each, first, had_started, wall);
     if (each.policy->needs_advice && waiting_tasks(*each.step) > 0) {
       ask_advice(pool, each, reserved, out, now);
     }
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -142,7 +142,7 @@
   // Notes are taken after each event; more than this come only in a flood.
   constexpr std::size_t kMaxNotes = 1000;
   if (pool->notes.size() >= kMaxNotes) return;
-  pool->notes.push_back({kind, job, worker, std::move(detail)});
+  pool->notes.push_back({kind, job, worker, std::move(detail), {}});
 }
 
 std::string describe(const task_key& task, std::uint32_t run) {
@@ -198,6 +198,7 @@
            "outcome=" + wire::job_outcome_Name(outcome) +
                " queue=" + job->submission->queue() +
                " after_ms=" + std::to_string((wall - job->accepted).count()));
+  if (!pool->notes.empty()) pool->notes.back().after = wall - job->accepted;
   pool->changed.insert(job->id);
   pool->ended[job->id] = wall;
   pool->scheduled.erase(job->id);
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -23,6 +23,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -177,6 +178,8 @@
   std::string job;
   std::string worker;  // Empty for placed and job_ended.
   std::string detail;  // "key=value" pairs: the inputs and the outcome.
+  // Since the acceptance of the job: at its end, and at its first start.
+  std::optional<milliseconds> after;
 };
 
 struct counters {
--- a/src/poold/advisers.h
+++ b/src/poold/advisers.h
@@ -68,6 +68,8 @@
   std::map<std::string, std::shared_ptr<adviser>> advisers_;
   // By priority, then in the order of asking.
   std::multimap<std::uint32_t, question> waiting_;
+  // Gone with this object; an answer that comes later is dropped.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace ebonygrade::poold
--- a/src/poold/entry.cpp
+++ b/src/poold/entry.cpp
@@ -57,13 +57,14 @@
 entry::entry(boost::asio::io_context& context, store& store,
              const clock::clock& clock, const std::string& daemon,
              const jobs::table& table, topic_follower& journal,
-             owner_writer by_owner)
+             owner_writer by_owner, measurements& measured)
     : context_(context),
       clock_(clock),
       daemon_(daemon),
       table_(table),
       journal_(journal),
       by_owner_(std::move(by_owner)),
+      measured_(measured),
       timer_(context) {
   // The name holds the time of the start, so that no earlier life of this
   // daemon has numbered appends under it.
@@ -244,8 +245,15 @@
   flush();
 }
 
+void entry::measure(const waiting_write& wanted) {
+  measured_.answers.record(
+      wanted.queue,
+      std::chrono::duration_cast<milliseconds>(clock_.now() - wanted.asked));
+}
+
 void entry::confirm(waiting_write& wanted) {
   if (std::exchange(wanted.answered, true)) return;
+  measure(wanted);
   if (wanted.cancels) {
     events::emit(events::id::job_cancelled, "journal", "", "job={} queue={}",
                  wanted.job, wanted.queue);
@@ -277,6 +285,7 @@
 
 void entry::refuse(waiting_write& wanted, std::string_view reason) {
   if (std::exchange(wanted.answered, true)) return;
+  measure(wanted);
   // What the owner was asked to write may be in the journal after all.
   int status = wanted.tried ? 504 : 503;
   events::emit(events::id::job_refused, "journal", "",
--- a/src/poold/entry.h
+++ b/src/poold/entry.h
@@ -34,7 +34,7 @@
   entry(boost::asio::io_context& context, store& store,
         const clock::clock& clock, const std::string& daemon,
         const jobs::table& table, topic_follower& journal,
-        owner_writer by_owner);
+        owner_writer by_owner, measurements& measured);
 
   void set_manifest(std::shared_ptr<const pool::manifest> manifest);
   void handle(http::request&& request, http::responder answer);
@@ -75,6 +75,7 @@
   void write(std::shared_ptr<waiting_write> wanted);
   void write_directly(std::shared_ptr<waiting_write> wanted);
   void confirm(waiting_write& wanted);
+  void measure(const waiting_write& wanted);
   void flush();
   // The request has not been stored and never will be.
   void refuse(waiting_write& wanted, std::string_view reason);
@@ -96,6 +97,7 @@
   const jobs::table& table_;
   topic_follower& journal_;
   owner_writer by_owner_;
+  measurements& measured_;
   std::shared_ptr<const pool::manifest> manifest_;
   std::shared_ptr<appender> appender_;
   write_list queue_;      // For the next append.
--- /dev/null
+++ b/src/poold/measurements.cpp
@@ -0,0 +1,71 @@
+#include "poold/measurements.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ebonygrade::poold {
+
+namespace {
+
+// Four buckets a decade from 1 ms to 1,000 s.
+constexpr double kLeastSeconds = 0.001;
+constexpr double kMostSeconds = 1000;
+constexpr unsigned kBuckets = 24;
+// Queues beyond this are counted together.
+constexpr int kMaxQueues = 64;
+constexpr char kOtherQueue[] = "other";
+constexpr double kMsPerSecond = 1000;
+
+void append_header(std::string* text, std::string_view name,
+                   std::string_view kind, std::string_view help) {
+  text->append(
+      fmt::format("# HELP {0} {1}\n# TYPE {0} {2}\n", name, help, kind));
+}
+
+}  // namespace
+
+latency_histogram::latency_histogram(std::string name, std::string help)
+    : name_(std::move(name)),
+      help_(std::move(help)),
+      counts_(std::make_tuple(
+          queue_axis(), time_axis(kBuckets, kLeastSeconds, kMostSeconds))) {}
+
+void latency_histogram::record(const std::string& queue, milliseconds taken) {
+  bool known = sums_.count(queue) > 0;
+  bool full = !known && counts_.axis<0>().size() >= kMaxQueues;
+  const std::string& label = full ? std::string(kOtherQueue) : queue;
+  double seconds = static_cast<double>(taken.count()) / kMsPerSecond;
+  // The axis is logarithmic and has no place for zero.
+  counts_(label, std::max(seconds, kLeastSeconds));
+  sums_[label] += seconds;
+}
+
+void latency_histogram::append_text(std::string* text) const {
+  append_header(text, name_, "histogram", help_);
+  for (int queue = 0; queue < counts_.axis<0>().size(); ++queue) {
+    const std::string& label = counts_.axis<0>().value(queue);
+    std::uint64_t count = counts_.at(queue, -1);
+    for (int i = 0; i < counts_.axis<1>().size(); ++i) {
+      count += counts_.at(queue, i);
+      text->append(fmt::format("{}_bucket{{queue=\"{}\",le=\"{:.4g}\"}} {}\n",
+                               name_, label, counts_.axis<1>().bin(i).upper(),
+                               count));
+    }
+    count += counts_.at(queue, counts_.axis<1>().size());
+    text->append(fmt::format(
+        "{0}_bucket{{queue=\"{1}\",le=\"+Inf\"}} {2}\n"
+        "{0}_sum{{queue=\"{1}\"}} {3:.9g}\n{0}_count{{queue=\"{1}\"}} {2}\n",
+        name_, label, count, sums_.at(label)));
+  }
+}
+
+void append_value(std::string* text, std::string_view name,
+                  std::string_view kind, std::string_view help,
+                  std::uint64_t value) {
+  append_header(text, name, kind, help);
+  text->append(fmt::format("{} {}\n", name, value));
+}
+
+}  // namespace ebonygrade::poold
--- /dev/null
+++ b/src/poold/measurements.h
@@ -0,0 +1,66 @@
+// Counters and latency histograms of a pool daemon, as served at /metrics in
+// the Prometheus text exposition. docs/METRICS.md lists them. One thread uses
+// it.
+#pragma once
+
+#include <boost/histogram/axis/category.hpp>
+#include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
+#include <boost/histogram/storage_adaptor.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+#include "clock/clock.h"
+
+namespace ebonygrade::poold {
+
+using clock::milliseconds;
+
+// Times by queue.
+class latency_histogram {
+ public:
+  latency_histogram(std::string name, std::string help);
+
+  void record(const std::string& queue, milliseconds taken);
+  void append_text(std::string* text) const;
+
+ private:
+  using time_axis =
+      boost::histogram::axis::regular<double,
+                                      boost::histogram::axis::transform::log>;
+  using queue_axis = boost::histogram::axis::category<
+      std::string, boost::histogram::use_default,
+      boost::histogram::axis::option::growth_t>;
+  using counts = boost::histogram::histogram<
+      std::tuple<queue_axis, time_axis>,
+      boost::histogram::dense_storage<std::uint64_t>>;
+
+  std::string name_;
+  std::string help_;
+  counts counts_;
+  std::map<std::string, double> sums_;  // Seconds, by queue.
+};
+
+struct measurements {
+  latency_histogram answers{
+      "ebonygrade_pool_answer_seconds",
+      "Time from a caller's submission or cancellation to its answer."};
+  latency_histogram first_starts{
+      "ebonygrade_pool_first_start_seconds",
+      "Time from a job's acceptance to the placing of its first task."};
+  latency_histogram ends{"ebonygrade_pool_job_seconds",
+                         "Time from a job's acceptance to its final state."};
+};
+
+// One line of a counter or gauge with its header.
+void append_value(std::string* text, std::string_view name,
+                  std::string_view kind, std::string_view help,
+                  std::uint64_t value);
+
+}  // namespace ebonygrade::poold
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -111,7 +111,8 @@
       [this](const jobs::record& record, milliseconds timeout,
              std::function<void(owner_answer)> handler) {
         write_by_owner(record, timeout, std::move(handler));
-      });
+      },
+      measured_);
   follow_operator();
   error::result<void> bound = callers_.listen(settings_.client_address);
   if (bound.has_value()) bound = readiness_.listen(settings_.ready_address);
@@ -315,7 +316,8 @@
 
 void node::become_owner(std::uint64_t epoch) {
   owner_ = std::make_shared<owner>(
-      context_, store_, clock_, settings_, epoch, [this] { resign(); },
+      context_, store_, clock_, settings_, measured_, epoch,
+      [this] { resign(); },
       [this](const jobs::record& record) { take_record(record); });
   owner_->start(table_, *manifest_);
   for (const std::pair<const std::uint64_t, pool::upkeep_wave>& each : waves_) {
@@ -517,14 +519,49 @@
 }
 
 std::string node::metrics_text() const {
-  std::string text = "ebonygrade_pool_owner " + std::to_string(owner_ ? 1 : 0) +
-                     "\nebonygrade_pool_store_calls_total " +
-                     std::to_string(store_.calls()) +
-                     "\nebonygrade_pool_jobs_known " +
-                     std::to_string(table_.jobs.size()) + "\n";
+  std::string text;
+  measured_.answers.append_text(&text);
+  measured_.first_starts.append_text(&text);
+  measured_.ends.append_text(&text);
+  append_value(&text, "ebonygrade_pool_owner", "gauge",
+               "1 while this daemon owns the pool.", owner_ ? 1 : 0);
+  append_value(&text, "ebonygrade_pool_store_calls_total", "counter",
+               "Calls to the platform's store.", store_.calls());
+  append_value(&text, "ebonygrade_pool_jobs_known", "gauge",
+               "Jobs in this daemon's copy of the journal.",
+               table_.jobs.size());
+  append_value(&text, "ebonygrade_pool_unreadable_records_total", "counter",
+               "Records of the journal that could not be read.",
+               table_.unreadable);
+  if (owner_) append_owner_metrics(&text);
   return text;
 }
 
+void node::append_owner_metrics(std::string* text) const {
+  const pool::pool_state& state = owner_->state();
+  append_value(text, "ebonygrade_pool_workers", "gauge",
+               "Workers known to the owner.", state.workers.size());
+  append_value(text, "ebonygrade_pool_waiting_steps", "gauge",
+               "Steps with tasks that wait for a place.", state.waiting.size());
+  append_value(text, "ebonygrade_pool_starts_total", "counter",
+               "Starts sent to workers, copies included.",
+               state.counters.starts);
+  append_value(text, "ebonygrade_pool_stops_total", "counter",
+               "Stops sent to workers, copies included.", state.counters.stops);
+  append_value(text, "ebonygrade_pool_questions_total", "counter",
+               "Questions to the advice service.", state.counters.advice);
+  append_value(text, "ebonygrade_pool_refused_starts_total", "counter",
+               "Starts that workers refused.", state.counters.refused_starts);
+  append_value(text, "ebonygrade_pool_ends_done_total", "counter",
+               "Runs that ended well.", state.counters.ends_done);
+  append_value(text, "ebonygrade_pool_ends_failed_total", "counter",
+               "Runs that failed.", state.counters.ends_failed);
+  append_value(text, "ebonygrade_pool_ends_other_total", "counter",
+               "Runs that ended otherwise.", state.counters.ends_other);
+  append_value(text, "ebonygrade_pool_runs_lost_total", "counter",
+               "Runs lost with their worker.", state.counters.lost);
+}
+
 // ---- Graceful stop
 // ----------------------------------------------------------------
 
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -17,6 +17,7 @@
 #include "http/server.h"
 #include "jobs/job_table.h"
 #include "poold/entry.h"
+#include "poold/measurements.h"
 #include "poold/owner.h"
 #include "poold/settings.h"
 #include "poold/store.h"
@@ -64,12 +65,14 @@
   void relay_store_call(http::request&& request, http::responder answer);
   void relay_advice(http::request&& request, http::responder answer);
   std::string metrics_text() const;
+  void append_owner_metrics(std::string* text) const;
 
   boost::asio::io_context& context_;
   const clock::clock& clock_;
   node_settings settings_;
   store store_;
   jobs::table table_;
+  measurements measured_;
   std::shared_ptr<topic_follower> journal_;
   std::shared_ptr<topic_follower> operator_;
   std::shared_ptr<const pool::manifest> manifest_;
--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -41,7 +41,9 @@
   std::vector<std::unique_ptr<standin::worker_host>> workers;
   std::vector<std::unique_ptr<node>> nodes;
   std::vector<std::string> entries;  // Callers' addresses.
+  std::vector<std::string> peers;
   std::string machines_address;
+  std::string advice_address;
 
   // Ports of loopback that the system has just given out and taken back.
   std::string free_address() {
@@ -65,7 +67,9 @@
     settings.peer_address = free_address();
     settings.store_address = store.address();
     settings.machines_address = machines_address;
+    settings.advice_address = advice_address;
     entries.push_back(settings.client_address);
+    peers.push_back(settings.peer_address);
     nodes.push_back(std::make_unique<node>(context, clock, settings));
     REQUIRE(nodes.back()->start().has_value());
   }
@@ -143,6 +147,30 @@
   CHECK(cell.ledger.broken().empty());
 }
 
+TEST_CASE("metrics are served at the peer address") {
+  cell cell;
+  cell.ledger.add_job(kJob, submission(), 2);
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.add_worker("w1");
+  cell.add_node("n1");
+  REQUIRE(cell.until([&] { return cell.nodes[0]->owns_pool(); }));
+  REQUIRE(
+      cell.ask(0, http::verb::post, "/q/" + std::string(kJob), kBody).first ==
+      200);
+  REQUIRE(cell.reaches(0, "complete"));
+  cell.entries.push_back(cell.peers[0]);
+  std::string text = cell.ask(1, http::verb::get, "/metrics").second;
+  for (const char* line :
+       {"ebonygrade_pool_answer_seconds_count{queue=\"r\"} 1",
+        "ebonygrade_pool_first_start_seconds_count{queue=\"r\"} 1",
+        "ebonygrade_pool_job_seconds_count{queue=\"r\"} 1",
+        "ebonygrade_pool_owner 1", "ebonygrade_pool_starts_total 2",
+        "ebonygrade_pool_ends_done_total 2"}) {
+    CAPTURE(line, text);
+    CHECK(text.find(line) != std::string::npos);
+  }
+}
+
 TEST_CASE("unknown queues, jobs and bad bodies") {
   cell cell;
   cell.store.put("keyed.op", "config", kManifest);
@@ -198,6 +226,37 @@
   CHECK(cell.until([&] { return drained; }));
 }
 
+// Found by isma-painel, deploy/days/series.toml, seed 548122341310: a draining
+// owner ended within 60 ms of SIGTERM and cut its callers' connections.
+TEST_CASE("advice that comes after the owner has released the pool") {
+  cell cell;
+  std::vector<http::responder> questions;
+  http::server advice(cell.context, {},
+                      [&](http::request&&, http::responder answer) {
+                        questions.push_back(std::move(answer));
+                      });
+  advice.listen("127.0.0.1:0").value();
+  cell.advice_address = "127.0.0.1:" + std::to_string(advice.port());
+  std::string manifest = kManifest;
+  manifest.insert(manifest.find(R"("attempts")"),
+                  R"("advice":{"decideMs":10,"eachMs":1,"validMs":1000},)");
+  cell.store.put("keyed.op", "config", manifest);
+  cell.add_worker("w1");
+  cell.add_node("n1");
+  REQUIRE(cell.until([&] { return cell.nodes[0]->owns_pool(); }));
+  REQUIRE(
+      cell.ask(0, http::verb::post, "/q/" + std::string(kJob), kBody).first ==
+      200);
+  REQUIRE(cell.until([&] { return !questions.empty(); }));
+  bool drained = false;
+  cell.nodes[0]->drain([&] { drained = true; });
+  REQUIRE(cell.until([&] { return !cell.nodes[0]->owns_pool(); }));
+  questions.front()(
+      http::json_response(http::status::ok, R"({"granted":[["w1","t"]]})"));
+  questions.clear();
+  CHECK(cell.until([&] { return drained; }));
+}
+
 TEST_CASE("while the store refuses, callers are refused, and truthfully") {
   cell cell;
   cell.store.put("keyed.op", "config", kManifest);
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -37,12 +37,14 @@
 
 owner::owner(boost::asio::io_context& context, store& store,
              const clock::clock& clock, const node_settings& settings,
-             std::uint64_t epoch, std::function<void()> on_deposed,
+             measurements& measured, std::uint64_t epoch,
+             std::function<void()> on_deposed,
              std::function<void(const jobs::record&)> on_record)
     : context_(context),
       store_(store),
       clock_(clock),
       settings_(settings),
+      measured_(measured),
       epoch_(epoch),
       on_deposed_(std::move(on_deposed)),
       on_record_(std::move(on_record)),
@@ -296,8 +298,21 @@
   decide_at(last_decision_ + kDecideAtLeast);
 }
 
+void owner::measure(const pool::note& note) {
+  std::unordered_map<std::string, pool::job>::const_iterator job =
+      pool_.jobs.find(note.job);
+  if (!note.after || job == pool_.jobs.end()) return;
+  const std::string& queue = job->second.submission->queue();
+  if (note.kind == pool::note_kind::placed) {
+    measured_.first_starts.record(queue, *note.after);
+  } else {
+    measured_.ends.record(queue, *note.after);
+  }
+}
+
 void owner::write_notes() {
   for (const pool::note& each : std::exchange(pool_.notes, {})) {
+    measure(each);
     switch (each.kind) {
       case pool::note_kind::placed:
         events::emit(events::id::task_placed, "decide", "", "job={} {}",
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -19,6 +19,7 @@
 #include "pool/pool.h"
 #include "poold/advisers.h"
 #include "poold/appender.h"
+#include "poold/measurements.h"
 #include "poold/settings.h"
 #include "poold/store.h"
 #include "poold/topic_follower.h"
@@ -45,7 +46,8 @@
   // record of a caller that has been written.
   owner(boost::asio::io_context& context, store& store,
         const clock::clock& clock, const node_settings& settings,
-        std::uint64_t epoch, std::function<void()> on_deposed,
+        measurements& measured, std::uint64_t epoch,
+        std::function<void()> on_deposed,
         std::function<void(const jobs::record&)> on_record);
 
   // Takes over the jobs that the journal knows.
@@ -89,6 +91,7 @@
   void decide_soon();
   void decide_at(steady_time when);
   void decide();
+  void measure(const pool::note& note);
   void write_notes();
   void carry_out(const pool::decisions& orders);
   void send_start(const pool::start_order& order);
@@ -110,6 +113,7 @@
   store& store_;
   const clock::clock& clock_;
   const node_settings& settings_;
+  measurements& measured_;
   std::uint64_t epoch_;
   std::function<void()> on_deposed_;
   std::function<void(const jobs::record&)> on_record_;
--- a/src/poold/store_test.cpp
+++ b/src/poold/store_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <string>
+#include <utility>
 
 #include "standin/pool/keyed_store.h"
 
