--- a/src/poold/advisers.cpp
+++ b/src/poold/advisers.cpp
@@ -129,8 +129,9 @@
       kAnswerSlack;
   http::client& client = *chosen->client;
   client.call("advise", std::move(message), timeout,
-              [this, chosen, is_long,
+              [this, alive = std::weak_ptr<bool>(alive_), chosen, is_long,
                answer = std::move(asked.answer)](http::call_result&& result) {
+                if (alive.expired()) return;
                 --chosen->open;
                 if (is_long) --chosen->open_long;
                 std::optional<std::vector<pool::ticket>> tickets;
--- a/src/poold/measurements.cpp
+++ b/src/poold/measurements.cpp
@@ -44,16 +44,16 @@
 
 void latency_histogram::append_text(std::string* text) const {
   append_header(text, name_, "histogram", help_);
-  for (int queue = 0; queue < counts_.axis<0>().size(); ++queue) {
-    const std::string& label = counts_.axis<0>().value(queue);
-    std::uint64_t count = counts_.at(queue, -1);
+  for (int row = 0; row < counts_.axis<0>().size(); ++row) {
+    const std::string& label = counts_.axis<0>().value(row);
+    std::uint64_t count = counts_.at(row, -1);
     for (int i = 0; i < counts_.axis<1>().size(); ++i) {
-      count += counts_.at(queue, i);
+      count += counts_.at(row, i);
       text->append(fmt::format("{}_bucket{{queue=\"{}\",le=\"{:.4g}\"}} {}\n",
                                name_, label, counts_.axis<1>().bin(i).upper(),
                                count));
     }
-    count += counts_.at(queue, counts_.axis<1>().size());
+    count += counts_.at(row, counts_.axis<1>().size());
     text->append(fmt::format(
         "{0}_bucket{{queue=\"{1}\",le=\"+Inf\"}} {2}\n"
         "{0}_sum{{queue=\"{1}\"}} {3:.9g}\n{0}_count{{queue=\"{1}\"}} {2}\n",
--- a/src/poold/store.cpp
+++ b/src/poold/store.cpp
@@ -124,8 +124,10 @@
   }
   http::client& client = *lane_of(*chosen, appends).client;
   client.call(step, std::move(request), timeout,
-              [this, chosen, appends, step = std::string(step),
+              [this, alive = std::weak_ptr<bool>(alive_), chosen, appends,
+               step = std::string(step),
                handler = std::move(handler)](http::call_result&& result) {
+                if (alive.expired()) return;
                 observe(*chosen, appends, step, result);
                 handler(std::move(result));
               });
--- a/src/poold/store.h
+++ b/src/poold/store.h
@@ -101,6 +101,8 @@
   milliseconds append_time_{20};  // Smoothed, of answered appends.
   bool down_ = false;
   std::uint64_t calls_ = 0;
+  // Gone with this object; an answer that comes later is dropped.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace ebonygrade::poold
