Split orders from decisions; one lookup of a task's job and step

Read as a newcomer: decide.cpp held placing, advice and the orders under way in 680 lines, and nine places looked a task's step up in the same words.

--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -165,6 +165,16 @@
   return &found->second[step];
 }
 
+task_place find_place(pool_state* pool, const task_key& task) {
+  task_place found;
+  found.job = find_job(pool, task.job);
+  if (found.job != nullptr) {
+    found.step = find_step(found.job, task.occurrence, task.step);
+  }
+  if (found.step == nullptr) found.job = nullptr;
+  return found;
+}
+
 const queue_policy& policy_of(const pool_state& pool, const job& job) {
   std::unordered_map<std::string, queue_policy>::const_iterator found =
       pool.queues.find(job.submission->queue());
--- /dev/null
+++ b/src/pool/orders.cpp
@@ -0,0 +1,167 @@
+// Orders under way: starts that follow their record, copies of those that were
+// not answered, stops, and runs that are over because their worker is.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "pool/pool_pvt.h"
+
+namespace ebonygrade::pool {
+
+namespace {
+
+// A start without an answer goes out again, to the same worker, this often in
+// all; then the run is stopped. Starts and stops are idempotent.
+constexpr std::uint32_t kMaxStartCopies = 3;
+constexpr milliseconds kStopRepeat{500};
+// A confirmed stop whose run is still listed is repeated after this.
+constexpr milliseconds kStopTakesTooLong{2000};
+// Progress is reported in hundredths, so that a task of 20 s that runs at a
+// sixth of its speed still moves within this.
+constexpr milliseconds kHungAfter{3500};
+constexpr std::uint32_t kAllDone = 100;
+constexpr milliseconds kAvoidHung{5000};
+
+// --------------------------------------------------------
+
+start_order make_start(pool_state* pool, worker* worker, placement* placed,
+                       steady_time now) {
+  start_order order;
+  order.worker = worker->entry.id;
+  order.address = worker->entry.address;
+  order.incarnation_ms = worker->entry.incarnation_ms;
+  order.task = placed->task;
+  order.run = placed->run;
+  task_place where = find_place(pool, placed->task);
+  job* job = where.job;
+  step_run* step = where.step;
+  if (step == nullptr || job->outcome != wire::OPEN) return order;
+  order.until = give_lease(pool, order.worker, now);
+  order.job = job->submission;
+  order.checkpoint = step->tasks[placed->task.index].checkpoint;
+  order.ticket = placed->ticket;
+  ++placed->starts_sent;
+  ++pool->counters.starts;
+  return order;
+}
+
+void follow_start(pool_state* pool, worker* worker, placement* placed,
+                  decisions* out, steady_time now) {
+  bool may_repeat = placed->starts_sent < kMaxStartCopies &&
+                    !placed->stop_wanted &&
+                    now - worker->last_answer <= kSilenceLimit;
+  if (!may_repeat) {
+    placed->stop_wanted = true;
+    return;
+  }
+  start_order order = make_start(pool, worker, placed, now);
+  if (order.job == nullptr || order.until == worker_time(0)) {
+    placed->stop_wanted = true;
+    return;
+  }
+  placed->since = steady_time::max();  // Until the answer, or its absence.
+  out->repeated_starts.push_back(std::move(order));
+}
+
+bool is_hung(pool_state* pool, const worker& worker, const placement& placed,
+             steady_time now) {
+  if (placed.phase != phase::running || placed.stop_wanted) return false;
+  if (now - worker.last_answer > kSilenceLimit) return false;
+  if (now - placed.progressed < kHungAfter) return false;
+  task_place where = find_place(pool, placed.task);
+  job* job = where.job;
+  step_run* step = where.step;
+  if (step == nullptr || definition(*job, *step).long_running()) return false;
+  // A member of a gang that has done its part waits for the others.
+  return !definition(*job, *step).gang() || placed.percent < kAllDone;
+}
+
+void order_stop(worker* worker, placement* placed, decisions* out,
+                steady_time now) {
+  if (placed->phase == phase::recording) return;
+  bool ignored = placed->stop_confirmed &&
+                 now - placed->stop_confirmed_at > kStopTakesTooLong;
+  if (placed->stop_confirmed && !ignored) return;
+  bool waits = placed->stop_sent != steady_time() &&
+               now - placed->stop_sent < kStopRepeat;
+  if (waits) return;
+  placed->stop_sent = now;
+  out->stops.push_back(
+      {worker->entry.id, worker->entry.address, placed->task, placed->run});
+}
+
+void look_after(pool_state* pool, worker* worker, decisions* out,
+                steady_time now) {
+  bool silent = now - worker->last_answer > kSilenceLimit;
+  if (silent && now > worker->lease_end && !worker->placements.empty()) {
+    drop_all(pool, worker);
+    return;
+  }
+  for (placement& placed : worker->placements) {
+    if (placed.phase == phase::sent && placed.since != steady_time::max() &&
+        placed.starts_sent > 0 && !placed.stop_wanted &&
+        placed.since + milliseconds(1) < now) {
+      follow_start(pool, worker, &placed, out, now);
+    }
+    if (is_hung(pool, *worker, placed, now)) {
+      placed.stop_wanted = true;
+      worker->avoid_until = now + kAvoidHung;
+      add_note(pool, note_kind::worker_avoided, placed.task.job,
+               worker->entry.id,
+               describe(placed.task, placed.run) +
+                   " reason=no_progress at=" + std::to_string(placed.percent));
+    }
+    if (placed.stop_wanted) order_stop(worker, &placed, out, now);
+  }
+}
+
+void forget_workers(pool_state* pool, steady_time now) {
+  for (std::unordered_map<std::string, worker>::iterator each =
+           pool->workers.begin();
+       each != pool->workers.end();) {
+    const worker& known = each->second;
+    bool over = !known.listed && known.placements.empty() &&
+                now - known.last_answer > kSilenceLimit;
+    each = over ? pool->workers.erase(each) : std::next(each);
+  }
+}
+
+}  // namespace
+
+void look_after_orders(pool_state* pool, decisions* out, steady_time now) {
+  for (std::pair<const std::string, worker>& each : pool->workers) {
+    look_after(pool, &each.second, out, now);
+  }
+  forget_workers(pool, now);
+}
+
+std::vector<start_order> batch_written(pool_state* pool,
+                                       const journal_batch& batch,
+                                       steady_time now) {
+  std::vector<start_order> orders;
+  for (const std::pair<std::string, std::uint64_t>& end : batch.ends) {
+    worker* known = find_worker(pool, end.first);
+    if (known != nullptr && end.second <= known->last_end) {
+      known->acked_end = std::max(known->acked_end, end.second);
+    }
+  }
+  for (const placement_name& name : batch.starts) {
+    worker* known = find_worker(pool, name.worker);
+    if (known == nullptr) continue;
+    placement* placed = find_placement(known, name.task, name.run);
+    if (placed == nullptr || placed->phase != phase::recording) continue;
+    start_order order;
+    if (!placed->stop_wanted) order = make_start(pool, known, placed, now);
+    if (order.job == nullptr || order.until == worker_time(0)) {
+      // Never sent, so nothing has to be stopped.
+      drop_placement(pool, known, name.task, name.run);
+      continue;
+    }
+    placed->phase = phase::sent;
+    placed->since = steady_time::max();
+    orders.push_back(std::move(order));
+  }
+  return orders;
+}
+
+}  // namespace ebonygrade::pool
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -24,6 +24,12 @@
 
 job* find_job(pool_state* pool, const std::string& id);
 step_run* find_step(job* job, std::uint32_t occurrence, std::uint32_t step);
+// A task's job and step, both null if either is not known.
+struct task_place {
+  pool::job* job = nullptr;
+  step_run* step = nullptr;
+};
+task_place find_place(pool_state* pool, const task_key& task);
 worker* find_worker(pool_state* pool, const std::string& id);
 placement* find_placement(worker* worker, const task_key& task,
                           std::uint32_t run);
@@ -49,6 +55,10 @@
 // Everything on the worker is over.
 void drop_all(pool_state* pool, worker* worker);
 
+// Sends again or stops what was ordered, and gives up runs whose worker is
+// gone.
+void look_after_orders(pool_state* pool, decisions* out, steady_time now);
+
 void start_occurrences(pool_state* pool, unix_time wall);
 
 }  // namespace ebonygrade::pool
--- a/src/pool/upkeep.cpp
+++ b/src/pool/upkeep.cpp
@@ -34,10 +34,9 @@
 // away than it may miss.
 bool would_miss_too_many(pool_state* pool, const worker& worker) {
   for (const placement& each : worker.placements) {
-    job* job = find_job(pool, each.task.job);
-    step_run* step = job == nullptr
-                         ? nullptr
-                         : find_step(job, each.task.occurrence, each.task.step);
+    task_place where = find_place(pool, each.task);
+    job* job = where.job;
+    step_run* step = where.step;
     if (step == nullptr) continue;
     const wire::step_definition& wanted = definition(*job, *step);
     if (!wanted.long_running() || wanted.may_miss() == 0) continue;
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -112,10 +112,9 @@
   } else {
     ++pool->counters.ends_other;
   }
-  job* job = find_job(pool, end.task.job);
-  step_run* step = job == nullptr
-                       ? nullptr
-                       : find_step(job, end.task.occurrence, end.task.step);
+  task_place where = find_place(pool, end.task);
+  job* job = where.job;
+  step_run* step = where.step;
   bool counts = step != nullptr && job->outcome == wire::OPEN &&
                 end.task.index < step->tasks.size() &&
                 !step->tasks[end.task.index].done;
@@ -154,10 +153,9 @@
     placement stray;
     stray.task = row.task;
     stray.run = row.run;
-    job* job = find_job(pool, row.task.job);
-    step_run* step = job == nullptr
-                         ? nullptr
-                         : find_step(job, row.task.occurrence, row.task.step);
+    task_place where = find_place(pool, row.task);
+    job* job = where.job;
+    step_run* step = where.step;
     if (step != nullptr) stray.need = need_of(definition(*job, *step));
     stray.phase = phase::running;
     stray.since = now;
@@ -178,10 +176,9 @@
     placed->progressed = now;
   }
   if (row.checkpoint.empty()) return;
-  job* job = find_job(pool, row.task.job);
-  step_run* step = job == nullptr
-                       ? nullptr
-                       : find_step(job, row.task.occurrence, row.task.step);
+  task_place where = find_place(pool, row.task);
+  job* job = where.job;
+  step_run* step = where.step;
   if (step == nullptr || row.task.index >= step->tasks.size()) return;
   if (definition(*job, *step).gang()) {
     for (task& member : step->tasks) member.checkpoint = row.checkpoint;
@@ -271,10 +268,9 @@
   worker->placements.erase(worker->placements.begin() +
                            (placed - worker->placements.data()));
   worker->used = worker->used - over.need;
-  job* job = find_job(pool, over.task.job);
-  step_run* step = job == nullptr
-                       ? nullptr
-                       : find_step(job, over.task.occurrence, over.task.step);
+  task_place where = find_place(pool, over.task);
+  job* job = where.job;
+  step_run* step = where.step;
   if (step == nullptr || over.task.index >= step->tasks.size()) return;
   struct task& owner = step->tasks[over.task.index];
   if (!is_current(owner, over, worker->entry.id)) return;
@@ -420,10 +416,8 @@
   }
   ++pool->counters.refused_starts;
   if (answer == start_answer::bad_ticket) {
-    job* job = find_job(pool, order.task.job);
-    step_run* step =
-        job == nullptr ? nullptr
-                       : find_step(job, order.task.occurrence, order.task.step);
+    task_place where = find_place(pool, order.task);
+    step_run* step = where.step;
     if (step != nullptr) step->tickets.erase(order.worker);
   }
   // Of several copies another one may still be carried out, and `ended` tells
--- a/src/poold/entry.h
+++ b/src/poold/entry.h
@@ -38,6 +38,8 @@
 
   void set_manifest(std::shared_ptr<const pool::manifest> manifest);
   void handle(http::request&& request, http::responder answer);
+  // The journal has been read further.
+  void journal_read() { check_current(); }
   void stop();
 
  private:
@@ -91,7 +93,6 @@
     std::function<void()> then;
   };
 
-  boost::asio::io_context& context_;
   const clock::clock& clock_;
   std::string daemon_;
   const jobs::table& table_;
@@ -106,10 +107,6 @@
   boost::asio::steady_timer timer_;
   bool timer_armed_ = false;
   bool stopped_ = false;
-
- public:
-  // The journal has been read further.
-  void journal_read() { check_current(); }
 };
 
 }  // namespace ebonygrade::poold
--- a/src/poold/upkeep_duty.h
+++ b/src/poold/upkeep_duty.h
@@ -43,7 +43,6 @@
   void tell(std::uint64_t wave, bool complete);
   void write_status();
 
-  boost::asio::io_context& context_;
   const clock::clock& clock_;
   const node_settings& settings_;
   std::uint64_t fence_;
