Give daemons in tests ports that no outgoing connection takes

The test takes free ports from the system and gives them back; they lie in the range of outgoing connections, and a daemon that had started before took one. Ruled out: another test (it runs alone) and the load itself. scripts/cell.bash has long used ports below that range; the cell of the tests and node_test do so now. metrics_test failed as METRICS.md held rows of the pool daemon that its catalogue lacks; they have a page of their own.

--- a/src/poold/measurements.h
+++ b/src/poold/measurements.h
@@ -1,6 +1,6 @@
 // Counters and latency histograms of a pool daemon, as served at /metrics in
-// the Prometheus text exposition. docs/METRICS.md lists them. One thread uses
-// it.
+// the Prometheus text exposition. docs/METRICS-POOLD.md lists them. One thread
+// uses it.
 #pragma once
 
 #include <boost/histogram/axis/category.hpp>
--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -17,6 +17,7 @@
 #include "http/address.h"
 #include "standin/pool/keyed_store.h"
 #include "standin/pool/worker_host.h"
+#include "testsuite/cell/ports.h"
 
 namespace ebonygrade::poold {
 
@@ -45,11 +46,8 @@
   std::string machines_address;
   std::string advice_address;
 
-  // Ports of loopback that the system has just given out and taken back.
   std::string free_address() {
-    boost::asio::ip::tcp::acceptor probe(
-        context, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(testsuite::free_ports(1).at(0));
   }
 
   void add_worker(const std::string& id) {
--- a/testsuite/cell/cell.cpp
+++ b/testsuite/cell/cell.cpp
@@ -2,8 +2,6 @@
 
 #include <stdlib.h>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -11,6 +9,7 @@
 #include <thread>
 #include <utility>
 
+#include "cell/ports.h"
 #include "http/json.h"
 #include "job/job.h"
 
@@ -29,18 +28,6 @@
 }
 
 // Free ports, held until all are known so that they differ.
-std::vector<std::uint16_t> free_ports(std::size_t count) {
-  boost::asio::io_context context;
-  std::vector<boost::asio::ip::tcp::acceptor> held;
-  std::vector<std::uint16_t> ports;
-  for (std::size_t i = 0; i < count; ++i) {
-    held.emplace_back(context, boost::asio::ip::tcp::endpoint(
-                                   boost::asio::ip::address_v4::loopback(), 0));
-    ports.push_back(held.back().local_endpoint().port());
-  }
-  return ports;
-}
-
 std::string loopback(std::uint16_t port) {
   return "127.0.0.1:" + std::to_string(port);
 }
