--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -224,6 +224,26 @@
   CHECK(cell.until([&] { return drained; }));
 }
 
+TEST_CASE("an owner that drains during an append tells the journal") {
+  cell cell;
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.add_node("n1");
+  REQUIRE(cell.until([&] { return cell.nodes[0]->owns_pool(); }));
+  // The next append is written, but the owner doesn't know it yet.
+  cell.store.lose_answers(1);
+  REQUIRE(cell.until([&] { return cell.store.answers_to_lose() == 0; }));
+  bool drained = false;
+  cell.nodes[0]->drain([&] { drained = true; });
+  REQUIRE(cell.until([&] { return !cell.nodes[0]->owns_pool(); }));
+  wire::ownership_record last;
+  for (const standin::stored_record& each :
+       cell.store.records("keyed.journal")) {
+    if (each.key == jobs::kOwnerKey) last.ParseFromString(each.value);
+  }
+  CHECK(last.released());
+  CHECK(cell.until([&] { return drained; }));
+}
+
 // Found by isma-painel, deploy/days/series.toml, seed 548122341310: a draining
 // owner ended within 60 ms of SIGTERM and cut its callers' connections.
 TEST_CASE("advice that comes after the owner has released the pool") {
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -433,10 +433,11 @@
   } else if (release_now) {
     batch.records.push_back(ownership_record(true));
   }
-  send(std::move(batch), std::move(callers));
+  send(std::move(batch), std::move(callers), release_now);
 }
 
-void owner::send(pool::journal_batch batch, std::vector<caller_write> callers) {
+void owner::send(pool::journal_batch batch, std::vector<caller_write> callers,
+                 bool releases) {
   std::vector<jobs::record> records = batch.records;
   for (const caller_write& each : callers) records.push_back(each.record);
   // The owner's own records can wait for the store, callers can't.
@@ -444,12 +445,12 @@
   journal_->write(
       std::move(records), [has_callers] { return !has_callers; },
       [self = shared_from_this(), batch = std::move(batch),
-       callers = std::move(callers)](write_outcome outcome) mutable {
+       callers = std::move(callers), releases](write_outcome outcome) mutable {
         self->on_callers_written(callers, outcome);
         if (outcome != write_outcome::given_up) {
-          return self->on_written(batch, outcome);
+          return self->on_written(batch, outcome, releases);
         }
-        if (!self->stopped_) self->send(std::move(batch), {});
+        if (!self->stopped_) self->send(std::move(batch), {}, releases);
       });
 }
 
@@ -462,8 +463,8 @@
   return {jobs::kOwnerKey, record.SerializeAsString(), 0};
 }
 
-void owner::on_written(const pool::journal_batch& batch,
-                       write_outcome outcome) {
+void owner::on_written(const pool::journal_batch& batch, write_outcome outcome,
+                       bool releases) {
   if (stopped_) return;
   if (outcome != write_outcome::written) {
     events::emit(events::id::claim_lost, "append", "", "epoch={} was fenced",
@@ -471,7 +472,7 @@
     return depose();
   }
   last_record_ = clock_.now();
-  if (releasing_ && on_released_ != nullptr) return finish_release();
+  if (releases) return finish_release();
   apply_written(batch);
   decide_soon();
   flush_soon();
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -99,8 +99,11 @@
   void ask(const pool::advice_order& order);
   void flush_soon();
   void flush();
-  void send(pool::journal_batch batch, std::vector<caller_write> callers);
-  void on_written(const pool::journal_batch& batch, write_outcome outcome);
+  // `releases`: the batch ends with the record that frees the pool.
+  void send(pool::journal_batch batch, std::vector<caller_write> callers,
+            bool releases);
+  void on_written(const pool::journal_batch& batch, write_outcome outcome,
+                  bool releases);
   void apply_written(const pool::journal_batch& batch);
   void refuse_callers();
   void on_callers_written(const std::vector<caller_write>& callers,
--- a/standin/pool/keyed_store.h
+++ b/standin/pool/keyed_store.h
@@ -36,6 +36,7 @@
            const std::string& value);
   void refuse(bool on) { refuses_ = on; }
   void lose_answers(int count) { lost_answers_ = count; }
+  int answers_to_lose() const { return lost_answers_; }
   void forget(const std::string& topic);
   const std::vector<stored_record>& records(const std::string& topic);
   std::uint64_t appends() const { return appends_; }
