Index room in a round of decisions; size and time questions to the advice service

Cause: with 350 workers each round walked every worker for every waiting step, each end of a task walked every placement of the pool, and first questions to the advice service named the same 100 workers, full ones included. Change: a round lists the open workers once, the most room first, and looks at those with room, or at the step's tickets if they are fewer; a job knows the workers that have its tasks; in a pool of more than 48 workers a first question names those with room, as many as the step is likely to need by the share that the service grants; no question for a step whose room open questions of earlier steps will take. Two of the new tests fail with the two constants set out of reach.

--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -66,8 +66,7 @@
   placed.phase = phase::unverified;
   placed.since = now;
   placed.progressed = now;
-  worker.used = worker.used + placed.need;
-  worker.placements.push_back(std::move(placed));
+  add_placement(pool, &worker, std::move(placed));
 }
 
 void restore(pool_state* pool, job* job, const wire::job_progress& saved,
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -143,6 +143,8 @@
   std::map<std::uint32_t, std::vector<step_run>> occurrences;  // Open ones.
   std::uint32_t occurrences_done = 0;
   std::uint32_t next_occurrence = 0;
+  // Workers with placements of its tasks, and how many each.
+  std::unordered_map<std::string, std::size_t> workers;
 };
 
 // Order in which steps that have waiting tasks are looked at.
@@ -182,6 +184,13 @@
   std::optional<milliseconds> after;
 };
 
+// Processor time of the workers that comes free.
+struct turnover {
+  std::int64_t cpu_milli_per_second = 0;  // Smoothed.
+  std::int64_t freed_cpu_milli = 0;       // Since it was last measured.
+  steady_time measured;
+};
+
 struct counters {
   std::uint64_t starts = 0;
   std::uint64_t stops = 0;
@@ -205,8 +214,11 @@
   // Placements whose record is still to be written: worker, task, run.
   std::vector<placement_name> to_start;
   std::size_t open_questions = 0;  // To the advice service.
-  bool deposed = false;            // A worker knows a newer owner.
-  std::vector<note> notes;         // Since they were last taken.
+  // Share of the named workers that the service grants, smoothed, by queue.
+  std::unordered_map<std::string, double> grant_shares;
+  pool::turnover turnover;
+  bool deposed = false;     // A worker knows a newer owner.
+  std::vector<note> notes;  // Since they were last taken.
   pool::counters counters;
 };
 
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -49,6 +49,8 @@
 // Wants every run of the step stopped, but not those of `except_run`.
 void stop_runs(pool_state* pool, const std::string& job, const step_run* only);
 
+// Takes the room of a run on the worker until drop_placement().
+void add_placement(pool_state* pool, worker* worker, placement placed);
 // Frees the placement's room, and its task if this was its current run.
 void drop_placement(pool_state* pool, worker* worker, const task_key& task,
                     std::uint32_t run);
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -273,6 +273,78 @@
   CHECK(starts[0].ticket == "t2");
 }
 
+void set_advised(test_pool* pool) {
+  pool->policy.needs_advice = true;
+  pool->policy.advice_fixed = milliseconds(10);
+  pool->policy.advice_validity = milliseconds(2000);
+  set_queues(&pool->state, {{kQueue, pool->policy}});
+}
+
+// Load pattern: a pool of hundreds of workers, where naming every worker in
+// each question makes the advice service the bottleneck.
+TEST_CASE("a first question in a large pool names few workers, with room") {
+  test_pool pool;
+  set_advised(&pool);
+  constexpr int kFull = 300;
+  constexpr int kFree = 20;
+  for (int i = 0; i < kFull + kFree; ++i) {
+    pool.add_worker("w" + std::to_string(i));
+  }
+  for (int i = 0; i < kFull; ++i) {
+    worker& full = pool.state.workers.at("w" + std::to_string(i));
+    full.used = full.entry.capacity;
+  }
+  pool.submit("00000000000000aa", {test_pool::step(2, 1000)});
+  pool.submit("00000000000000ab", {test_pool::step(2, 1000)});
+  decisions asked;
+  pool.round(&asked);
+  REQUIRE(asked.advice.size() == 2);
+  for (const advice_order& each : asked.advice) {
+    CHECK(each.workers.size() < kFree);
+    for (const std::string& name : each.workers) {
+      CAPTURE(name);
+      CHECK(std::stoi(name.substr(1)) >= kFull);
+    }
+  }
+  // Steps that wait together don't compete for the same workers.
+  CHECK(asked.advice[0].workers != asked.advice[1].workers);
+}
+
+// Load pattern: overload. Tickets of steps that get no room expire unused,
+// while the service answers for them instead of for those that do.
+TEST_CASE("no advice is asked for steps that will find no room") {
+  test_pool pool;
+  set_advised(&pool);
+  for (int i = 0; i < 4; ++i) pool.add_worker("w" + std::to_string(i));
+  constexpr int kJobs = 40;
+  for (int i = 0; i < kJobs; ++i) {
+    pool.submit("00000000000000" + std::to_string(10 + i),
+                {test_pool::step(1, 4000)});
+  }
+  decisions asked;
+  pool.round(&asked);
+  // Room for four; some are denied the workers that they ask for.
+  CHECK(asked.advice.size() >= 4);
+  CHECK(asked.advice.size() <= 12);
+}
+
+// A step that can't be placed doesn't keep advice from those behind it.
+TEST_CASE("steps that no worker may run hold up nobody") {
+  test_pool pool;
+  set_advised(&pool);
+  for (int i = 0; i < 4; ++i) pool.add_worker("w" + std::to_string(i));
+  pool.submit("00000000000000aa", {test_pool::step(100, 4000)});
+  decisions first;
+  pool.round(&first);
+  REQUIRE(first.advice.size() == 1);
+  observe_advice(&pool.state, first.advice[0], true, {}, pool.now, pool.now);
+  pool.submit("00000000000000ab", {test_pool::step(1, 1000)});
+  decisions second;
+  pool.round(&second);
+  REQUIRE(second.advice.size() == 1);
+  CHECK(second.advice[0].job == "00000000000000ab");
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
--- /dev/null
+++ b/src/pool/round_pvt.h
@@ -0,0 +1,89 @@
+// One round of decisions: the steps that wait, the workers that are open to
+// them, and what has been taken of these so far. Shared by the sources of this
+// slice.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+#include <vector>
+
+#include "pool/pool.h"
+
+namespace ebonygrade::pool {
+
+// How much a caller still gains from the job.
+enum class tier { in_time, late, worthless };
+
+struct candidate_step {
+  pool::tier tier = pool::tier::in_time;
+  std::uint32_t priority = 0;
+  unix_time deadline;
+  job* owner = nullptr;
+  step_run* step = nullptr;
+  const queue_policy* policy = nullptr;
+};
+
+// A worker that takes starts now.
+struct open_worker {
+  std::int64_t cpu_room = 0;  // When the round began; it only shrinks.
+  pool::worker* worker = nullptr;
+};
+
+struct round {
+  pool_state* pool = nullptr;
+  steady_time now;
+  unix_time wall;
+  decisions* out = nullptr;
+  std::vector<open_worker> open;               // The most room first.
+  std::unordered_set<const worker*> reserved;  // For a gang that waits.
+  std::int64_t cpu_room = 0;                   // Of all open workers.
+  // Processor room that steps looked at so far will take once they have their
+  // advice. What can't be placed for another reason holds up nobody.
+  std::int64_t cpu_ahead = 0;
+};
+
+round begin_round(pool_state* pool, decisions* out, steady_time now,
+                  unix_time wall);
+
+// A worker that could take tasks of the step, and how many.
+struct option {
+  pool::worker* worker = nullptr;
+  std::string_view ticket;
+  resources room;
+  std::uint32_t slots = 0;  // Tasks that fit.
+  bool near_data = true;
+};
+
+// Whom to count as an option: with a valid ticket only, or whoever the advice
+// allows, so far as it is known.
+enum class tickets { needed, ignored };
+
+// Workers with room for a task of the step; none counts for more than `most`.
+std::vector<option> options_for(const round& round,
+                                const candidate_step& wanted, tickets mode,
+                                std::uint32_t most);
+// Best fit: the least processor time left over, near the data first.
+void sort_best_fit(std::vector<option>* options);
+std::uint32_t total_slots(const std::vector<option>& options);
+
+// Takes starts now.
+bool is_open(const worker& worker, steady_time now);
+// Service and label of the worker are those that the step asks for, and it
+// could hold a task if it were empty.
+bool suits(const worker& worker, const job& job,
+           const wire::step_definition& step);
+// The advice service has ruled the worker out for the step.
+bool is_denied(const step_run& step, const std::string& worker);
+resources room_of(const worker& worker);
+std::uint32_t slots_in(const resources& room, const resources& need,
+                       std::uint32_t most);
+
+bool any_placed(const step_run& step);
+std::uint32_t waiting_tasks(const step_run& step);
+
+// Asks which workers may run the step, if that is worth asking now.
+void ask_advice(round* round, const candidate_step& wanted);
+
+}  // namespace ebonygrade::pool
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -92,15 +92,25 @@
   return "unknown";
 }
 
-// Other runs of a task that is done.
-void stop_task(pool_state* pool, const task_key& task) {
-  for (std::pair<const std::string, worker>& each : pool->workers) {
-    for (placement& placed : each.second.placements) {
-      if (placed.task == task) placed.stop_wanted = true;
+// Calls `visit` for every placement of the job's tasks.
+template <typename Visit>
+void for_each_placement(pool_state* pool, const job& job, Visit visit) {
+  for (const std::pair<const std::string, std::size_t>& each : job.workers) {
+    worker* at = find_worker(pool, each.first);
+    if (at == nullptr) continue;
+    for (placement& placed : at->placements) {
+      if (placed.task.job == job.id) visit(&placed);
     }
   }
 }
 
+// Other runs of a task that is done.
+void stop_task(pool_state* pool, const job& job, const task_key& task) {
+  for_each_placement(pool, job, [&](placement* placed) {
+    if (placed->task == task) placed->stop_wanted = true;
+  });
+}
+
 void take_end(pool_state* pool, worker* worker, const end_row& end,
               steady_time now, unix_time wall) {
   if (end.how == end_kind::done) {
@@ -135,7 +145,7 @@
     }
   } else {
     task_ended(pool, job, step, end, worker->entry.id, attempts, wall);
-    if (step->tasks[end.task.index].done) stop_task(pool, end.task);
+    if (step->tasks[end.task.index].done) stop_task(pool, *job, end.task);
   }
   if (step->done == step->tasks.size()) {
     add_note(pool, note_kind::step_done, job->id, worker->entry.id,
@@ -161,8 +171,7 @@
     stray.since = now;
     stray.progressed = now;
     stray.stop_wanted = true;
-    worker->used = worker->used + stray.need;
-    worker->placements.push_back(std::move(stray));
+    add_placement(pool, worker, std::move(stray));
     return;
   }
   if (placed->phase == phase::recording) return;
@@ -260,6 +269,28 @@
   return nullptr;
 }
 
+void add_placement(pool_state* pool, worker* worker, placement placed) {
+  worker->used = worker->used + placed.need;
+  job* job = find_job(pool, placed.task.job);
+  if (job != nullptr) ++job->workers[worker->entry.id];
+  worker->placements.push_back(std::move(placed));
+}
+
+namespace {
+
+// One placement fewer of the job's tasks on the worker.
+void forget_worker_of_job(pool_state* pool, const std::string& id,
+                          const std::string& worker) {
+  job* job = find_job(pool, id);
+  if (job == nullptr) return;
+  std::unordered_map<std::string, std::size_t>::iterator found =
+      job->workers.find(worker);
+  if (found == job->workers.end()) return;
+  if (--found->second == 0) job->workers.erase(found);
+}
+
+}  // namespace
+
 void drop_placement(pool_state* pool, worker* worker, const task_key& task,
                     std::uint32_t run) {
   placement* placed = find_placement(worker, task, run);
@@ -268,6 +299,8 @@
   worker->placements.erase(worker->placements.begin() +
                            (placed - worker->placements.data()));
   worker->used = worker->used - over.need;
+  pool->turnover.freed_cpu_milli += over.need.cpu_milli;
+  forget_worker_of_job(pool, over.task.job, worker->entry.id);
   task_place where = find_place(pool, over.task);
   job* job = where.job;
   step_run* step = where.step;
@@ -293,16 +326,15 @@
   }
 }
 
-void stop_runs(pool_state* pool, const std::string& job, const step_run* only) {
-  for (std::pair<const std::string, worker>& each : pool->workers) {
-    for (placement& placed : each.second.placements) {
-      if (placed.task.job != job) continue;
-      bool other_step =
-          only != nullptr && (placed.task.step != only->step ||
-                              placed.task.occurrence != only->occurrence);
-      if (!other_step) placed.stop_wanted = true;
-    }
-  }
+void stop_runs(pool_state* pool, const std::string& id, const step_run* only) {
+  job* job = find_job(pool, id);
+  if (job == nullptr) return;
+  for_each_placement(pool, *job, [&](placement* placed) {
+    bool other_step =
+        only != nullptr && (placed->task.step != only->step ||
+                            placed->task.occurrence != only->occurrence);
+    if (!other_step) placed->stop_wanted = true;
+  });
 }
 
 void observe_entry(pool_state* pool, const worker_entry& entry,
