Ask the owner for the end of a job; let daemons near the store claim first

An owner in the region away from the store waits 16 ms more for each record. Change: a caller's question for an open job is passed to the owner, whose copy has the ends that it has written; a job that has ended stays so when older records are read. Claims wait by the distance of the store, and longer on small processor shares (new setting [daemon] cpu_share). Removed: the setting [workers] stop_time, which reached no decision. Tests: "an end is shown by daemons that have not read it" (failed before), tests of the job table, which had none of its own.

--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -56,6 +56,10 @@
     ++table->unreadable;
     return false;
   }
+  // An end may be known before the records that lead to it are read.
+  bool reopens =
+      job->progress.outcome() != wire::OPEN && parsed.outcome() == wire::OPEN;
+  if (reopens) return false;
   waiting_count count(table, job);
   job->progress = std::move(parsed);
   return true;
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -59,7 +59,8 @@
 };
 
 // Applies one record. Records of the keyed topic may be applied again, or
-// newest first by key; older ones than the table holds change nothing.
+// newest first by key; older ones than the table holds change nothing. A job
+// that has ended stays so.
 change apply(table* table, const record& record);
 
 // Null if no such job is known.
--- /dev/null
+++ b/src/jobs/job_table_test.cpp
@@ -0,0 +1,69 @@
+#include "jobs/job_table.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace ebonygrade::jobs {
+
+namespace {
+
+constexpr char kJob[] = "00000000000000aa";
+
+record submission_record() {
+  wire::job_submission job;
+  job.set_queue("q");
+  job.add_steps()->set_count(1);
+  return {submission_key(kJob), job.SerializeAsString(), 0};
+}
+
+record progress_record(wire::job_outcome outcome) {
+  wire::job_progress progress;
+  progress.set_started(true);
+  progress.set_outcome(outcome);
+  return {progress_key(kJob), progress.SerializeAsString(), 0};
+}
+
+TEST_CASE("a job's state follows its records") {
+  table table;
+  CHECK(find(table, kJob) == nullptr);
+  CHECK(apply(&table, submission_record()).kind == change_kind::submitted);
+  CHECK(state_of(*find(table, kJob)) == state::pending);
+  CHECK(not_started(table, "q") == 1);
+  apply(&table, progress_record(wire::OPEN));
+  CHECK(state_of(*find(table, kJob)) == state::running);
+  CHECK(not_started(table, "q") == 0);
+  apply(&table, progress_record(wire::COMPLETE));
+  CHECK(state_of(*find(table, kJob)) == state::complete);
+  apply(&table, {submission_key(kJob), "", 0});
+  CHECK(find(table, kJob) == nullptr);
+}
+
+// The owner tells of an end before the records that lead to it are read.
+TEST_CASE("a job that has ended stays so when older records are read") {
+  table table;
+  apply(&table, submission_record());
+  apply(&table, progress_record(wire::COMPLETE));
+  CHECK(apply(&table, progress_record(wire::OPEN)).kind == change_kind::none);
+  CHECK(state_of(*find(table, kJob)) == state::complete);
+  CHECK(not_started(table, "q") == 0);
+}
+
+TEST_CASE("a repeated submission changes nothing") {
+  table table;
+  apply(&table, submission_record());
+  apply(&table, progress_record(wire::OPEN));
+  CHECK(apply(&table, submission_record()).kind == change_kind::none);
+  CHECK(state_of(*find(table, kJob)) == state::running);
+}
+
+TEST_CASE("records that can't be read are counted") {
+  table table;
+  apply(&table, {"", "x", 0});
+  apply(&table, {"s" + std::string(kJob), "\xff\xff", 0});
+  CHECK(table.unreadable == 2);
+  CHECK(find(table, kJob) == nullptr);
+}
+
+}  // namespace
+
+}  // namespace ebonygrade::jobs
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -72,6 +72,9 @@
     const job* job = find_job(pool, id);
     if (job == nullptr) continue;
     batch.records.push_back({jobs::progress_key(id), progress_of(*job), 0});
+    if (job->outcome != wire::OPEN) {
+      batch.job_ends.push_back(batch.records.back());
+    }
   }
   pool->changed.clear();
   forget_ended(pool, &batch, wall);
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -39,7 +39,6 @@
 
 struct limits {
   milliseconds lease{6000};          // Longest lease that workers grant.
-  milliseconds stop_time{400};       // A stop takes at most so long.
   milliseconds status_time{120000};  // Ended jobs are remembered so long.
 };
 
@@ -279,6 +278,7 @@
   // Highest end taken in of each worker that has some to acknowledge.
   std::vector<std::pair<std::string, std::uint64_t>> ends;
   std::vector<placement_name> starts;
+  std::vector<jobs::record> job_ends;  // Those of `records` that end a job.
 };
 
 journal_batch take_batch(pool_state* pool, unix_time wall);
--- a/src/poold/entry.cpp
+++ b/src/poold/entry.cpp
@@ -57,12 +57,14 @@
 entry::entry(boost::asio::io_context& context, store& store,
              const clock::clock& clock, const std::string& daemon,
              const jobs::table& table, topic_follower& journal,
-             owner_writer by_owner, measurements& measured)
+             owner_writer by_owner, end_reader learn_end,
+             measurements& measured)
     : clock_(clock),
       daemon_(daemon),
       table_(table),
       journal_(journal),
       by_owner_(std::move(by_owner)),
+      learn_end_(std::move(learn_end)),
       measured_(measured),
       timer_(context) {
   // The name holds the time of the start, so that no earlier life of this
@@ -154,19 +156,20 @@
 }
 
 void entry::read_state(const job_request& asked, http::responder answer) {
-  const jobs::entry* known = jobs::find(table_, asked.id);
-  if (known != nullptr) {
-    return answer(http::json_response(
-        http::status::ok, platform::encode_state(jobs::state_of(*known))));
-  }
-  when_current(asked.deadline, answer, [this, id = asked.id, answer] {
-    const jobs::entry* found = jobs::find(table_, id);
+  std::function<void()> tell = [self = shared_from_this(), id = asked.id,
+                                answer] {
+    const jobs::entry* found = jobs::find(self->table_, id);
     if (found == nullptr) {
       return answer(http::error_response(http::status::gone, "no such job"));
     }
     answer(http::json_response(http::status::ok,
                                platform::encode_state(jobs::state_of(*found))));
-  });
+  };
+  const jobs::entry* known = jobs::find(table_, asked.id);
+  if (known == nullptr) return when_current(asked.deadline, answer, tell);
+  bool ended = known->cancelled || known->progress.outcome() != wire::OPEN;
+  if (ended) return tell();
+  learn_end_(asked.id, std::move(tell));
 }
 
 void entry::cancel(const job_request& asked, http::responder answer) {
--- a/src/poold/entry.h
+++ b/src/poold/entry.h
@@ -27,6 +27,11 @@
     std::function<void(const jobs::record& record, milliseconds timeout,
                        std::function<void(owner_answer)> handler)>;
 
+// Learns from the pool's owner whether the job has ended, and then calls
+// `then`, also if the owner can't be asked.
+using end_reader =
+    std::function<void(const std::string& job, std::function<void()> then)>;
+
 class entry : public std::enable_shared_from_this<entry> {
  public:
   // All references must outlive the object. `manifest` may become non-null
@@ -34,7 +39,7 @@
   entry(boost::asio::io_context& context, store& store,
         const clock::clock& clock, const std::string& daemon,
         const jobs::table& table, topic_follower& journal,
-        owner_writer by_owner, measurements& measured);
+        owner_writer by_owner, end_reader learn_end, measurements& measured);
 
   void set_manifest(std::shared_ptr<const pool::manifest> manifest);
   void handle(http::request&& request, http::responder answer);
@@ -98,6 +103,7 @@
   const jobs::table& table_;
   topic_follower& journal_;
   owner_writer by_owner_;
+  end_reader learn_end_;
   measurements& measured_;
   std::shared_ptr<const pool::manifest> manifest_;
   std::shared_ptr<appender> appender_;
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -29,10 +29,22 @@
 // Sooner, if the owner is asked and doesn't confirm that it is there.
 constexpr milliseconds kProbeAfter{500};
 constexpr milliseconds kProbeTimeout{350};
+// Callers who ask for a state wait no longer for the owner.
+constexpr milliseconds kEndTimeout{250};
+constexpr std::size_t kOwnerConnections = 6;
 // Two reads of the journal that failed, or one that was lost.
 constexpr milliseconds kReadGap{900};
 // Spread of the daemons' claims, so that they seldom meet.
 constexpr milliseconds kClaimSpread{150};
+// The owner's records make every start and every answer wait for the store, so
+// daemons near it claim first, by this multiple of the time of its answer, up
+// to a limit that still leaves a takeover short.
+constexpr int kClaimDelayFactor = 10;
+constexpr milliseconds kMaxDistanceDelay{300};
+// Deciding for 350 workers takes 0.15 of a core. Daemons on smaller shares
+// claim after the others.
+constexpr double kEnoughProcessor = 0.2;
+constexpr milliseconds kSmallDaemonDelay{250};
 // Epochs that claims at one offset of the journal choose from.
 constexpr std::uint64_t kEpochsPerOffset = 1000;
 // A daemon that can't read the store for so long doesn't take callers.
@@ -112,6 +124,9 @@
              std::function<void(owner_answer)> handler) {
         write_by_owner(record, timeout, std::move(handler));
       },
+      [this](const std::string& job, std::function<void()> then) {
+        learn_end(job, std::move(then));
+      },
       measured_);
   follow_operator();
   error::result<void> bound = callers_.listen(settings_.client_address);
@@ -269,7 +284,7 @@
   }
   if (claim_after_ == steady_time()) {
     std::uniform_int_distribution<std::int64_t> spread(0, kClaimSpread.count());
-    claim_after_ = now + milliseconds(spread(random_));
+    claim_after_ = now + claim_delay() + milliseconds(spread(random_));
   }
   if (now < claim_after_) return;
   // The claim must name the end of the journal, which moves with each accepted
@@ -278,6 +293,14 @@
   journal_->hurry();
 }
 
+milliseconds node::claim_delay() const {
+  milliseconds delay =
+      std::min(store_.distance().value_or(milliseconds(0)) * kClaimDelayFactor,
+               kMaxDistanceDelay);
+  if (settings_.cpu_share < kEnoughProcessor) delay += kSmallDaemonDelay;
+  return delay;
+}
+
 void node::claim() {
   claiming_ = true;
   std::uint64_t at = journal_->next();
@@ -350,8 +373,9 @@
     owner_denied_ = false;
     // What the former owner was asked to write is told as unknown.
     if (owner_link_) owner_link_->close();
-    owner_link_ = std::make_unique<http::client>(context_, address,
-                                                 http::client_options());
+    http::client_options options;
+    options.connections = kOwnerConnections;
+    owner_link_ = std::make_unique<http::client>(context_, address, options);
   }
   announcing_ = true;
   announced_ = now;
@@ -463,10 +487,38 @@
                 });
 }
 
+void node::learn_end(const std::string& job, std::function<void()> then) {
+  if (owner_ || !owner_link_ || owner_denied_) return then();
+  http::request request{http::verb::post, kEndPath, http::kHttpVersion11};
+  request.body() = job;
+  request.prepare_payload();
+  owner_link_->call(
+      "read end", std::move(request), kEndTimeout,
+      [this, job, then = std::move(then)](http::call_result&& result) {
+        bool ended = result.has_value() &&
+                     result->result() == http::status::ok &&
+                     jobs::find(table_, job) != nullptr;
+        if (ended) take_record({jobs::progress_key(job), result->body(), 0});
+        then();
+      });
+}
+
+void node::tell_end(const http::request& request,
+                    const http::responder& answer) {
+  const jobs::entry* known = jobs::find(table_, request.body());
+  bool ended = known != nullptr && known->progress.outcome() != wire::OPEN;
+  if (!ended) {
+    return answer(http::text_response(http::status::no_content, "", ""));
+  }
+  answer(http::text_response(http::status::ok, "application/octet-stream",
+                             known->progress.SerializeAsString()));
+}
+
 void node::handle_peer(http::request&& request, http::responder answer) {
   if (request.target() == kRecordPath) {
     return write_for_peer(std::move(request), std::move(answer));
   }
+  if (request.target() == kEndPath) return tell_end(request, answer);
   if (request.target() == kAdvicePath) {
     return relay_advice(std::move(request), std::move(answer));
   }
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -47,6 +47,8 @@
   void write_by_owner(const jobs::record& record, milliseconds timeout,
                       std::function<void(owner_answer)> handler);
   owner_answer owner_answer_of(const http::call_result& result);
+  void learn_end(const std::string& job, std::function<void()> then);
+  void tell_end(const http::request& request, const http::responder& answer);
   void write_for_peer(http::request&& request, http::responder answer);
   void on_journal(const std::vector<jobs::record>& records);
   void on_operator(const std::vector<jobs::record>& records);
@@ -55,6 +57,8 @@
   void arm_tick();
   void consider_claim(steady_time now);
   void claim();
+  // Lets daemons that would do better as owner claim first.
+  milliseconds claim_delay() const;
   // Becomes owner if the journal's newest claim is this daemon's.
   void check_claim();
   void become_owner(std::uint64_t epoch);
--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -210,6 +210,25 @@
   CHECK(cell.ledger.broken().empty());
 }
 
+// Load pattern: callers poll for the end of short jobs, whose objective is
+// about the time that a daemon takes to read the journal again.
+TEST_CASE("an end is shown by daemons that have not read it") {
+  cell cell;
+  cell.ledger.add_job(kJob, submission(), 2);
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.add_node("n1");
+  REQUIRE(cell.until([&] { return cell.nodes[0]->owns_pool(); }));
+  cell.add_node("n2");
+  REQUIRE(cell.until([&] { return cell.nodes[1]->is_ready(); }));
+  std::string path = "/q/" + std::string(kJob);
+  REQUIRE(cell.ask(1, http::verb::post, path, kBody).first == 200);
+  REQUIRE(cell.reaches(1, "pending"));
+  cell.store.hold_reads("keyed.journal");
+  cell.add_worker("w1");
+  REQUIRE(cell.reaches(0, "complete"));
+  CHECK(cell.ask(1, http::verb::get, path).second == R"({"state":"complete"})");
+}
+
 TEST_CASE("a draining owner hands the pool over") {
   cell cell;
   cell.store.put("keyed.op", "config", kManifest);
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -28,7 +28,6 @@
 pool::limits make_limits(const node_settings& settings) {
   pool::limits limits;
   limits.lease = settings.lease;
-  limits.stop_time = settings.stop_time;
   limits.status_time = settings.status_time;
   return limits;
 }
@@ -508,6 +507,7 @@
        pool::batch_written(&pool_, batch, clock_.now())) {
     send_start(each);
   }
+  for (const jobs::record& each : batch.job_ends) on_record_(each);
   for (const std::pair<std::string, std::uint64_t>& each : batch.ends) {
     std::unordered_map<std::string, std::shared_ptr<worker_link>>::iterator
         link = links_.find(each.first);
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -43,7 +43,7 @@
  public:
   // `epoch` is the fencing token that the claim gave; `on_deposed` is called
   // once, later, when another owner is known to exist; `on_record` for each
-  // record of a caller that has been written.
+  // record of a caller, and each end of a job, that has been written.
   owner(boost::asio::io_context& context, store& store,
         const clock::clock& clock, const node_settings& settings,
         measurements& measured, std::uint64_t epoch,
--- a/src/poold/settings.cpp
+++ b/src/poold/settings.cpp
@@ -2,6 +2,7 @@
 
 #include <SimpleIni.h>
 
+#include <cmath>
 #include <cstdlib>
 #include <fstream>
 #include <optional>
@@ -78,6 +79,21 @@
     *out = *parsed;
   }
 
+  // A positive number; the default stands if the key is missing.
+  void number(const char* section, const char* key, double* out) {
+    std::optional<std::string> value = find(section, key);
+    if (!value) return;
+    char* end = nullptr;
+    double parsed = std::strtod(value->c_str(), &end);
+    bool valid = end == value->c_str() + value->size() && parsed > 0 &&
+                 std::isfinite(parsed);
+    if (!valid) {
+      return problem(name(section, key),
+                     "expected a number above 0, found '" + *value + "'");
+    }
+    *out = parsed;
+  }
+
   void report_unknown() {
     CSimpleIniA::TNamesDepend sections;
     ini_.GetAllSections(sections);
@@ -118,6 +134,7 @@
   ini.text("daemon", "id", &out.id);
   ini.text("daemon", "zone", &out.zone);
   ini.text("daemon", "region", &out.region);
+  ini.number("daemon", "cpu_share", &out.cpu_share);
   ini.address("listen", "clients", true, &out.client_address);
   ini.address("listen", "readiness", true, &out.ready_address);
   ini.address("listen", "peers", true, &out.peer_address);
@@ -126,7 +143,6 @@
   ini.address("machines", "address", false, &out.machines_address);
   ini.duration("machines", "upkeep_time", &out.upkeep_time);
   ini.duration("workers", "lease", &out.lease);
-  ini.duration("workers", "stop_time", &out.stop_time);
   ini.duration("shutdown", "grace", &out.drain_grace);
   ini.duration("jobs", "status_time", &out.status_time);
   if (std::optional<std::string> level = ini.find("log", "level")) {
--- a/src/poold/settings.h
+++ b/src/poold/settings.h
@@ -17,6 +17,7 @@
   std::string id;
   std::string zone;
   std::string region;
+  double cpu_share = 1;        // Of a core, that the VM gives the daemon.
   std::string client_address;  // IP:PORT that callers reach.
   std::string ready_address;   // IP:PORT of the readiness check.
   std::string peer_address;    // IP:PORT for other daemons and metrics.
@@ -25,7 +26,6 @@
   std::string machines_address;      // Empty: no waves of upkeep.
   milliseconds upkeep_time{2000};    // From an order to the new worker.
   milliseconds lease{6000};          // Longest that workers grant.
-  milliseconds stop_time{400};       // A worker's stop takes at most so long.
   milliseconds drain_grace{6000};    // From SIGTERM to SIGKILL.
   milliseconds status_time{120000};  // Ended jobs stay readable so long.
   std::string log_level = "info";
--- a/src/poold/settings_test.cpp
+++ b/src/poold/settings_test.cpp
@@ -8,16 +8,17 @@
 namespace {
 
 constexpr char kValid[] =
-    "[daemon]\nid = n1\nzone = z\nregion = r\n"
+    "[daemon]\nid = n1\nzone = z\nregion = r\ncpu_share = 0.25\n"
     "[listen]\nclients = 127.0.0.1:1\nreadiness = 127.0.0.1:2\n"
     "peers = 127.0.0.1:3\n[store]\naddress = 127.0.0.1:4\n"
-    "[advice]\naddress =\n[workers]\nlease = 6s\nstop_time = 400ms\n"
+    "[advice]\naddress =\n[workers]\nlease = 6s\n"
     "[shutdown]\ngrace = 6s\n[jobs]\nstatus_time = 120s\n";
 
 TEST_CASE("valid settings are read") {
   settings_report report = parse_settings(kValid, "test.ini");
   CHECK(report.problems.empty());
   CHECK(report.value.id == "n1");
+  CHECK(report.value.cpu_share == 0.25);
   CHECK(report.value.store_address == "127.0.0.1:4");
   CHECK(report.value.advice_address.empty());
   CHECK(report.value.lease == milliseconds(6000));
@@ -43,13 +44,15 @@
   text.replace(text.find("127.0.0.1:4"), 11, "nowhere");
   text.replace(text.find("id = n1"), 7, "id =");
   text.replace(text.find("6s"), 2, "-1");
+  text.replace(text.find("0.25"), 4, "0.2x");
   text += "[extra]\nkey = 1\n";
   settings_report report = parse_settings(text, "test.ini");
-  REQUIRE(report.problems.size() == 4);
+  REQUIRE(report.problems.size() == 5);
   std::string all;
   for (const error::failure& each : report.problems) all += each.detail + "\n";
   for (const char* key :
-       {"[daemon] id", "[store] address", "[workers] lease", "[extra] key"}) {
+       {"[daemon] id", "[daemon] cpu_share", "[store] address",
+        "[workers] lease", "[extra] key"}) {
     CAPTURE(key, all);
     CHECK(all.find(key) != std::string::npos);
   }
--- a/src/poold/store.cpp
+++ b/src/poold/store.cpp
@@ -199,10 +199,14 @@
 void store::newest(
     std::string_view topic, std::string_view after,
     std::function<void(error::result<platform::newest_reply>)> handler) {
+  steady_time sent = clock_.now();
   call("read newest", platform::encode_newest(topic, after), false,
        kCallTimeout,
-       [handler = std::move(handler)](http::call_result&& result) {
+       [this, sent, handler = std::move(handler)](http::call_result&& result) {
          if (result.has_error()) return handler(result.error().cause);
+         milliseconds taken =
+             std::chrono::duration_cast<milliseconds>(clock_.now() - sent);
+         distance_ = std::min(distance_.value_or(taken), taken);
          handler(platform::decode_newest(*result));
        });
 }
--- a/src/poold/store.h
+++ b/src/poold/store.h
@@ -64,6 +64,9 @@
   // When an answer last came that was not a refusal.
   steady_time last_answer() const { return last_answer_; }
   std::uint64_t calls() const { return calls_; }
+  // Least time that the store took for an answer that didn't wait for
+  // anything: how far it is. Nothing before the first one.
+  std::optional<milliseconds> distance() const { return distance_; }
 
  private:
   // Calls of one kind by one way. Reads may wait for long and may hang while
@@ -98,6 +101,7 @@
   std::vector<std::shared_ptr<way>> relays_;
   std::size_t next_relay_ = 0;
   steady_time last_answer_;
+  std::optional<milliseconds> distance_;
   milliseconds append_time_{20};  // Smoothed, of answered appends.
   bool down_ = false;
   std::uint64_t calls_ = 0;
--- a/standin/pool/keyed_store.cpp
+++ b/standin/pool/keyed_store.cpp
@@ -228,6 +228,9 @@
 void keyed_store::read(const http::target_parts& target,
                        http::responder answer) {
   std::string name = http::query_value(target, "topic").value_or("");
+  if (!name.empty() && name == held_topic_) {
+    return held_reads_.push_back(std::move(answer));
+  }
   topic& from = topics_[name];
   std::uint64_t offset = number(target, "from");
   if (offset < from.first) {
--- a/standin/pool/keyed_store.h
+++ b/standin/pool/keyed_store.h
@@ -37,6 +37,8 @@
   void refuse(bool on) { refuses_ = on; }
   void lose_answers(int count) { lost_answers_ = count; }
   int answers_to_lose() const { return lost_answers_; }
+  // Further reads of the topic get no answer.
+  void hold_reads(const std::string& topic) { held_topic_ = topic; }
   void forget(const std::string& topic);
   const std::vector<stored_record>& records(const std::string& topic);
   std::uint64_t appends() const { return appends_; }
@@ -78,6 +80,8 @@
   std::vector<std::shared_ptr<reader>> readers_;
   bool refuses_ = false;
   int lost_answers_ = 0;
+  std::string held_topic_;
+  std::vector<http::responder> held_reads_;
   std::uint64_t appends_ = 0;
 };
 
