Learn how fast workers are; give tight work the fast ones

Cause: workers differ by half in speed and some turn slow; urgent tasks went to the worker with the least room left, whatever its speed. Change: each worker's slowness is learned from the ends of plain runs and from runs that are overdue. Durations of both daemons are read by one function, which takes fractions; the case "1m" of settings_test was refused by the copy only and is "1h" now.

--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -43,9 +43,8 @@
   made.step = step;
   made.policy = &policy;
   if (wall > made.deadline) made.tier = tier::late;
-  if (wall > job->accepted + kWorthlessAfter * goal) {
-    made.tier = tier::worthless;
-  }
+  made.worthless_after = job->accepted + kWorthlessAfter * goal;
+  if (wall > made.worthless_after) made.tier = tier::worthless;
   return made;
 }
 
@@ -114,7 +113,7 @@
       options_for(round, wanted, tickets::needed,
                   static_cast<std::uint32_t>(wanted.step->tasks.size()));
   if (options.empty()) return;
-  sort_best_fit(&options);
+  sort_by_preference(round, wanted, &options);
   for (std::uint32_t i = 0; i < wanted.step->tasks.size(); ++i) {
     task& task = wanted.step->tasks[i];
     if (task.done || task.placed) continue;
@@ -162,7 +161,7 @@
   if (definition(*wanted.owner, *wanted.step).same_rack()) {
     options = of_one_rack(options, count);
   }
-  sort_best_fit(&options);
+  sort_by_preference(round, wanted, &options);
   std::uint32_t run = 0;
   for (const task& each : wanted.step->tasks) {
     run = std::max(run, each.last_run);
@@ -209,7 +208,7 @@
   std::vector<option> options =
       options_for(*round, wanted, tickets::ignored, count);
   if (total_slots(options) < count) return false;
-  sort_best_fit(&options);
+  sort_by_preference(*round, wanted, &options);
   std::uint32_t slots = 0;
   for (const option& each : options) {
     if (slots >= count) break;
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -92,20 +92,19 @@
   }
 }
 
-// Longest sum of estimates along the dependencies.
-milliseconds longest_chain(const wire::job_submission& submission) {
-  std::vector<std::int64_t> until(
+// Longest sum of estimates from each step to the end of the job. Steps depend
+// on earlier ones only.
+std::vector<milliseconds> chains_of(const wire::job_submission& submission) {
+  std::vector<milliseconds> chains(
       static_cast<std::size_t>(submission.steps_size()));
-  std::int64_t longest = 0;
-  for (std::size_t i = 0; i < until.size(); ++i) {
+  for (std::size_t i = chains.size(); i-- > 0;) {
     const wire::step_definition& step = submission.steps(static_cast<int>(i));
+    chains[i] += milliseconds(step.estimate_ms());
     for (std::uint32_t earlier : step.after()) {
-      if (earlier < i) until[i] = std::max(until[i], until[earlier]);
+      if (earlier < i) chains[earlier] = std::max(chains[earlier], chains[i]);
     }
-    until[i] += step.estimate_ms();
-    longest = std::max(longest, until[i]);
   }
-  return milliseconds(longest);
+  return chains;
 }
 
 bool occurrence_done(const std::vector<step_run>& steps) {
@@ -276,7 +275,10 @@
   job.submission = entry.submission;
   job.accepted = from_unix(entry.submission->accepted_ms());
   job.accepted_policy = from_terms(*entry.submission);
-  job.longest_chain = longest_chain(*entry.submission);
+  job.chains = chains_of(*entry.submission);
+  if (!job.chains.empty()) {
+    job.longest_chain = *std::max_element(job.chains.begin(), job.chains.end());
+  }
   restore(pool, &job, entry.progress, now);
   job.outcome = entry.progress.outcome();
   job.ended = from_unix(entry.progress.ended_ms());
--- a/src/pool/options.cpp
+++ b/src/pool/options.cpp
@@ -1,5 +1,7 @@
 // Which workers can take a step's tasks.
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <string>
 
 #include "pool/pool_pvt.h"
@@ -11,6 +13,10 @@
 
 // A ticket that expires sooner is not used: the journal is written first.
 constexpr milliseconds kTicketMargin{120};
+// The slowest of a step's tasks takes so much longer than its estimate.
+constexpr double kUnevenness = 1.3;
+// Workers whose slowness differs by less are taken for equal.
+constexpr double kSlownessStep = 0.15;
 
 std::uint32_t runs_of_step(const worker& worker, const job& job,
                            const step_run& step) {
@@ -195,10 +201,35 @@
   return found;
 }
 
-void sort_best_fit(std::vector<option>* options) {
+double affordable_slowness(const round& round, const candidate_step& wanted) {
+  if (wanted.tier == tier::worthless) {
+    return std::numeric_limits<double>::infinity();
+  }
+  unix_time until =
+      wanted.tier == tier::in_time ? wanted.deadline : wanted.worthless_after;
+  double left = static_cast<double>((until - round.wall).count());
+  double rest =
+      static_cast<double>(wanted.owner->chains[wanted.step->step].count());
+  return left / std::max(1.0, rest * kUnevenness);
+}
+
+void sort_by_preference(const round& round, const candidate_step& wanted,
+                        std::vector<option>* options) {
+  double affordable = affordable_slowness(round, wanted);
+  for (option& each : *options) {
+    double slowness = slowness_of(*each.worker, round.now);
+    int step = static_cast<int>(std::lround(slowness / kSlownessStep));
+    // Of workers that are too slow, the fastest first.
+    each.speed_rank = slowness <= affordable ? -step : step;
+    each.fast_enough = slowness <= affordable;
+  }
   std::sort(options->begin(), options->end(),
             [](const option& a, const option& b) {
               if (a.near_data != b.near_data) return a.near_data;
+              if (a.fast_enough != b.fast_enough) return a.fast_enough;
+              if (a.speed_rank != b.speed_rank) {
+                return a.speed_rank < b.speed_rank;
+              }
               if (a.room.cpu_milli != b.room.cpu_milli) {
                 return a.room.cpu_milli < b.room.cpu_milli;
               }
--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -39,6 +39,7 @@
   order.until = give_lease(pool, order.worker, now);
   order.job = job->submission;
   order.checkpoint = step->tasks[placed->task.index].checkpoint;
+  placed->resumed = !order.checkpoint.empty();
   order.ticket = placed->ticket;
   ++placed->starts_sent;
   ++pool->counters.starts;
@@ -103,6 +104,7 @@
         placed.since + milliseconds(1) < now) {
       follow_start(pool, worker, &placed, out, now);
     }
+    note_overdue_for_speed(pool, worker, &placed, now);
     if (is_hung(pool, *worker, placed, now)) {
       placed.stop_wanted = true;
       worker->avoid_until = now + kAvoidHung;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -75,12 +75,21 @@
   std::string ticket;
   std::uint32_t percent = 0;
   steady_time progressed;  // When `percent` last changed.
+  bool resumed = false;    // Began at a checkpoint.
+  bool overdue = false;    // Counted as slow before its end.
   bool stop_wanted = false;
   bool stop_confirmed = false;
   steady_time stop_sent;  // Epoch of the clock: not sent.
   steady_time stop_confirmed_at;
 };
 
+// How long a worker's tasks take beside their estimates.
+struct speed {
+  double slowness = 1;  // Time taken over the estimate, smoothed.
+  std::uint32_t samples = 0;
+  steady_time sampled;  // Last.
+};
+
 struct worker {
   worker_entry entry;
   bool listed = false;  // Service discovery has it.
@@ -95,6 +104,7 @@
   resources used;
   std::uint32_t failures_in_row = 0;
   steady_time avoid_until;  // No starts before.
+  pool::speed speed;
 };
 
 // ---- Jobs -----------------------------------------------------------------
@@ -138,7 +148,10 @@
   unix_time accepted;
   unix_time ended;
   queue_policy accepted_policy;
-  milliseconds longest_chain{0};  // Of estimates, along the dependencies.
+  // Longest sum of estimates along the dependencies: from each step to the end
+  // of the job, and of the whole job.
+  std::vector<milliseconds> chains;
+  milliseconds longest_chain{0};
   std::map<std::uint32_t, std::vector<step_run>> occurrences;  // Open ones.
   std::uint32_t occurrences_done = 0;
   std::uint32_t next_occurrence = 0;
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -11,6 +11,15 @@
 // Two missed polls of one second.
 inline constexpr milliseconds kSilenceLimit{2500};
 
+// Takes note of a run's end, or that it is overdue; runs that say nothing of
+// the worker's speed are left out.
+void note_end_for_speed(pool_state* pool, worker* worker,
+                        const placement& placed, steady_time now);
+void note_overdue_for_speed(pool_state* pool, worker* worker, placement* placed,
+                            steady_time now);
+// Expected time of a task on the worker over its estimate.
+double slowness_of(const worker& worker, steady_time now);
+
 const wire::step_definition& definition(const job& job, const step_run& step);
 resources need_of(const wire::step_definition& step);
 
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -1,6 +1,7 @@
 // Jobs, runs and takeovers of a pool, step by step.
 #include <catch2/catch.hpp>
 
+#include "pool/pool_pvt.h"
 #include "pool/test_pool.h"
 
 namespace ebonygrade::pool {
@@ -345,6 +346,87 @@
   CHECK(second.advice[0].job == "00000000000000ab");
 }
 
+// Two workers, of which `slow` takes four times the estimate for its tasks.
+struct uneven_pool : test_pool {
+  std::uint64_t ended = 0;
+
+  uneven_pool() {
+    add_worker("a-slow", 1000);
+    add_worker("b-fast", 1000);
+    for (int i = 0; i < 6; ++i) run_both(i);
+  }
+
+  void run_both(int number) {
+    submit("00000000000001" + std::to_string(10 + number), {step(2, 1000)});
+    std::vector<start_order> starts = round();
+    REQUIRE(starts.size() == 2);
+    confirm(starts);
+    ++ended;
+    for (const char* name : {"b-fast", "a-slow"}) {
+      advance(milliseconds(std::string(name) == "b-fast" ? 1000 : 3000));
+      for (const start_order& each : starts) {
+        if (each.worker != name) continue;
+        hold_report report;
+        report.ended.push_back(end_of(ended, each, end_kind::done));
+        hold(name, report);
+      }
+    }
+    // The fast one is polled meanwhile.
+    hold("b-fast", {});
+  }
+
+  void use_stretch(double stretch) {
+    policy.stretch = stretch;
+    set_queues(&state, {{kQueue, policy}});
+  }
+};
+
+// Load pattern: some workers turn slow, and work with a tight objective must
+// not go there while others have room.
+TEST_CASE("work with a tight objective goes to workers that are fast enough") {
+  uneven_pool pool;
+  pool.use_stretch(1.5);
+  pool.submit("00000000000000aa", {test_pool::step(1, 500)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].worker == "b-fast");
+}
+
+TEST_CASE("work with time to spare leaves the fast workers to others") {
+  uneven_pool pool;
+  pool.use_stretch(20);
+  pool.submit("00000000000000aa", {test_pool::step(1, 500)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].worker == "a-slow");
+}
+
+TEST_CASE("a worker without runs counts as average again") {
+  uneven_pool pool;
+  worker& slow = pool.state.workers.at("a-slow");
+  CHECK(slowness_of(slow, pool.now) > 2);
+  CHECK(slowness_of(slow, pool.now + std::chrono::seconds(20)) == 1);
+}
+
+// A run on a worker that stands nearly still ends long after others have been
+// sent there.
+TEST_CASE("an overdue run tells that its worker is slow") {
+  test_pool pool;
+  pool.add_worker("a", 1000);
+  pool.submit("00000000000000aa", {test_pool::step(1, 500)});
+  std::vector<start_order> starts = pool.round();
+  pool.confirm(starts);
+  for (int i = 0; i < 5; ++i) {
+    pool.advance(milliseconds(500));
+    hold_report report;
+    report.running.push_back(row_of(starts.at(0), 10));
+    pool.hold("a", report);
+    pool.round();
+  }
+  CHECK(slowness_of(pool.state.workers.at("a"), pool.now) > 2);
+  CHECK(pool.state.workers.at("a").speed.samples == 1);
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
--- a/src/pool/round_pvt.h
+++ b/src/pool/round_pvt.h
@@ -20,6 +20,7 @@
   pool::tier tier = pool::tier::in_time;
   std::uint32_t priority = 0;
   unix_time deadline;
+  unix_time worthless_after;
   job* owner = nullptr;
   step_run* step = nullptr;
   const queue_policy* policy = nullptr;
@@ -54,6 +55,9 @@
   resources room;
   std::uint32_t slots = 0;  // Tasks that fit.
   bool near_data = true;
+  // Set by sort_by_preference().
+  bool fast_enough = true;
+  int speed_rank = 0;  // The lowest first.
 };
 
 // Whom to count as an option: with a valid ticket only, or whoever the advice
@@ -64,8 +68,14 @@
 std::vector<option> options_for(const round& round,
                                 const candidate_step& wanted, tickets mode,
                                 std::uint32_t most);
-// Best fit: the least processor time left over, near the data first.
-void sort_best_fit(std::vector<option>* options);
+// The best first: near the data; fast enough for the step's objective, and of
+// these the slower ones, which leaves the fast ones to those that need them;
+// then best fit, the least processor time left over.
+void sort_by_preference(const round& round, const candidate_step& wanted,
+                        std::vector<option>* options);
+// Time that the rest of the job may take to meet its objective, or to be worth
+// anything if it is late, over the estimate of that rest.
+double affordable_slowness(const round& round, const candidate_step& wanted);
 std::uint32_t total_slots(const std::vector<option>& options);
 
 // Takes starts now.
--- /dev/null
+++ b/src/pool/speed.cpp
@@ -0,0 +1,87 @@
+// How fast workers are, learned from the runs of tasks. Workers of one pool
+// differ, and some turn slow for a time.
+#include <algorithm>
+#include <chrono>
+
+#include "pool/pool_pvt.h"
+
+namespace ebonygrade::pool {
+
+namespace {
+
+// A worker is taken for an average one until this many runs say otherwise.
+constexpr std::uint32_t kPriorSamples = 2;
+// The newest run counts at least this much: a worker that turns slow is known
+// after a few runs.
+constexpr double kLeastWeight = 0.1;
+// Single runs are uneven; what lies beyond says no more.
+constexpr double kFastest = 0.3;
+constexpr double kSlowest = 8;
+// A run that has taken so many times its estimate tells of a slow worker
+// before it ends.
+constexpr int kOverdueFactor = 2;
+// Without runs, a worker counts as average again after this.
+constexpr std::chrono::duration<double> kForgetAfter{15};
+
+// Estimate of a run whose time depends on its worker alone; zero for others:
+// gangs wait for their slowest member, resumed runs do only a part, and away
+// from its data a task takes longer.
+milliseconds telling_estimate(pool_state* pool, const worker& worker,
+                              const placement& placed) {
+  task_place where = find_place(pool, placed.task);
+  if (where.step == nullptr || placed.resumed) return milliseconds(0);
+  const wire::step_definition& step = definition(*where.job, *where.step);
+  bool far = !step.data_rack().empty() && step.data_rack() != worker.entry.rack;
+  if (step.gang() || step.long_running() || step.fills() || far) {
+    return milliseconds(0);
+  }
+  return milliseconds(step.estimate_ms());
+}
+
+void add_sample(speed* known, double slowness, steady_time now) {
+  double weight =
+      std::max(kLeastWeight,
+               1.0 / static_cast<double>(known->samples + kPriorSamples + 1));
+  double sample = std::clamp(slowness, kFastest, kSlowest);
+  known->slowness += (sample - known->slowness) * weight;
+  ++known->samples;
+  known->sampled = now;
+}
+
+double ratio(milliseconds taken, milliseconds estimate) {
+  return static_cast<double>(taken.count()) /
+         static_cast<double>(estimate.count());
+}
+
+}  // namespace
+
+void note_end_for_speed(pool_state* pool, worker* worker,
+                        const placement& placed, steady_time now) {
+  if (placed.phase != phase::running) return;
+  milliseconds estimate = telling_estimate(pool, *worker, placed);
+  if (estimate <= milliseconds(0)) return;
+  milliseconds taken =
+      std::chrono::duration_cast<milliseconds>(now - placed.since);
+  add_sample(&worker->speed, ratio(taken, estimate), now);
+}
+
+void note_overdue_for_speed(pool_state* pool, worker* worker, placement* placed,
+                            steady_time now) {
+  if (placed->overdue || placed->phase != phase::running) return;
+  milliseconds taken =
+      std::chrono::duration_cast<milliseconds>(now - placed->since);
+  milliseconds estimate = telling_estimate(pool, *worker, *placed);
+  if (estimate <= milliseconds(0) || taken < kOverdueFactor * estimate) return;
+  placed->overdue = true;
+  constexpr double kWhole = 100;
+  double part = std::max<double>(1, placed->percent) / kWhole;
+  add_sample(&worker->speed, ratio(taken, estimate) / part, now);
+}
+
+double slowness_of(const worker& worker, steady_time now) {
+  std::chrono::duration<double> age = now - worker.speed.sampled;
+  double weight = std::max(0.0, 1 - age / kForgetAfter);
+  return 1 + (worker.speed.slowness - 1) * weight;
+}
+
+}  // namespace ebonygrade::pool
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -116,6 +116,8 @@
   if (end.how == end_kind::done) {
     ++pool->counters.ends_done;
     worker->failures_in_row = 0;
+    const placement* placed = find_placement(worker, end.task, end.run);
+    if (placed != nullptr) note_end_for_speed(pool, worker, *placed, now);
   } else if (end.how == end_kind::failed) {
     ++pool->counters.ends_failed;
     count_failure(worker, now);
--- a/src/poold/settings.cpp
+++ b/src/poold/settings.cpp
@@ -17,20 +17,6 @@
 
 namespace {
 
-// Platforms give some times as fractions of a second: "1.5s", "250ms".
-std::optional<milliseconds> parse_decimal_duration(const std::string& text) {
-  std::size_t unit = text.find_first_not_of("0123456789.");
-  if (unit == 0 || unit == std::string::npos) return std::nullopt;
-  char* end = nullptr;
-  double value = std::strtod(text.c_str(), &end);
-  if (end != text.c_str() + unit) return std::nullopt;
-  std::string_view suffix = std::string_view(text).substr(unit);
-  constexpr double kMsPerSecond = 1000;
-  if (suffix == "s") value *= kMsPerSecond;
-  if (suffix != "s" && suffix != "ms") return std::nullopt;
-  return milliseconds(static_cast<std::int64_t>(value));
-}
-
 // Reads keys one by one, notes what is wrong, and then what nobody asked for.
 class reader {
  public:
@@ -70,7 +56,7 @@
   void duration(const char* section, const char* key, milliseconds* out) {
     std::optional<std::string> value = find(section, key);
     if (!value) return;
-    std::optional<milliseconds> parsed = parse_decimal_duration(*value);
+    std::optional<milliseconds> parsed = settings::parse_duration(*value);
     if (!parsed || parsed->count() <= 0) {
       return problem(
           name(section, key),
--- a/src/poold/settings_test.cpp
+++ b/src/poold/settings_test.cpp
@@ -31,7 +31,7 @@
   settings_report report = parse_settings(text, "test.ini");
   CHECK(report.problems.empty());
   CHECK(report.value.lease == milliseconds(1500));
-  for (const char* bad : {"1.5", "s", "1.2.3s", "1m", "-1s"}) {
+  for (const char* bad : {"1.5", "s", "1.2.3s", "1h", "-1s", "1.0005s"}) {
     std::string wrong = kValid;
     wrong.replace(wrong.find("6s"), 2, bad);
     CAPTURE(bad);
--- a/src/settings/value.h
+++ b/src/settings/value.h
@@ -19,7 +19,8 @@
 // repeated, or there is none.
 bool parse_names(std::string_view text, std::vector<std::string>* names);
 
-// Reads an integer with the suffix ms, s or m; nothing if it is none.
+// Reads a number with the suffix ms, s or m; nothing if it is none, or no
+// whole number of milliseconds.
 std::optional<milliseconds> parse_duration(std::string_view text);
 
 // An IP address in numbers and a port.
