--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -17,6 +17,11 @@
          job.progress.outcome() == wire::OPEN;
 }
 
+// An ended job needs no submission any more.
+bool is_known(const entry& job) {
+  return job.submission || job.progress.outcome() != wire::OPEN;
+}
+
 // Keeps the count of waiting jobs right over any change of one entry.
 class waiting_count {
  public:
@@ -72,11 +77,22 @@
   return true;
 }
 
+// Drops one of the job's records; the job is gone with the last one.
 void forget(table* table, char kind, const std::string& id) {
   std::unordered_map<std::string, entry>::iterator found = table->jobs.find(id);
-  if (kind != kSubmission || found == table->jobs.end()) return;
-  if (waits_for_start(found->second)) {
-    table->not_started[found->second.submission->queue()] -= 1;
+  if (found == table->jobs.end()) return;
+  entry* job = &found->second;
+  if (waits_for_start(*job)) {
+    table->not_started[job->submission->queue()] -= 1;
+  }
+  if (kind == kSubmission) job->submission.reset();
+  if (kind == kCancellation) job->cancelled = false;
+  if (kind == kProgress) job->progress.Clear();
+  if (is_known(*job)) {
+    if (waits_for_start(*job)) {
+      table->not_started[job->submission->queue()] += 1;
+    }
+    return;
   }
   table->jobs.erase(found);
 }
@@ -138,7 +154,7 @@
 const entry* find(const table& table, std::string_view id) {
   std::unordered_map<std::string, entry>::const_iterator found =
       table.jobs.find(std::string(id));
-  if (found == table.jobs.end() || !found->second.submission) return nullptr;
+  if (found == table.jobs.end() || !is_known(found->second)) return nullptr;
   return &found->second;
 }
 
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -27,7 +27,8 @@
 };
 
 struct entry {
-  std::shared_ptr<const wire::job_submission> submission;  // Null until read.
+  // Null until read, and for jobs that have ended.
+  std::shared_ptr<const wire::job_submission> submission;
   wire::job_progress progress;
   bool cancelled = false;  // A caller asked for the cancellation.
 };
--- a/src/jobs/job_table_test.cpp
+++ b/src/jobs/job_table_test.cpp
@@ -34,8 +34,14 @@
   CHECK(not_started(table, "q") == 0);
   apply(&table, progress_record(wire::COMPLETE));
   CHECK(state_of(*find(table, kJob)) == state::complete);
+}
+
+TEST_CASE("a job whose records are dropped is not known") {
+  table table;
+  apply(&table, submission_record());
   apply(&table, {submission_key(kJob), "", 0});
   CHECK(find(table, kJob) == nullptr);
+  CHECK(not_started(table, "q") == 0);
 }
 
 // The owner tells of an end before the records that lead to it are read.
@@ -48,6 +54,17 @@
   CHECK(not_started(table, "q") == 0);
 }
 
+TEST_CASE("an ended job is known by its outcome alone") {
+  table table;
+  apply(&table, submission_record());
+  apply(&table, progress_record(wire::COMPLETE));
+  apply(&table, {submission_key(kJob), "", 0});
+  REQUIRE(find(table, kJob) != nullptr);
+  CHECK(state_of(*find(table, kJob)) == state::complete);
+  apply(&table, {progress_key(kJob), "", 0});
+  CHECK(find(table, kJob) == nullptr);
+}
+
 TEST_CASE("a repeated submission changes nothing") {
   table table;
   apply(&table, submission_record());
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -266,10 +266,11 @@
 
 void add_job(pool_state* pool, const std::string& id, const jobs::entry& entry,
              steady_time now) {
-  if (!entry.submission || pool->jobs.count(id) > 0) return;
+  if (pool->jobs.count(id) > 0) return;
   if (entry.progress.outcome() != wire::OPEN) {
     pool->ended[id] = from_unix(entry.progress.ended_ms());
   }
+  if (!entry.submission) return;
   job& job = pool->jobs[id];
   job.id = id;
   job.submission = entry.submission;
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -57,6 +57,7 @@
       continue;
     }
     batch->records.push_back({jobs::progress_key(each->first), {}, 0});
+    // Repeated requests may have been written after the end.
     batch->records.push_back({jobs::cancellation_key(each->first), {}, 0});
     batch->records.push_back({jobs::submission_key(each->first), {}, 0});
     pool->jobs.erase(each->first);
@@ -72,8 +73,15 @@
     const job* job = find_job(pool, id);
     if (job == nullptr) continue;
     batch.records.push_back({jobs::progress_key(id), progress_of(*job), 0});
-    if (job->outcome != wire::OPEN) {
-      batch.job_ends.push_back(batch.records.back());
+    if (job->outcome == wire::OPEN) continue;
+    batch.job_ends.push_back(batch.records.back());
+    // Every daemon that starts reads the newest record of each key, and
+    // submissions are by far the largest. While runs are being stopped, a later
+    // owner needs to know the room that they take.
+    if (!job->workers.empty()) continue;
+    batch.records.push_back({jobs::submission_key(id), {}, 0});
+    if (job->outcome == wire::CANCELLED) {
+      batch.records.push_back({jobs::cancellation_key(id), {}, 0});
     }
   }
   pool->changed.clear();
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -346,6 +346,51 @@
   CHECK(second.advice[0].job == "00000000000000ab");
 }
 
+// Load pattern: every daemon loads the journal after a restart or after the
+// store has dropped its history, over links that it shares with all traffic.
+TEST_CASE("an ended job leaves only its outcome in the journal") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit("00000000000000aa", {test_pool::step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  pool.confirm(starts);
+  hold_report report;
+  report.ended.push_back(end_of(1, starts.at(0), end_kind::done));
+  pool.hold("w1", report);
+  pool.round();
+  const jobs::entry* known = jobs::find(pool.table, "00000000000000aa");
+  REQUIRE(known != nullptr);
+  CHECK(known->submission == nullptr);
+  CHECK(jobs::state_of(*known) == jobs::state::complete);
+  pool.take_over();
+  pool.advance(milliseconds(131000));
+  pool.round();
+  CHECK(jobs::find(pool.table, "00000000000000aa") == nullptr);
+}
+
+TEST_CASE("a later owner knows the room of runs that are being stopped") {
+  test_pool pool;
+  pool.add_worker("w1", 4000);
+  pool.submit("00000000000000aa", {test_pool::step(1, 3000)});
+  std::vector<start_order> starts = pool.round();
+  pool.confirm(starts);
+  cancel_job(&pool.state, "00000000000000aa", pool.wall);
+  pool.round();
+  pool.take_over();
+  pool.add_worker("w1", 4000);
+  hold_report report;
+  report.running.push_back(row_of(starts.at(0)));
+  pool.hold("w1", report);
+  CHECK(pool.state.workers.at("w1").used.cpu_milli == 3000);
+  // Once the stop is listed, the submission goes.
+  report.running.clear();
+  report.ended.push_back(end_of(1, starts.at(0), end_kind::stopped));
+  pool.hold("w1", report);
+  CHECK(pool.state.workers.at("w1").used.cpu_milli == 0);
+  pool.round();
+  CHECK(jobs::find(pool.table, "00000000000000aa")->submission == nullptr);
+}
+
 // Two workers, of which `slow` takes four times the estimate for its tasks.
 struct uneven_pool : test_pool {
   std::uint64_t ended = 0;
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -288,7 +288,11 @@
   std::unordered_map<std::string, std::size_t>::iterator found =
       job->workers.find(worker);
   if (found == job->workers.end()) return;
-  if (--found->second == 0) job->workers.erase(found);
+  if (--found->second > 0) return;
+  job->workers.erase(found);
+  // Its submission can be dropped from the journal now.
+  bool over = job->outcome != wire::OPEN && job->workers.empty();
+  if (over) pool->changed.insert(id);
 }
 
 }  // namespace
--- a/src/poold/store.cpp
+++ b/src/poold/store.cpp
@@ -22,6 +22,9 @@
 constexpr milliseconds kReadSlack{700};
 // A call that is passed on for another daemon; longer than any of its own.
 constexpr milliseconds kRelayTimeout{2000};
+// Of one answer, so that a daemon that is behind gets on also where the link
+// is narrow: this takes 0.2 s at 5 Mbit/s.
+constexpr std::uint32_t kMostKbARead = 128;
 constexpr std::size_t kReadConnections = 6;
 constexpr std::size_t kAppendConnections = 4;
 // A way that failed is tried again after this, if there is another one. A
@@ -188,8 +191,8 @@
 void store::read(
     std::string_view topic, std::uint64_t from, milliseconds wait,
     std::function<void(error::result<platform::read_reply>)> handler) {
-  call("read log", platform::encode_read(topic, from, wait), false,
-       wait + kReadSlack,
+  call("read log", platform::encode_read(topic, from, wait, kMostKbARead),
+       false, wait + kReadSlack,
        [from, handler = std::move(handler)](http::call_result&& result) {
          if (result.has_error()) return handler(result.error().cause);
          handler(platform::decode_read(*result, from));
@@ -197,11 +200,10 @@
 }
 
 void store::newest(
-    std::string_view topic, std::string_view after,
+    std::string_view topic, std::string_view after, milliseconds timeout,
     std::function<void(error::result<platform::newest_reply>)> handler) {
   steady_time sent = clock_.now();
-  call("read newest", platform::encode_newest(topic, after), false,
-       kCallTimeout,
+  call("read newest", platform::encode_newest(topic, after), false, timeout,
        [this, sent, handler = std::move(handler)](http::call_result&& result) {
          if (result.has_error()) return handler(result.error().cause);
          milliseconds taken =
--- a/src/poold/store.h
+++ b/src/poold/store.h
@@ -51,7 +51,7 @@
   void read(std::string_view topic, std::uint64_t from, milliseconds wait,
             std::function<void(error::result<platform::read_reply>)> handler);
   void newest(
-      std::string_view topic, std::string_view after,
+      std::string_view topic, std::string_view after, milliseconds timeout,
       std::function<void(error::result<platform::newest_reply>)> handler);
 
   // Daemons that may pass calls on.
--- a/src/poold/topic_follower.cpp
+++ b/src/poold/topic_follower.cpp
@@ -1,11 +1,21 @@
 #include "poold/topic_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "events/events.h"
 
 namespace ebonygrade::poold {
 
+namespace {
+
+// Of a page. It may hold a megabyte and the link may be narrow or shared, so
+// the time doubles with each failure; a lost answer costs no more than before.
+constexpr milliseconds kLoadTimeout{1000};
+constexpr milliseconds kLongestLoadTimeout{8000};
+
+}  // namespace
+
 topic_follower::topic_follower(boost::asio::io_context& context, store& store,
                                const clock::clock& clock,
                                follower_options options, handlers handlers)
@@ -18,6 +28,10 @@
 
 void topic_follower::start() { load(); }
 
+void topic_follower::load() {
+  load_page(pages_.empty() ? std::string() : pages_.back().key);
+}
+
 void topic_follower::stop() {
   stopped_ = true;
   timer_.cancel();
@@ -42,18 +56,21 @@
 }
 
 void topic_follower::load_page(const std::string& after) {
-  if (after.empty()) pages_.clear();
+  load_timeout_ = std::max(load_timeout_, kLoadTimeout);
   steady_time sent = clock_.now();
   store_.newest(
-      options_.topic, after,
+      options_.topic, after, load_timeout_,
       [self = shared_from_this(), after,
        sent](error::result<platform::newest_reply> reply) {
         if (self->stopped_) return;
         if (reply.has_error()) {
+          self->load_timeout_ =
+              std::min(2 * self->load_timeout_, kLongestLoadTimeout);
           return self->again(next_pause(self->backoff_, self->random_),
                              &topic_follower::load);
         }
         succeeded(self->backoff_);
+        self->load_timeout_ = kLoadTimeout;
         // Later pages may miss changes to keys of earlier ones; reading on
         // from the end as of the first page brings them.
         if (after.empty()) self->first_page_end_ = reply->end;
--- a/src/poold/topic_follower.h
+++ b/src/poold/topic_follower.h
@@ -48,17 +48,19 @@
   steady_time current_as_of() const { return current_as_of_; }
 
  private:
+  // Goes on after the pages that have come.
+  void load();
   void load_page(const std::string& after);
   void read();
   void again(milliseconds pause, void (topic_follower::*step)());
-  void load() { load_page({}); }
 
   store& store_;
   const clock::clock& clock_;
   follower_options options_;
   handlers handlers_;
   boost::asio::steady_timer timer_;
-  std::vector<jobs::record> pages_;
+  std::vector<jobs::record> pages_;  // While loading.
+  milliseconds load_timeout_{0};     // Of the next page.
   std::uint64_t first_page_end_ = 0;
   std::uint64_t next_ = 0;
   bool loaded_ = false;
