Tell callers to come back while the owner waits for the store

Cause: when one append of the owner was late, it refused the records of callers, and every other daemon appended them itself. Daemons append themselves if the owner isn't one, or gives no answer. Test: "daemons don't append beside an owner that waits for the store", failed before.

--- a/src/poold/entry.cpp
+++ b/src/poold/entry.cpp
@@ -234,6 +234,11 @@
               if (answer == owner_answer::written) {
                 return self->confirm(*wanted);
               }
+              // Appends of every daemon beside the owner's would only make
+              // the store slower.
+              if (answer == owner_answer::unavailable) {
+                return self->refuse(*wanted, "the store takes no records");
+              }
               wanted->tried = answer == owner_answer::unknown;
               self->write_directly(wanted);
             });
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -441,8 +441,9 @@
     case http::status::ok:
       return owner_answer::written;
     case http::status::conflict:
-    case http::status::service_unavailable:
       return owner_answer::refused;
+    case http::status::service_unavailable:
+      return owner_answer::unavailable;
     default:
       return owner_answer::unknown;
   }
@@ -481,6 +482,8 @@
                   if (written == owner_answer::written) {
                     code = http::status::ok;
                   } else if (written == owner_answer::refused) {
+                    code = http::status::conflict;
+                  } else if (written == owner_answer::unavailable) {
                     code = http::status::service_unavailable;
                   }
                   answer(http::text_response(code, "text/plain", ""));
--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -10,6 +10,7 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -316,6 +317,30 @@
       [&] { return cell.ask(0, http::verb::post, path, kBody).first == 200; }));
 }
 
+// Load pattern: a slow store. Appends of every daemon beside the owner's queue
+// up behind each other, and none is answered in time any more.
+TEST_CASE("daemons don't append beside an owner that waits for the store") {
+  cell cell;
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.add_node("n1");
+  REQUIRE(cell.until([&] { return cell.nodes[0]->owns_pool(); }));
+  cell.add_node("n2");
+  REQUIRE(cell.until([&] { return cell.nodes[1]->is_ready(); }));
+  std::string path = "/q/" + std::string(kJob);
+  // The second daemon writes by the first.
+  REQUIRE(cell.until(
+      [&] { return cell.ask(1, http::verb::post, path, kBody).first == 200; }));
+  cell.store.refuse(true);
+  CHECK(cell.ask(1, http::verb::post, "/q/00000000000000ab", kBody).first ==
+        503);
+  for (const standin::stored_record& each :
+       cell.store.records("keyed.journal")) {
+    CHECK(each.key != "s00000000000000ab");
+  }
+  CHECK(cell.store.producers("keyed.journal") ==
+        std::set<std::string>{"owner"});
+}
+
 TEST_CASE("an append whose answer is lost is written once") {
   cell cell;
   cell.store.put("keyed.op", "config", kManifest);
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -18,6 +18,12 @@
 constexpr milliseconds kFlushPause{20};
 // Followers take an owner for dead after several of these.
 constexpr milliseconds kHeartbeat{200};
+// Callers are told to come back when an append has failed and taken this long:
+// more than one to a store that is slowed thirty times and repeated once.
+constexpr milliseconds kCallerPatience{350};
+// A refusal by the store is passed on to callers after this: enough for the
+// next second's share of calls to begin, short beside any objective.
+constexpr milliseconds kRefuseAfter{150};
 // Three heartbeats: the owner then tells others that it can't write.
 constexpr milliseconds kJournalSilence{600};
 // Entries change when a worker's state does, and with each of its heartbeats.
@@ -103,7 +109,7 @@
 
 void owner::stop() {
   stopped_ = true;
-  refuse_callers();
+  refuse_callers(owner_answer::refused);
   decide_timer_.cancel();
   flush_timer_.cancel();
   journal_->stop();
@@ -290,7 +296,7 @@
 void owner::decide() {
   last_decision_ = clock_.now();
   if (pool_.deposed) return depose();
-  if (journal_->struggles()) refuse_callers();
+  if (is_stuck()) refuse_callers(owner_answer::unavailable);
   if (!releasing_) carry_out(pool::decide(&pool_, clock_.now(), wall_now()));
   write_notes();
   flush_soon();
@@ -396,10 +402,9 @@
 
 void owner::write(jobs::record record,
                   std::function<void(owner_answer)> handler) {
+  if (stopped_ || releasing_) return handler(owner_answer::refused);
   // Behind an append that the store doesn't answer nothing gets through soon.
-  if (stopped_ || releasing_ || journal_->struggles()) {
-    return handler(owner_answer::refused);
-  }
+  if (is_stuck()) return handler(owner_answer::unavailable);
   callers_.push_back({std::move(record), std::move(handler)});
   flush_soon();
 }
@@ -441,8 +446,12 @@
   for (const caller_write& each : callers) records.push_back(each.record);
   // The owner's own records can wait for the store, callers can't.
   bool has_callers = !callers.empty();
+  steady_time refuse_at = clock_.now() + kRefuseAfter;
   journal_->write(
-      std::move(records), [has_callers] { return !has_callers; },
+      std::move(records),
+      [this, has_callers, refuse_at] {
+        return !has_callers || clock_.now() < refuse_at;
+      },
       [self = shared_from_this(), batch = std::move(batch),
        callers = std::move(callers), releases](write_outcome outcome) mutable {
         self->on_callers_written(callers, outcome);
@@ -477,9 +486,13 @@
   flush_soon();
 }
 
-void owner::refuse_callers() {
+bool owner::is_stuck() const {
+  return journal_->struggles() && clock_.now() - last_flush_ > kCallerPatience;
+}
+
+void owner::refuse_callers(owner_answer answer) {
   for (const caller_write& each : std::exchange(callers_, {})) {
-    each.handler(owner_answer::refused);
+    each.handler(answer);
   }
 }
 
@@ -492,7 +505,7 @@
         each.handler(owner_answer::written);
         break;
       case write_outcome::given_up:
-        each.handler(owner_answer::refused);
+        each.handler(owner_answer::unavailable);
         break;
       case write_outcome::fenced:
         // An attempt before the one that was fenced may have been written.
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -35,7 +35,8 @@
 // What became of a record that the owner was asked to write.
 enum class owner_answer {
   written,
-  refused,  // Not written, and never will be by the owner.
+  refused,      // Not written: it is not, or no longer, the owner.
+  unavailable,  // Not written: the store takes nothing from it at present.
   unknown,
 };
 
@@ -105,7 +106,11 @@
   void on_written(const pool::journal_batch& batch, write_outcome outcome,
                   bool releases);
   void apply_written(const pool::journal_batch& batch);
-  void refuse_callers();
+  // Answers the callers whose records have not been sent.
+  void refuse_callers(owner_answer answer);
+  // The store has not taken the present append for longer than callers should
+  // wait.
+  bool is_stuck() const;
   void on_callers_written(const std::vector<caller_write>& callers,
                           write_outcome outcome);
   jobs::record ownership_record(bool released) const;
--- a/standin/pool/keyed_store.cpp
+++ b/standin/pool/keyed_store.cpp
@@ -108,6 +108,12 @@
   return topics_[topic].records;
 }
 
+std::set<std::string> keyed_store::producers(const std::string& topic) const {
+  std::map<std::string, std::set<std::string>>::const_iterator found =
+      producers_.find(topic);
+  return found == producers_.end() ? std::set<std::string>() : found->second;
+}
+
 void keyed_store::add(topic* into, const std::vector<stored_record>& records) {
   into->records.insert(into->records.end(), records.begin(), records.end());
   wake_readers();
@@ -116,6 +122,11 @@
 void keyed_store::handle(http::request&& request, http::responder answer) {
   std::optional<http::target_parts> target =
       http::parse_target(std::string(request.target()));
+  if (target && target->segments.size() == 1 &&
+      target->segments.front() == "log-append") {
+    producers_[http::query_value(*target, "topic").value_or("")].insert(
+        http::query_value(*target, "producer").value_or(""));
+  }
   if (refuses_ || !target || target->segments.size() != 1) {
     return answer(json(503, "{}"));
   }
--- a/standin/pool/keyed_store.h
+++ b/standin/pool/keyed_store.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -42,6 +43,8 @@
   void forget(const std::string& topic);
   const std::vector<stored_record>& records(const std::string& topic);
   std::uint64_t appends() const { return appends_; }
+  // Names of those that appended, or tried to, in alphabetical order.
+  std::set<std::string> producers(const std::string& topic) const;
 
  private:
   struct producer_state {
@@ -77,6 +80,7 @@
   boost::asio::io_context& context_;
   http::server server_;
   std::map<std::string, topic> topics_;
+  std::map<std::string, std::set<std::string>> producers_;  // By topic.
   std::vector<std::shared_ptr<reader>> readers_;
   bool refuses_ = false;
   int lost_answers_ = 0;
