Ask for advice where the answer comes soonest

Cause: of idle daemons the first by name was asked, in zora's cell those of the region away from the owner; under a burst the way there and back took 0.3 s. Change: the choice is a function over plain structs; it adds to each daemon's load the smoothed time by which its answers come later than the service takes. What fills the link between the regions there is open. Tests: adviser_choice_test.

--- /dev/null
+++ b/src/poold/adviser_choice_test.cpp
@@ -0,0 +1,55 @@
+#include "poold/adviser_choice.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace ebonygrade::poold {
+
+namespace {
+
+constexpr milliseconds kShort{10};
+constexpr milliseconds kLong{500};
+const steady_time kNow = steady_time(std::chrono::hours(1));
+
+// Load pattern: half of the daemons are in another region, and their answers
+// make urgent work late while near daemons stand idle.
+TEST_CASE("of idle daemons the one whose answers come soonest is asked") {
+  std::vector<adviser_load> daemons(2);
+  note_question(&daemons[0], kShort, kNow);
+  note_answer(&daemons[0], kShort, kNow + kShort,
+              kNow + kShort + milliseconds(40));
+  adviser_choice choice = choose_adviser(daemons, kShort, kNow + kLong);
+  REQUIRE(choice.found);
+  CHECK(choice.index == 1);
+}
+
+TEST_CASE("a busy daemon that is near gives way to an idle one") {
+  std::vector<adviser_load> daemons(2);
+  daemons[0].overhead = milliseconds(10);
+  note_question(&daemons[1], milliseconds(18), kNow);
+  CHECK(choose_adviser(daemons, kShort, kNow).index == 0);
+}
+
+TEST_CASE("some daemons are kept free of long questions") {
+  std::vector<adviser_load> daemons(4);
+  for (int i = 0; i < 2; ++i) {
+    adviser_choice choice = choose_adviser(daemons, kLong, kNow);
+    REQUIRE(choice.found);
+    note_question(&daemons[choice.index], kLong, kNow);
+  }
+  CHECK_FALSE(choose_adviser(daemons, kLong, kNow).found);
+  CHECK(choose_adviser(daemons, kShort, kNow).found);
+}
+
+TEST_CASE("nobody is asked who isn't there or has enough to answer") {
+  std::vector<adviser_load> daemons(1);
+  daemons[0].available = false;
+  CHECK_FALSE(choose_adviser(daemons, kShort, kNow).found);
+  daemons[0].available = true;
+  for (int i = 0; i < 3; ++i) note_question(&daemons[0], milliseconds(1), kNow);
+  CHECK_FALSE(choose_adviser(daemons, kShort, kNow).found);
+}
+
+}  // namespace
+
+}  // namespace ebonygrade::poold
--- a/src/poold/advisers.cpp
+++ b/src/poold/advisers.cpp
@@ -14,18 +14,12 @@
 constexpr milliseconds kSilence{3200};
 constexpr milliseconds kAvoidTime{2000};
 constexpr milliseconds kAnswerSlack{1500};
-// A question goes to a daemon whose earlier one is about to be answered, so
-// that the service doesn't stand idle for the way there and back.
-constexpr milliseconds kNearlyFree{20};
-constexpr std::size_t kMaxOpen = 3;
-// Questions that take longer may not occupy every daemon.
-constexpr milliseconds kLongQuestion{40};
-// Of the daemons, one in so many takes no long questions.
-constexpr std::size_t kKeptFreeOneIn = 4;
+// As many as a daemon is sent at once.
+constexpr std::size_t kConnections = 3;
 
 http::client_options adviser_options() {
   http::client_options options;
-  options.connections = kMaxOpen;
+  options.connections = kConnections;
   return options;
 }
 
@@ -74,25 +68,17 @@
 }
 
 std::shared_ptr<advisers::adviser> advisers::choose(
-    const pool::advice_order& order, steady_time now) {
-  std::shared_ptr<adviser> best;
-  std::size_t available = 0;
-  std::size_t with_long = 0;
-  for (std::pair<const std::string, std::shared_ptr<adviser>>& each :
+    const pool::advice_order& order, steady_time now) const {
+  std::vector<std::shared_ptr<adviser>> daemons;
+  std::vector<adviser_load> loads;
+  for (const std::pair<const std::string, std::shared_ptr<adviser>>& each :
        advisers_) {
-    adviser& candidate = *each.second;
-    if (!is_available(candidate, now)) continue;
-    ++available;
-    if (candidate.open_long > 0) ++with_long;
-    if (candidate.open >= kMaxOpen) continue;
-    if (candidate.open == 0) candidate.free_at = now;
-    if (candidate.free_at > now + kNearlyFree) continue;
-    if (!best || candidate.free_at < best->free_at) best = each.second;
+    daemons.push_back(each.second);
+    loads.push_back(each.second->load);
+    loads.back().available = is_available(*each.second, now);
   }
-  bool is_long = order.expected > kLongQuestion;
-  std::size_t kept_free = available < 2 ? 0 : available / kKeptFreeOneIn + 1;
-  if (is_long && with_long + kept_free >= available) return nullptr;
-  return best;
+  adviser_choice choice = choose_adviser(loads, order.expected, now);
+  return choice.found ? daemons[choice.index] : nullptr;
 }
 
 void advisers::ask(const pool::advice_order& order, handler handler) {
@@ -118,22 +104,19 @@
 
 void advisers::send(std::shared_ptr<adviser> chosen, question asked,
                     steady_time now) {
-  bool is_long = asked.order.expected > kLongQuestion;
-  chosen->free_at = std::max(chosen->free_at, now) + asked.order.expected;
-  ++chosen->open;
-  if (is_long) ++chosen->open_long;
+  milliseconds expected = asked.order.expected;
+  note_question(&chosen->load, expected, now);
+  steady_time due = chosen->load.free_at;
   http::request message = platform::encode_advice(asked.order);
   if (!chosen->local) message.target(chosen->target);
   milliseconds timeout =
-      std::chrono::duration_cast<milliseconds>(chosen->free_at - now) +
-      kAnswerSlack;
+      std::chrono::duration_cast<milliseconds>(due - now) + kAnswerSlack;
   http::client& client = *chosen->client;
   client.call("advise", std::move(message), timeout,
-              [this, alive = std::weak_ptr<bool>(alive_), chosen, is_long,
+              [this, alive = std::weak_ptr<bool>(alive_), chosen, expected, due,
                answer = std::move(asked.answer)](http::call_result&& result) {
                 if (alive.expired()) return;
-                --chosen->open;
-                if (is_long) --chosen->open_long;
+                note_answer(&chosen->load, expected, due, clock_.now());
                 std::optional<std::vector<pool::ticket>> tickets;
                 if (result.has_value()) {
                   tickets = platform::decode_advice(*result);
--- a/src/poold/advisers.h
+++ b/src/poold/advisers.h
@@ -1,9 +1,7 @@
 // Spreads questions to the advice service over the daemons: it answers one
 // call at a time for each calling VM, so each daemon is a queue of its own.
 //
-// Questions wait here, the urgent ones first, until a daemon is free for
-// them. Some daemons are kept free of long questions, so that an urgent one
-// never waits behind nothing but long ones.
+// Questions wait here, the urgent ones first, until a daemon is free for them.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -19,6 +17,7 @@
 #include "clock/clock.h"
 #include "http/client.h"
 #include "pool/pool.h"
+#include "poold/adviser_choice.h"
 
 namespace ebonygrade::poold {
 
@@ -46,10 +45,8 @@
     std::string target;  // Where the client takes the question.
     bool local = false;
     steady_time heard;
-    steady_time free_at;  // When its questions so far will be answered.
     steady_time avoid_until;
-    std::size_t open = 0;
-    std::size_t open_long = 0;
+    adviser_load load;
   };
   struct question {
     pool::advice_order order;
@@ -57,9 +54,9 @@
   };
 
   bool is_available(const adviser& adviser, steady_time now) const;
-  // The adviser that answers such a question soonest, if one may take it now.
+  // Null if none may take the question now.
   std::shared_ptr<adviser> choose(const pool::advice_order& order,
-                                  steady_time now);
+                                  steady_time now) const;
   void dispatch();
   void send(std::shared_ptr<adviser> chosen, question asked, steady_time now);
 
