--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -22,8 +22,6 @@
 constexpr std::uint32_t kAllDone = 100;
 constexpr milliseconds kAvoidHung{5000};
 
-// --------------------------------------------------------
-
 start_order make_start(pool_state* pool, worker* worker, placement* placed,
                        steady_time now) {
   start_order order;
--- a/src/pool/simulated_worker.cpp
+++ b/src/pool/simulated_worker.cpp
@@ -13,8 +13,7 @@
 
 }  // namespace
 
-// ---- Ledger
-// -------------------------------------------------------------------
+// ---- Ledger -----------------------------------------------------------------
 
 void ledger::add_job(const std::string& id, const wire::job_submission& job,
                      std::uint32_t attempts) {
@@ -106,8 +105,7 @@
   if (how == end_kind::failed) failed_[task].insert(run);
 }
 
-// ---- Gangs
-// ----------------------------------------------------------------------
+// ---- Gangs ------------------------------------------------------------------
 
 gang_board::name gang_board::name_of(const task_key& task, std::uint32_t run) {
   return {task.job, task.step, run};
@@ -151,8 +149,7 @@
   return found;
 }
 
-// ---- Worker
-// -------------------------------------------------------------------
+// ---- Worker -----------------------------------------------------------------
 
 simulated_worker::simulated_worker(std::string id, resources capacity,
                                    behaviour behaviour, ledger* ledger,
--- a/src/poold/entry.cpp
+++ b/src/poold/entry.cpp
@@ -200,8 +200,7 @@
   when_current(asked.deadline, std::move(answer), std::move(then));
 }
 
-// ---- Reading what others have written
-// -----------------------------------------
+// ---- Reading what others have written ---------------------------------------
 
 void entry::when_current(steady_time deadline, http::responder answer,
                          std::function<void()> then) {
@@ -222,8 +221,7 @@
   }
 }
 
-// ---- Writing
-// ------------------------------------------------------------------
+// ---- Writing ----------------------------------------------------------------
 
 void entry::write(std::shared_ptr<waiting_write> wanted) {
   milliseconds left =
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -40,6 +40,10 @@
   bool owns_pool() const { return owner_ != nullptr; }
 
  private:
+  // Between two reads of the journal. What a caller asks for in between is
+  // asked of the owner; each read is a priced call to the store.
+  static constexpr milliseconds kFollowerReadPause{250};
+
   void follow_journal();
   void follow_operator();
   void take_record(const jobs::record& record);
@@ -63,6 +67,10 @@
   void check_claim();
   void become_owner(std::uint64_t epoch);
   void resign();
+  // The owner has another address than the link to it.
+  bool owner_moved() const {
+    return table_.owner.record.peer_address() != owner_address_;
+  }
   void announce(steady_time now);
   void handle_peer(http::request&& request, http::responder answer);
   void learn_peers(const wire::owner_status& status);
--- /dev/null
+++ b/src/poold/node_peers.cpp
@@ -0,0 +1,275 @@
+// Calls between the daemons, and the metrics at the same address.
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "http/json.h"
+#include "poold/node.h"
+#include "poold/peer_paths.h"
+
+namespace ebonygrade::poold {
+
+namespace {
+
+constexpr milliseconds kProbeTimeout{350};
+// Callers who ask for a state wait no longer for the owner.
+constexpr milliseconds kEndTimeout{250};
+constexpr std::size_t kOwnerConnections = 6;
+
+}  // namespace
+
+void node::announce(steady_time now) {
+  const std::string& address = table_.owner.record.peer_address();
+  if (announcing_ || address.empty() || address == settings_.peer_address) {
+    return;
+  }
+  if (address != owner_address_) {
+    owner_address_ = address;
+    owner_denied_ = false;
+    // What the former owner was asked to write is told as unknown.
+    if (owner_link_) owner_link_->close();
+    http::client_options options;
+    options.connections = kOwnerConnections;
+    owner_link_ = std::make_unique<http::client>(context_, address, options);
+  }
+  announcing_ = true;
+  announced_ = now;
+  wire::presence presence;
+  presence.set_daemon(settings_.id);
+  presence.set_peer_address(settings_.peer_address);
+  std::uint64_t epoch = table_.owner.record.epoch();
+  owner_link_->call("announce",
+                    http::json_request(http::verb::post, kPresencePath,
+                                       http::to_compact_json(presence)),
+                    kProbeTimeout, [this, epoch](http::call_result&& result) {
+                      announcing_ = false;
+                      wire::owner_status status;
+                      bool told =
+                          result.has_value() &&
+                          http::from_json(result->body(), &status).has_value();
+                      if (told) learn_peers(status);
+                      owner_denied_ = !told || status.epoch() != epoch ||
+                                      !status.journal_reachable();
+                    });
+}
+
+void node::learn_peers(const wire::owner_status& status) {
+  if (status.epoch() == 0) return;
+  std::vector<std::string> relays(status.peer_addresses().begin(),
+                                  status.peer_addresses().end());
+  if (status.journal_reachable()) {
+    relays.insert(relays.begin(), owner_address_);
+  }
+  store_.set_relays(relays);
+}
+
+void node::relay_store_call(http::request&& request, http::responder answer) {
+  std::string target(request.target());
+  http::request message{request.method(), target.substr(kStorePath.size()),
+                        http::kHttpVersion11};
+  if (request.method() == http::verb::post) {
+    message.set(boost::beast::http::field::content_type,
+                "application/octet-stream");
+    message.body() = std::move(request.body());
+    message.prepare_payload();
+  }
+  store_.relay(std::move(message), [answer](http::call_result&& result) {
+    if (result.has_error()) {
+      // The caller can't know whether the store has seen the call.
+      return answer(http::error_response(http::status::bad_gateway,
+                                         to_string(result.error().cause)));
+    }
+    http::response reply = std::move(*result);
+    answer(http::text_response(reply.result(), "application/octet-stream",
+                               std::move(reply.body())));
+  });
+}
+
+owner_answer node::owner_answer_of(const http::call_result& result) {
+  if (result.has_error()) {
+    // The next announcement tells whether the owner is there.
+    owner_denied_ = true;
+    return result.error().maybe_sent ? owner_answer::unknown
+                                     : owner_answer::refused;
+  }
+  switch (result->result()) {
+    case http::status::ok:
+      return owner_answer::written;
+    case http::status::conflict:
+      return owner_answer::refused;
+    case http::status::service_unavailable:
+      return owner_answer::unavailable;
+    default:
+      return owner_answer::unknown;
+  }
+}
+
+void node::write_by_owner(const jobs::record& record, milliseconds timeout,
+                          std::function<void(owner_answer)> handler) {
+  if (owner_) return owner_->write(record, std::move(handler));
+  if (!owner_link_ || owner_denied_) return handler(owner_answer::refused);
+  wire::caller_record message;
+  message.set_key(record.key);
+  message.set_value(record.value);
+  message.set_epoch(table_.owner.record.epoch());
+  http::request request{http::verb::post, kRecordPath, http::kHttpVersion11};
+  request.body() = message.SerializeAsString();
+  request.prepare_payload();
+  owner_link_->call(
+      "write record", std::move(request), timeout,
+      [this, handler = std::move(handler)](http::call_result&& result) {
+        handler(owner_answer_of(result));
+      });
+}
+
+void node::write_for_peer(http::request&& request, http::responder answer) {
+  wire::caller_record message;
+  if (!message.ParseFromString(request.body()) || message.key().empty()) {
+    return answer(http::error_response(http::status::bad_request, "no record"));
+  }
+  if (!owner_ || owner_->epoch() != message.epoch()) {
+    return answer(http::error_response(http::status::conflict,
+                                       "not the owner of this epoch"));
+  }
+  owner_->write({message.key(), message.value(), 0},
+                [answer](owner_answer written) {
+                  http::status code = http::status::bad_gateway;
+                  if (written == owner_answer::written) {
+                    code = http::status::ok;
+                  } else if (written == owner_answer::refused) {
+                    code = http::status::conflict;
+                  } else if (written == owner_answer::unavailable) {
+                    code = http::status::service_unavailable;
+                  }
+                  answer(http::text_response(code, "text/plain", ""));
+                });
+}
+
+void node::learn_end(const std::string& job, std::function<void()> then) {
+  if (owner_ || !owner_link_ || owner_denied_) return then();
+  http::request request{http::verb::post, kEndPath, http::kHttpVersion11};
+  request.body() = job;
+  request.prepare_payload();
+  owner_link_->call(
+      "read end", std::move(request), kEndTimeout,
+      [this, job, then = std::move(then)](http::call_result&& result) {
+        bool ended = result.has_value() &&
+                     result->result() == http::status::ok &&
+                     jobs::find(table_, job) != nullptr;
+        if (ended) take_record({jobs::progress_key(job), result->body(), 0});
+        then();
+      });
+}
+
+void node::tell_end(const http::request& request,
+                    const http::responder& answer) {
+  const jobs::entry* known = jobs::find(table_, request.body());
+  bool ended = known != nullptr && known->progress.outcome() != wire::OPEN;
+  if (!ended) {
+    return answer(http::text_response(http::status::no_content, "", ""));
+  }
+  answer(http::text_response(http::status::ok, "application/octet-stream",
+                             known->progress.SerializeAsString()));
+}
+
+void node::handle_peer(http::request&& request, http::responder answer) {
+  if (request.target() == kRecordPath) {
+    return write_for_peer(std::move(request), std::move(answer));
+  }
+  if (request.target() == kEndPath) return tell_end(request, answer);
+  if (request.target() == kAdvicePath) {
+    return relay_advice(std::move(request), std::move(answer));
+  }
+  std::string_view target(request.target().data(), request.target().size());
+  if (target.starts_with(kStorePath)) {
+    return relay_store_call(std::move(request), std::move(answer));
+  }
+  if (request.target() == kMetricsPath) {
+    return answer(
+        http::text_response(http::status::ok, "text/plain", metrics_text()));
+  }
+  if (request.target() != kPresencePath) {
+    return answer(
+        http::error_response(http::status::not_found, "no such route"));
+  }
+  wire::presence presence;
+  if (http::from_json(request.body(), &presence).has_error()) {
+    return answer(
+        http::error_response(http::status::bad_request, "no presence"));
+  }
+  wire::owner_status status;
+  if (owner_) {
+    for (const std::string& each : owner_->peer_addresses()) {
+      if (each != presence.peer_address()) status.add_peer_addresses(each);
+    }
+    owner_->heard_of(presence.daemon(), presence.peer_address());
+    status.set_epoch(owner_->epoch());
+    status.set_journal_reachable(owner_->reaches_journal());
+  }
+  answer(http::json_response(http::status::ok, http::to_compact_json(status)));
+}
+
+// The advice service counts its callers by VM, so each daemon asks for itself.
+void node::relay_advice(http::request&& request, http::responder answer) {
+  if (!advice_) {
+    return answer(http::error_response(http::status::service_unavailable,
+                                       "no advice service"));
+  }
+  advice_->call(
+      "advise",
+      http::json_request(http::verb::post, "/advise",
+                         std::move(request.body())),
+      [answer](http::call_result&& result) {
+        if (result.has_value()) {
+          http::response reply = std::move(*result);
+          return answer(http::json_response(reply.result(), reply.body()));
+        }
+        answer(http::error_response(http::status::bad_gateway, "no advice"));
+      });
+}
+
+std::string node::metrics_text() const {
+  std::string text;
+  measured_.answers.append_text(&text);
+  measured_.first_starts.append_text(&text);
+  measured_.ends.append_text(&text);
+  append_value(&text, "ebonygrade_pool_owner", "gauge",
+               "1 while this daemon owns the pool.", owner_ ? 1 : 0);
+  append_value(&text, "ebonygrade_pool_store_calls_total", "counter",
+               "Calls to the platform's store.", store_.calls());
+  append_value(&text, "ebonygrade_pool_jobs_known", "gauge",
+               "Jobs in this daemon's copy of the journal.",
+               table_.jobs.size());
+  append_value(&text, "ebonygrade_pool_unreadable_records_total", "counter",
+               "Records of the journal that could not be read.",
+               table_.unreadable);
+  if (owner_) append_owner_metrics(&text);
+  return text;
+}
+
+void node::append_owner_metrics(std::string* text) const {
+  const pool::pool_state& state = owner_->state();
+  append_value(text, "ebonygrade_pool_workers", "gauge",
+               "Workers known to the owner.", state.workers.size());
+  append_value(text, "ebonygrade_pool_waiting_steps", "gauge",
+               "Steps with tasks that wait for a place.", state.waiting.size());
+  append_value(text, "ebonygrade_pool_starts_total", "counter",
+               "Starts sent to workers, copies included.",
+               state.counters.starts);
+  append_value(text, "ebonygrade_pool_stops_total", "counter",
+               "Stops sent to workers, copies included.", state.counters.stops);
+  append_value(text, "ebonygrade_pool_questions_total", "counter",
+               "Questions to the advice service.", state.counters.advice);
+  append_value(text, "ebonygrade_pool_refused_starts_total", "counter",
+               "Starts that workers refused.", state.counters.refused_starts);
+  append_value(text, "ebonygrade_pool_ends_done_total", "counter",
+               "Runs that ended well.", state.counters.ends_done);
+  append_value(text, "ebonygrade_pool_ends_failed_total", "counter",
+               "Runs that failed.", state.counters.ends_failed);
+  append_value(text, "ebonygrade_pool_ends_other_total", "counter",
+               "Runs that ended otherwise.", state.counters.ends_other);
+  append_value(text, "ebonygrade_pool_runs_lost_total", "counter",
+               "Runs lost with their worker.", state.counters.lost);
+}
+
+}  // namespace ebonygrade::poold
