--- a/src/poold/adviser_choice_test.cpp
+++ b/src/poold/adviser_choice_test.cpp
@@ -9,7 +9,7 @@
 
 constexpr milliseconds kShort{10};
 constexpr milliseconds kLong{500};
-const steady_time kNow = steady_time(std::chrono::hours(1));
+constexpr steady_time kNow{std::chrono::hours(1)};
 
 // Load pattern: half of the daemons are in another region, and their answers
 // make urgent work late while near daemons stand idle.
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -108,7 +108,9 @@
   steady_time announced_;
   steady_time claim_after_;
   bool claiming_ = false;
-  bool claim_wanted_ = false;        // As soon as the journal has been read.
+  bool owner_gone_ = false;    // The pool was released or its owner denied it.
+  int lost_claims_ = 0;        // In a row.
+  bool claim_wanted_ = false;  // As soon as the journal has been read.
   std::uint64_t claimed_epoch_ = 0;  // Of the last claim sent; 0: none.
   bool draining_ = false;
   std::mt19937 random_;
--- a/src/poold/node_ownership.cpp
+++ b/src/poold/node_ownership.cpp
@@ -31,6 +31,12 @@
 // claim after the others.
 constexpr double kEnoughProcessor = 0.2;
 constexpr milliseconds kSmallDaemonDelay{250};
+// Claims that lost the race for the end of the journal before one is sent
+// without that condition.
+constexpr int kLostClaims = 2;
+// A claim is given the time of an append's third attempt: its answer decides
+// nothing, but a new claim in its place is one more to read.
+constexpr std::uint32_t kClaimPatience = 2;
 // Epochs that claims at one offset of the journal choose from.
 constexpr std::uint64_t kEpochsPerOffset = 1000;
 constexpr milliseconds kAnnounceEvery{1000};
@@ -69,6 +75,7 @@
   bool silent = reads && silence > kOwnerSilence;
   if (!nobody && !suspected && !silent) {
     claim_after_ = steady_time();
+    lost_claims_ = 0;
     if (reads && doubtful) announce(now);
     return;
   }
@@ -77,6 +84,7 @@
     claim_after_ = now + claim_delay() + milliseconds(spread(random_));
   }
   if (now < claim_after_) return;
+  owner_gone_ = nobody || suspected;
   // The claim must name the end of the journal, which moves with each accepted
   // job, so it follows upon a read at once.
   claim_wanted_ = true;
@@ -102,16 +110,23 @@
   platform::append_request request;
   request.topic = platform::kJournalTopic;
   request.producer = {kOwnerProducer, claimed_epoch_, 0};
-  request.expected_end = at;
+  // The condition keeps a claim that rests on an old copy of the journal from
+  // replacing an owner that writes. Without an owner every daemon appends for
+  // its callers, and on a slow store the end always moves first. The epoch
+  // alone then decides; a claimant acts only once it has read up to its own
+  // claim.
+  bool contested = owner_gone_ && lost_claims_ >= kLostClaims;
+  if (!contested) request.expected_end = at;
   wire::ownership_record record;
   record.set_daemon(settings_.id);
   record.set_epoch(claimed_epoch_);
   record.set_peer_address(settings_.peer_address);
-  store_.append(request, {{jobs::kOwnerKey, record.SerializeAsString(), 0}}, 0,
-                [this](append_result) {
+  store_.append(request, {{jobs::kOwnerKey, record.SerializeAsString(), 0}},
+                kClaimPatience, [this](append_result) {
                   // Whoever stands in the journal has won. If the end has
                   // moved meanwhile, the next read is followed by a new claim.
                   claiming_ = false;
+                  ++lost_claims_;
                   journal_->hurry();
                 });
 }
@@ -128,6 +143,7 @@
 }
 
 void node::become_owner(std::uint64_t epoch) {
+  lost_claims_ = 0;
   owner_ = std::make_shared<owner>(
       context_, store_, clock_, settings_, measured_, epoch,
       [this] { resign(); },
--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -230,6 +230,17 @@
   CHECK(cell.ask(1, http::verb::get, path).second == R"({"state":"complete"})");
 }
 
+// Found by zora-alerts, inc-3b08: an owner was stopped while the store was
+// slow, and for 3.5 s every claim lost the race for the end of the journal
+// against the appends of daemons that wrote for their callers.
+TEST_CASE("a pool without an owner is claimed while the journal grows") {
+  cell cell;
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.store.win_races("keyed.journal");
+  cell.add_node("n1");
+  CHECK(cell.until([&] { return cell.nodes[0]->owns_pool(); }));
+}
+
 TEST_CASE("a draining owner hands the pool over") {
   cell cell;
   cell.store.put("keyed.op", "config", kManifest);
--- a/standin/pool/keyed_store.cpp
+++ b/standin/pool/keyed_store.cpp
@@ -134,6 +134,10 @@
   if (call == "log-read") return read(*target, std::move(answer));
   if (call == "log-newest") return answer(newest(*target));
   if (call != "log-append") return answer(json(404, "{}"));
+  bool raced = !raced_topic_.empty() &&
+               http::query_value(*target, "topic") == raced_topic_ &&
+               http::query_value(*target, "at").has_value();
+  if (raced) put(raced_topic_, "c0000000000000000", "");
   http::response reply = append(*target, request.body());
   if (lost_answers_ > 0) {
     --lost_answers_;
--- a/standin/pool/keyed_store.h
+++ b/standin/pool/keyed_store.h
@@ -40,6 +40,9 @@
   int answers_to_lose() const { return lost_answers_; }
   // Further reads of the topic get no answer.
   void hold_reads(const std::string& topic) { held_topic_ = topic; }
+  // Somebody else always appends to the topic just before an append with a
+  // condition.
+  void win_races(const std::string& topic) { raced_topic_ = topic; }
   void forget(const std::string& topic);
   const std::vector<stored_record>& records(const std::string& topic);
   std::uint64_t appends() const { return appends_; }
@@ -85,6 +88,7 @@
   bool refuses_ = false;
   int lost_answers_ = 0;
   std::string held_topic_;
+  std::string raced_topic_;
   std::vector<http::responder> held_reads_;
   std::uint64_t appends_ = 0;
 };
