Let daemons with little processor claim a second after the others

It fell behind 350 workers: jobs waited 5 s unseen, cancelled jobs' tasks started 8 s later. Change: the delay of claims is a function of its own; on less than 0.2 of a core it is a second longer. Open: a small daemon that owns the pool keeps it when a larger one comes back. Test: claim_delay_test, failed with the former delay.

--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -61,8 +61,6 @@
   void arm_tick();
   void consider_claim(steady_time now);
   void claim();
-  // Lets daemons that would do better as owner claim first.
-  milliseconds claim_delay() const;
   // Becomes owner if the journal's newest claim is this daemon's.
   void check_claim();
   void become_owner(std::uint64_t epoch);
--- a/src/poold/node_ownership.cpp
+++ b/src/poold/node_ownership.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "events/events.h"
+#include "poold/claim_delay.h"
 #include "poold/node.h"
 
 namespace ebonygrade::poold {
@@ -22,15 +23,6 @@
 constexpr milliseconds kProbeAfter{500};
 // Spread of the daemons' claims, so that they seldom meet.
 constexpr milliseconds kClaimSpread{150};
-// The owner's records make every start and every answer wait for the store, so
-// daemons near it claim first, by this multiple of the time of its answer, up
-// to a limit that still leaves a takeover short.
-constexpr int kClaimDelayFactor = 10;
-constexpr milliseconds kMaxDistanceDelay{300};
-// Deciding for 350 workers takes 0.15 of a core. Daemons on smaller shares
-// claim after the others.
-constexpr double kEnoughProcessor = 0.2;
-constexpr milliseconds kSmallDaemonDelay{250};
 // Claims that lost the race for the end of the journal before one is sent
 // without that condition.
 constexpr int kLostClaims = 2;
@@ -81,7 +73,8 @@
   }
   if (claim_after_ == steady_time()) {
     std::uniform_int_distribution<std::int64_t> spread(0, kClaimSpread.count());
-    claim_after_ = now + claim_delay() + milliseconds(spread(random_));
+    claim_after_ = now + claim_delay(store_.distance(), settings_.cpu_share) +
+                   milliseconds(spread(random_));
   }
   if (now < claim_after_) return;
   owner_gone_ = nobody || suspected;
@@ -91,14 +84,6 @@
   journal_->hurry();
 }
 
-milliseconds node::claim_delay() const {
-  milliseconds delay =
-      std::min(store_.distance().value_or(milliseconds(0)) * kClaimDelayFactor,
-               kMaxDistanceDelay);
-  if (settings_.cpu_share < kEnoughProcessor) delay += kSmallDaemonDelay;
-  return delay;
-}
-
 void node::claim() {
   claiming_ = true;
   std::uint64_t at = journal_->next();
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -21,8 +21,8 @@
 // Callers are told to come back when an append has failed and taken this long:
 // more than one to a store that is slowed thirty times and repeated once.
 constexpr milliseconds kCallerPatience{350};
-// A refusal by the store is passed on to callers after this: enough for the
-// next second's share of calls to begin, short beside any objective.
+// Appends with records of callers are repeated for so long if the store refuses
+// them; a few refusals pass, and the time is short beside any objective.
 constexpr milliseconds kRefuseAfter{150};
 // Three heartbeats: the owner then tells others that it can't write.
 constexpr milliseconds kJournalSilence{600};
