Fail calls that wait for a connection also when their client is replaced

Cause: a closed client posted the failures of calls that waited for a connection, but dropped them once it was destroyed. A daemon closes and replaces its link when the owner moves; the answers of callers behind it were destroyed unused, and they got 500. Ruled out: a handler that throws; calls on their way (these were failed at once). Test: "a client that is closed and destroyed fails every open call", failed before.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -81,7 +81,15 @@
     for (const std::shared_ptr<connection>& open : take_connections()) {
       open->close();
     }
-    for (pending_call& call : waiting) refuse(std::move(call), "closed");
+    // Kept alive for these: whoever closes is told of every open call, also if
+    // the client is destroyed meanwhile.
+    for (pending_call& call : waiting) {
+      asio::post(context_,
+                 [self = shared_from_this(), handler = std::move(call.handler),
+                  failure = unsent_failure(call.step, "closed")]() mutable {
+                   handler(std::move(failure));
+                 });
+    }
   }
 
   void detach() {
@@ -149,11 +157,17 @@
     post_failure(std::move(call), error::code::unavailable, detail);
   }
 
+  call_failure unsent_failure(const std::string& step, std::string_view detail,
+                              error::code code = error::code::unavailable) {
+    call_failure failure;
+    failure.cause = {code, step, address_, std::string(detail)};
+    return failure;
+  }
+
   // For calls of which nothing was sent.
   void post_failure(pending_call&& call, error::code code,
                     std::string_view detail) {
-    call_failure failure;
-    failure.cause = {code, call.step, address_, std::string(detail)};
+    call_failure failure = unsent_failure(call.step, detail, code);
     asio::post(context_,
                [weak = weak_from_this(), handler = std::move(call.handler),
                 failure = std::move(failure)]() mutable {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -73,7 +73,8 @@
   // With the call timeout of the options.
   void call(std::string_view step, request&& request, handler handler);
 
-  // Fails all open calls and closes the connections.
+  // Fails all open calls and closes the connections. The handlers are called
+  // also if the client is destroyed meanwhile.
   void close();
 
   // Calls that wait for a connection.
--- a/src/http/client_test.cpp
+++ b/src/http/client_test.cpp
@@ -194,6 +194,21 @@
   }
 }
 
+// Found by isma-painel trouble-3: callers whose question waited behind others
+// for a link that was replaced got 500 instead of an answer.
+TEST_CASE("a client that is closed and destroyed fails every open call") {
+  fixture f;
+  f.answer_later = true;
+  f.call("sent");
+  f.call("waits");
+  f.run_until([&] { return !f.waiting.empty(); });
+  f.client->close();
+  f.client.reset();
+  f.run_until_results(2);
+  CHECK(f.results[0].error().maybe_sent);
+  CHECK_FALSE(f.results[1].error().maybe_sent);
+}
+
 TEST_CASE("a refused call is forgotten with its client") {
   fixture f;
   f.client->close();
