Give twins one piece of code; drop what nobody reads

Left: the manifest's limits on sizes are read and tested but not applied; argument handling of the two mains; the histograms' text.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -84,11 +84,8 @@
     // Kept alive for these: whoever closes is told of every open call, also if
     // the client is destroyed meanwhile.
     for (pending_call& call : waiting) {
-      asio::post(context_,
-                 [self = shared_from_this(), handler = std::move(call.handler),
-                  failure = unsent_failure(call.step, "closed")]() mutable {
-                   handler(std::move(failure));
-                 });
+      post_failure(std::move(call), error::code::unavailable, "closed",
+                   shared_from_this());
     }
   }
 
@@ -157,22 +154,18 @@
     post_failure(std::move(call), error::code::unavailable, detail);
   }
 
-  call_failure unsent_failure(const std::string& step, std::string_view detail,
-                              error::code code = error::code::unavailable) {
-    call_failure failure;
-    failure.cause = {code, step, address_, std::string(detail)};
-    return failure;
-  }
-
-  // For calls of which nothing was sent.
+  // For calls of which nothing was sent. The handler isn't called once the
+  // client is destroyed, unless `keep` holds it until then.
   void post_failure(pending_call&& call, error::code code,
-                    std::string_view detail) {
-    call_failure failure = unsent_failure(call.step, detail, code);
-    asio::post(context_,
-               [weak = weak_from_this(), handler = std::move(call.handler),
-                failure = std::move(failure)]() mutable {
-                 if (!weak.expired()) handler(std::move(failure));
-               });
+                    std::string_view detail,
+                    std::shared_ptr<implementation> keep = nullptr) {
+    call_failure failure;
+    failure.cause = {code, call.step, address_, std::string(detail)};
+    asio::post(context_, [weak = weak_from_this(), keep = std::move(keep),
+                          handler = std::move(call.handler),
+                          failure = std::move(failure)]() mutable {
+      if (!weak.expired()) handler(std::move(failure));
+    });
   }
 
   std::vector<std::shared_ptr<connection>> take_connections() {
--- a/src/metrics/exposition.cpp
+++ b/src/metrics/exposition.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "metrics/registry.h"
+#include "metrics/text.h"
 
 namespace ebonygrade::metrics {
 
@@ -16,12 +17,6 @@
 constexpr std::string_view kOutcomeName = "ebonygrade_outcomes_total";
 constexpr std::string_view kBytesName = "ebonygrade_peer_bytes_total";
 
-void append_header(std::string* text, std::string_view name,
-                   std::string_view kind, std::string_view help) {
-  text->append(
-      fmt::format("# HELP {0} {1}\n# TYPE {0} {2}\n", name, help, kind));
-}
-
 std::string escaped_label(std::string_view value) {
   std::string text;
   for (char c : value) {
--- a/src/pool/advice.cpp
+++ b/src/pool/advice.cpp
@@ -64,18 +64,9 @@
   return std::max(enough, kFewestWorkers);
 }
 
-// 0: fast enough and with room; 1: with room; 2: others.
-int rank(const round& round, const worker& worker,
-         const wire::step_definition& step, double affordable) {
-  bool has_room = is_open(worker, round.now) &&
-                  fits(need_of(step), room_of(worker)) &&
-                  round.reserved.count(&worker) == 0;
-  if (!has_room) return 2;
-  return slowness_of(worker, round.now) <= affordable ? 0 : 1;
-}
-
 // Workers that might run the step; not all of them in a large pool, then those
-// with room first. Steps that wait together name different ones.
+// with room first, and of these the fast ones. Steps that wait together name
+// different ones.
 std::vector<std::string> workers_to_learn(const round& round,
                                           const candidate_step& wanted) {
   const wire::step_definition& step = definition(*wanted.owner, *wanted.step);
@@ -94,12 +85,16 @@
     std::rotate(able.begin(),
                 able.begin() + static_cast<std::ptrdiff_t>(first % able.size()),
                 able.end());
+    std::vector<const worker*>::iterator without_room = std::stable_partition(
+        able.begin(), able.end(), [&](const worker* each) {
+          return is_open(*each, round.now) &&
+                 fits(need_of(step), room_of(*each)) &&
+                 round.reserved.count(each) == 0;
+        });
     double affordable = affordable_slowness(round, wanted);
-    std::stable_sort(able.begin(), able.end(),
-                     [&](const worker* a, const worker* b) {
-                       return rank(round, *a, step, affordable) <
-                              rank(round, *b, step, affordable);
-                     });
+    std::stable_partition(able.begin(), without_room, [&](const worker* each) {
+      return slowness_of(*each, round.now) <= affordable;
+    });
   }
   std::vector<std::string> names;
   for (std::size_t i = 0; i < most; ++i) names.push_back(able[i]->entry.id);
--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -104,8 +104,10 @@
     detail += std::to_string(each.task.index) + "/" + std::to_string(each.run) +
               "@" + each.worker;
   }
-  add_note(pool, note_kind::placed, wanted.owner->id, {}, std::move(detail));
-  if (!had_started) pool->notes.back().after = waited;
+  std::optional<milliseconds> first_start;
+  if (!had_started) first_start = waited;
+  add_note(pool, note_kind::placed, wanted.owner->id, {}, std::move(detail),
+           first_start);
 }
 
 void place_tasks(const round& round, const candidate_step& wanted) {
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -136,11 +136,12 @@
 }
 
 void add_note(pool_state* pool, note_kind kind, const std::string& job,
-              const std::string& worker, std::string detail) {
+              const std::string& worker, std::string detail,
+              std::optional<milliseconds> after) {
   // Notes are taken after each event; more than this come only in a flood.
   constexpr std::size_t kMaxNotes = 1000;
   if (pool->notes.size() >= kMaxNotes) return;
-  pool->notes.push_back({kind, job, worker, std::move(detail), {}});
+  pool->notes.push_back({kind, job, worker, std::move(detail), after});
 }
 
 std::string describe(const task_key& task, std::uint32_t run) {
@@ -202,11 +203,12 @@
              unix_time wall) {
   job->outcome = outcome;
   job->ended = wall;
+  milliseconds after = wall - job->accepted;
   add_note(pool, note_kind::job_ended, job->id, {},
            "outcome=" + wire::job_outcome_Name(outcome) +
                " queue=" + job->submission->queue() +
-               " after_ms=" + std::to_string((wall - job->accepted).count()));
-  if (!pool->notes.empty()) pool->notes.back().after = wall - job->accepted;
+               " after_ms=" + std::to_string(after.count()),
+           after);
   pool->changed.insert(job->id);
   pool->ended[job->id] = wall;
   pool->scheduled.erase(job->id);
--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -26,7 +26,6 @@
                        steady_time now) {
   start_order order;
   order.worker = worker->entry.id;
-  order.address = worker->entry.address;
   order.incarnation_ms = worker->entry.incarnation_ms;
   order.task = placed->task;
   order.run = placed->run;
@@ -85,8 +84,7 @@
                now - placed->stop_sent < kStopRepeat;
   if (waits) return;
   placed->stop_sent = now;
-  out->stops.push_back(
-      {worker->entry.id, worker->entry.address, placed->task, placed->run});
+  out->stops.push_back({worker->entry.id, placed->task, placed->run});
 }
 
 void look_after(pool_state* pool, worker* worker, decisions* out,
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -1,6 +1,7 @@
 // Helpers shared by the sources of this slice.
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "pool/pool.h"
@@ -25,7 +26,8 @@
 
 // Adds a note unless too many wait to be taken.
 void add_note(pool_state* pool, note_kind kind, const std::string& job,
-              const std::string& worker, std::string detail);
+              const std::string& worker, std::string detail,
+              std::optional<milliseconds> after = std::nullopt);
 std::string describe(const task_key& task, std::uint32_t run);
 
 // As the manifest has it, else as it was when the job was accepted.
--- a/src/pool/types.h
+++ b/src/pool/types.h
@@ -80,7 +80,6 @@
 
 struct start_order {
   std::string worker;
-  std::string address;
   std::int64_t incarnation_ms = 0;  // Of the worker, as known when sent.
   task_key task;
   std::uint32_t run = 0;
@@ -92,7 +91,6 @@
 
 struct stop_order {
   std::string worker;
-  std::string address;
   task_key task;
   std::uint32_t run = 0;
 };
--- a/src/poold/entry.cpp
+++ b/src/poold/entry.cpp
@@ -47,6 +47,12 @@
   return std::max(limit - kAnswerMargin, kAnswerMargin);
 }
 
+std::int64_t unix_ms(const clock::clock& clock) {
+  return std::chrono::duration_cast<milliseconds>(
+             clock.wall_now().time_since_epoch())
+      .count();
+}
+
 std::string_view path_of(const http::request& request) {
   std::string_view target(request.target().data(), request.target().size());
   return target.substr(0, target.find('?'));
@@ -69,11 +75,7 @@
       timer_(context) {
   // The name holds the time of the start, so that no earlier life of this
   // daemon has numbered appends under it.
-  std::string producer =
-      daemon + "." +
-      std::to_string(std::chrono::duration_cast<milliseconds>(
-                         clock.wall_now().time_since_epoch())
-                         .count());
+  std::string producer = daemon + "." + std::to_string(unix_ms(clock));
   appender_ = std::make_shared<appender>(context, store,
                                          std::string(platform::kJournalTopic),
                                          platform::producer{producer, 1, 0});
@@ -141,9 +143,7 @@
   job->set_queue(asked.route->name);
   job->set_service(asked.route->policy.service);
   *job->mutable_terms() = pool::to_terms(asked.route->policy);
-  job->set_accepted_ms(std::chrono::duration_cast<milliseconds>(
-                           clock_.wall_now().time_since_epoch())
-                           .count());
+  job->set_accepted_ms(unix_ms(clock_));
   std::shared_ptr<waiting_write> wanted =
       std::make_shared<waiting_write>(waiting_write{
           {jobs::submission_key(asked.id), job->SerializeAsString(), 0},
@@ -184,9 +184,7 @@
       return answer(http::json_response(http::status::ok, "{}"));
     }
     wire::job_cancellation record;
-    record.set_accepted_ms(std::chrono::duration_cast<milliseconds>(
-                               clock_.wall_now().time_since_epoch())
-                               .count());
+    record.set_accepted_ms(unix_ms(clock_));
     write(std::make_shared<waiting_write>(waiting_write{
         {jobs::cancellation_key(id), record.SerializeAsString(), 0},
         answer,
--- a/src/poold/measurements.cpp
+++ b/src/poold/measurements.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "metrics/text.h"
+
 namespace ebonygrade::poold {
 
 namespace {
@@ -18,12 +20,6 @@
 constexpr char kOtherQueue[] = "other";
 constexpr double kMsPerSecond = 1000;
 
-void append_header(std::string* text, std::string_view name,
-                   std::string_view kind, std::string_view help) {
-  text->append(
-      fmt::format("# HELP {0} {1}\n# TYPE {0} {2}\n", name, help, kind));
-}
-
 }  // namespace
 
 latency_histogram::latency_histogram(std::string name, std::string help)
@@ -43,7 +39,7 @@
 }
 
 void latency_histogram::append_text(std::string* text) const {
-  append_header(text, name_, "histogram", help_);
+  metrics::append_header(text, name_, "histogram", help_);
   for (int row = 0; row < counts_.axis<0>().size(); ++row) {
     const std::string& label = counts_.axis<0>().value(row);
     std::uint64_t count = counts_.at(row, -1);
@@ -64,7 +60,7 @@
 void append_value(std::string* text, std::string_view name,
                   std::string_view kind, std::string_view help,
                   std::uint64_t value) {
-  append_header(text, name, kind, help);
+  metrics::append_header(text, name, kind, help);
   text->append(fmt::format("{} {}\n", name, value));
 }
 
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -87,7 +87,11 @@
 }
 
 error::result<void> node::start() {
-  follow_journal();
+  journal_ = follow(
+      {std::string(platform::kJournalTopic), kJournalWait, kFollowerReadPause},
+      [this](const std::vector<jobs::record>& records) {
+        on_journal(records);
+      });
   entry_ = std::make_shared<entry>(
       context_, store_, clock_, settings_.id, table_, *journal_,
       [this](const jobs::record& record, milliseconds timeout,
@@ -98,7 +102,11 @@
         learn_end(job, std::move(then));
       },
       measured_);
-  follow_operator();
+  operator_ = follow({std::string(platform::kOperatorTopic), kOperatorWait,
+                      kOperatorReadPause},
+                     [this](const std::vector<jobs::record>& records) {
+                       on_operator(records);
+                     });
   error::result<void> bound = callers_.listen(settings_.client_address);
   if (bound.has_value()) bound = readiness_.listen(settings_.ready_address);
   if (bound.has_value()) bound = peers_.listen(settings_.peer_address);
@@ -115,34 +123,14 @@
 
 // ---- Following the store ----------------------------------------------------
 
-void node::follow_journal() {
-  follower_options options;
-  options.topic = platform::kJournalTopic;
-  options.pause = kFollowerReadPause;
-  options.wait = kJournalWait;
-  topic_follower::handlers handlers;
-  handlers.on_all = [this](const std::vector<jobs::record>& records) {
-    on_journal(records);
-  };
-  handlers.on_records = handlers.on_all;
-  journal_ = std::make_shared<topic_follower>(
-      context_, store_, clock_, std::move(options), std::move(handlers));
-  journal_->start();
-}
-
-void node::follow_operator() {
-  follower_options options;
-  options.topic = platform::kOperatorTopic;
-  options.pause = kOperatorReadPause;
-  options.wait = kOperatorWait;
-  topic_follower::handlers handlers;
-  handlers.on_all = [this](const std::vector<jobs::record>& records) {
-    on_operator(records);
-  };
-  handlers.on_records = handlers.on_all;
-  operator_ = std::make_shared<topic_follower>(
-      context_, store_, clock_, std::move(options), std::move(handlers));
-  operator_->start();
+std::shared_ptr<topic_follower> node::follow(
+    follower_options options,
+    std::function<void(const std::vector<jobs::record>&)> handler) {
+  std::shared_ptr<topic_follower> made = std::make_shared<topic_follower>(
+      context_, store_, clock_, std::move(options),
+      topic_follower::handlers{handler, handler});
+  made->start();
+  return made;
 }
 
 void node::take_record(const jobs::record& record) {
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -44,8 +44,10 @@
   // asked of the owner; each read is a priced call to the store.
   static constexpr milliseconds kFollowerReadPause{250};
 
-  void follow_journal();
-  void follow_operator();
+  // Hands every record of the topic to the handler, from now on.
+  std::shared_ptr<topic_follower> follow(
+      follower_options options,
+      std::function<void(const std::vector<jobs::record>&)> handler);
   void take_record(const jobs::record& record);
   // Lets the owner write a record.
   void write_by_owner(const jobs::record& record, milliseconds timeout,
--- a/src/settings/value.cpp
+++ b/src/settings/value.cpp
@@ -116,6 +116,25 @@
   return parse_names(text, target) ? "" : "distinct names divided by commas";
 }
 
+// A decimal number of units that is a whole number of milliseconds.
+std::optional<milliseconds> parse_multiple(std::string_view text,
+                                           std::int64_t unit) {
+  std::size_t point = std::min(text.find('.'), text.size());
+  std::optional<std::int64_t> whole =
+      parse_whole<std::int64_t>(text.substr(0, point));
+  std::int64_t most = std::numeric_limits<std::int64_t>::max() / unit - 1;
+  if (!whole || *whole < 0 || *whole > most) return std::nullopt;
+  milliseconds value(*whole * unit);
+  if (point == text.size()) return value;
+  std::string_view digits = text.substr(point + 1);
+  std::optional<std::uint32_t> fraction = parse_whole<std::uint32_t>(digits);
+  if (!fraction) return std::nullopt;
+  std::int64_t scale = 1;
+  for (std::size_t i = 0; i < digits.size(); ++i) scale *= 10;
+  if (*fraction * unit % scale != 0) return std::nullopt;
+  return value + milliseconds(*fraction * unit / scale);
+}
+
 }  // namespace
 
 std::string assign(const key_spec& spec, std::string_view text,
@@ -142,25 +161,6 @@
   }
 }
 
-// A decimal number of units that is a whole number of milliseconds.
-static std::optional<milliseconds> parse_multiple(std::string_view text,
-                                                  std::int64_t unit) {
-  std::size_t point = std::min(text.find('.'), text.size());
-  std::optional<std::int64_t> whole =
-      parse_whole<std::int64_t>(text.substr(0, point));
-  std::int64_t most = std::numeric_limits<std::int64_t>::max() / unit - 1;
-  if (!whole || *whole < 0 || *whole > most) return std::nullopt;
-  milliseconds value(*whole * unit);
-  if (point == text.size()) return value;
-  std::string_view digits = text.substr(point + 1);
-  std::optional<std::uint32_t> fraction = parse_whole<std::uint32_t>(digits);
-  if (!fraction) return std::nullopt;
-  std::int64_t scale = 1;
-  for (std::size_t i = 0; i < digits.size(); ++i) scale *= 10;
-  if (*fraction * unit % scale != 0) return std::nullopt;
-  return value + milliseconds(*fraction * unit / scale);
-}
-
 std::optional<milliseconds> parse_duration(std::string_view text) {
   struct suffix {
     std::string_view text;
--- a/testsuite/cell/cell.cpp
+++ b/testsuite/cell/cell.cpp
@@ -27,7 +27,6 @@
   return path;
 }
 
-// Free ports, held until all are known so that they differ.
 std::string loopback(std::uint16_t port) {
   return "127.0.0.1:" + std::to_string(port);
 }
