--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -152,6 +152,16 @@
   return {what, std::move(id)};
 }
 
+void observe_owner(table* table, const wire::ownership_record& owner) {
+  if (owner.epoch() <= table->owner.record.epoch()) return;
+  table->owner.record = owner;
+}
+
+bool is_repeated_submission(const table& table, const record& record) {
+  return record.key.starts_with(kSubmission) &&
+         find(table, std::string_view(record.key).substr(1)) != nullptr;
+}
+
 const entry* find(const table& table, std::string_view id) {
   std::unordered_map<std::string, entry>::const_iterator found =
       table.jobs.find(std::string(id));
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -65,6 +65,14 @@
 // has ended never becomes open again.
 change apply(table* table, const record& record);
 
+// Takes the owner from a source other than the journal. An older owner than the
+// known one is ignored.
+void observe_owner(table* table, const wire::ownership_record& owner);
+
+// Whether the record is the submission of a known job. A repeated submission
+// has no effect.
+bool is_repeated_submission(const table& table, const record& record);
+
 // Returns null if the job is unknown.
 const entry* find(const table& table, std::string_view id);
 
--- a/src/poold/advice_dispatcher.cpp
+++ b/src/poold/advice_dispatcher.cpp
@@ -57,19 +57,6 @@
   return channel.local || now - channel.last_contact <= kAnnouncementTimeout;
 }
 
-std::vector<std::string> advice_dispatcher::peer_addresses() const {
-  std::vector<std::string> addresses;
-  for (const std::pair<const std::string, std::shared_ptr<advice_channel>>&
-           each : channels_) {
-    bool expired =
-        clock_.now() - each.second->last_contact > kAnnouncementTimeout;
-    if (!each.second->local && !expired) {
-      addresses.push_back(each.second->address);
-    }
-  }
-  return addresses;
-}
-
 std::shared_ptr<advice_dispatcher::advice_channel> advice_dispatcher::choose(
     const pool::advice_request& request, steady_time now) const {
   std::vector<std::shared_ptr<advice_channel>> daemons;
--- a/src/poold/advice_dispatcher.h
+++ b/src/poold/advice_dispatcher.h
@@ -34,8 +34,6 @@
   // Records an announcement of another daemon, which can then relay requests.
   void record_daemon(const std::string& daemon,
                      const std::string& peer_address);
-  // Addresses of the daemons with a recent announcement.
-  std::vector<std::string> peer_addresses() const;
   // The handler gets no value if there was no usable reply. It may be called
   // before this function returns.
   void submit(const pool::advice_request& request, handler handler);
--- a/src/poold/claim_delay.cpp
+++ b/src/poold/claim_delay.cpp
@@ -11,10 +11,8 @@
 // round trip to the store, with a limit that keeps takeovers short.
 constexpr int kRoundTripFactor = 10;
 constexpr milliseconds kMaxRoundTripDelay{300};
-// Scheduling rounds for 350 workers take 0.15 of a core. Daemons with a smaller
-// CPU share claim last: the delay lets the others lose two claims to a growing
-// journal and still be first.
-constexpr double kMinPreferredCpuShare = 0.2;
+// Daemons with a small CPU share claim last: the delay lets the others lose two
+// claims to a growing journal and still be first.
 constexpr milliseconds kLowCpuDelay{1000};
 
 }  // namespace
@@ -24,7 +22,7 @@
   milliseconds delay =
       std::min(min_round_trip.value_or(milliseconds(0)) * kRoundTripFactor,
                kMaxRoundTripDelay);
-  if (cpu_share < kMinPreferredCpuShare) delay += kLowCpuDelay;
+  if (cpu_share < kMinOwnerCpuShare) delay += kLowCpuDelay;
   return delay;
 }
 
--- a/src/poold/claim_delay.h
+++ b/src/poold/claim_delay.h
@@ -10,6 +10,10 @@
 
 using clock::milliseconds;
 
+// Scheduling rounds for 350 workers take 0.15 of a core. Daemons with a smaller
+// CPU share own the pool only if there is no other.
+inline constexpr double kMinOwnerCpuShare = 0.2;
+
 // `min_round_trip` is the shortest round trip to the store, if measured;
 // `cpu_share` is the fraction of a core that the VM gives to the daemon.
 milliseconds claim_delay(std::optional<milliseconds> min_round_trip,
--- a/src/poold/job_api.cpp
+++ b/src/poold/job_api.cpp
@@ -28,6 +28,13 @@
 constexpr milliseconds kOwnerWriteTimeout{900};
 // Limit for the journal read that precedes a reply about an unknown job.
 constexpr milliseconds kCurrentReadTimeout{1000};
+// Limits how long a call about a job waits while no owner serves it. Covers a
+// takeover by a standby.
+constexpr milliseconds kForwardPeriod{1500};
+constexpr milliseconds kForwardTimeout{600};
+constexpr milliseconds kForwardRetryInterval{100};
+// Further calls are refused at once.
+constexpr std::size_t kMaxUnservedQueries = 256;
 constexpr milliseconds kDeadlineCheckInterval{50};
 constexpr char kDeadlineHeader[] = "X-Deadline-Ms";
 
@@ -63,15 +70,12 @@
 
 job_api::job_api(boost::asio::io_context& context, store_client& store,
                  const clock::clock& clock, const std::string& daemon,
-                 const jobs::table& table, topic_follower& journal,
-                 owner_writer write_through_owner, end_fetcher fetch_end,
+                 const jobs::table& table, owner_calls owner,
                  measurements& measurements)
     : clock_(clock),
       daemon_(daemon),
       table_(table),
-      journal_(journal),
-      write_through_owner_(std::move(write_through_owner)),
-      fetch_end_(std::move(fetch_end)),
+      owner_(std::move(owner)),
       measurements_(measurements),
       deadline_timer_(context) {
   // The start time in the name keeps the sequence numbers apart from those of
@@ -86,6 +90,10 @@
   manifest_ = std::move(manifest);
 }
 
+void job_api::set_journal(std::shared_ptr<topic_follower> journal) {
+  journal_ = std::move(journal);
+}
+
 void job_api::stop() {
   stopped_ = true;
   deadline_timer_.cancel();
@@ -104,13 +112,11 @@
   }
   job_request call;
   call.method = request.method();
-  call.route = route;
+  call.queue = route->name;
   call.id = path.substr(route->path_prefix.size());
   call.deadline = clock_.now() + reply_time_limit(request);
   if (call.id.empty() && call.method == http::verb::get) {
-    return respond(http::json_response(
-        http::status::ok,
-        platform::encode_not_started(jobs::not_started(table_, route->name))));
+    return read_queue(call.queue, respond);
   }
   if (!platform::is_job_id(call.id)) {
     return respond(
@@ -118,7 +124,7 @@
   }
   switch (call.method) {
     case http::verb::post:
-      return submit(call, request.body(), std::move(respond));
+      return submit(call, *route, request.body(), std::move(respond));
     case http::verb::get:
       return read_state(call, std::move(respond));
     case http::verb::delete_:
@@ -129,21 +135,31 @@
   }
 }
 
-void job_api::submit(const job_request& request, const std::string& body,
-                     http::responder respond) {
+void job_api::read_queue(const std::string& queue,
+                         const http::responder& respond) {
+  std::optional<std::int64_t> count = has_journal()
+                                          ? jobs::not_started(table_, queue)
+                                          : owner_.not_started(queue);
+  if (!count) return respond(retry_later("no recent report of the owner"));
+  respond(http::json_response(http::status::ok,
+                              platform::encode_not_started(*count)));
+}
+
+void job_api::submit(const job_request& request, const pool::queue_route& route,
+                     const std::string& body, http::responder respond) {
   if (jobs::find(table_, request.id) != nullptr) {
     return respond(http::json_response(http::status::ok, "{}"));
   }
   error::result<wire::job_submission> job = platform::decode_submission(body);
   if (job.has_error()) {
     events::emit(events::id::bad_request, "submit", "", "job={} queue={} {}",
-                 request.id, request.route->name, job.error().detail);
+                 request.id, request.queue, job.error().detail);
     return respond(
         http::error_response(http::status::bad_request, job.error().detail));
   }
-  job->set_queue(request.route->name);
-  job->set_service(request.route->policy.service);
-  *job->mutable_terms() = pool::to_terms(request.route->policy);
+  job->set_queue(request.queue);
+  job->set_service(route.policy.service);
+  *job->mutable_terms() = pool::to_terms(route.policy);
   job->set_accepted_ms(unix_ms(clock_));
   std::shared_ptr<pending_write> pending =
       std::make_shared<pending_write>(pending_write{
@@ -152,14 +168,16 @@
           clock_.now(),
           request.deadline,
           request.id,
-          request.route->name});
+          request.queue});
   write(std::move(pending));
 }
 
 void job_api::read_state(const job_request& request, http::responder respond) {
-  std::function<void()> reply = [self = shared_from_this(), id = request.id,
-                                 respond] {
-    const jobs::entry* found = jobs::find(self->table_, id);
+  if (!has_journal()) return forward(request, std::move(respond));
+  std::function<void()> reply = [self = shared_from_this(), request, respond] {
+    // The copy may have been dropped in the meantime.
+    if (!self->has_journal()) return self->forward(request, respond);
+    const jobs::entry* found = jobs::find(self->table_, request.id);
     if (found == nullptr) {
       return respond(http::error_response(http::status::gone, "no such job"));
     }
@@ -170,14 +188,13 @@
   if (known == nullptr) return when_current(request.deadline, respond, reply);
   bool ended = known->cancelled || known->progress.outcome() != wire::OPEN;
   if (ended) return reply();
-  fetch_end_(request.id, std::move(reply));
+  owner_.fetch_end(request.id, std::move(reply));
 }
 
 void job_api::cancel(const job_request& request, http::responder respond) {
-  std::string queue = request.route->name;
-  std::function<void()> then = [this, id = request.id, queue,
-                                deadline = request.deadline, respond] {
-    const jobs::entry* known = jobs::find(table_, id);
+  if (!has_journal()) return forward(request, std::move(respond));
+  std::function<void()> then = [this, request, respond] {
+    const jobs::entry* known = jobs::find(table_, request.id);
     if (known == nullptr) {
       return respond(http::error_response(http::status::gone, "no such job"));
     }
@@ -187,32 +204,119 @@
     wire::job_cancellation record;
     record.set_accepted_ms(unix_ms(clock_));
     write(std::make_shared<pending_write>(pending_write{
-        {jobs::cancellation_key(id), record.SerializeAsString(), 0},
+        {jobs::cancellation_key(request.id), record.SerializeAsString(), 0},
         respond,
         clock_.now(),
-        deadline,
-        id,
-        queue,
+        request.deadline,
+        request.id,
+        request.queue,
         true}));
   };
   if (jobs::find(table_, request.id) != nullptr) return then();
   when_current(request.deadline, std::move(respond), std::move(then));
 }
 
+// ---- Forwarding to the owner ------------------------------------------------
+
+void job_api::answer_query(const wire::job_query& query,
+                           http::responder respond) {
+  job_request request;
+  request.method = query.cancels() ? http::verb::delete_ : http::verb::get;
+  request.queue = query.queue();
+  request.id = query.job();
+  request.deadline = clock_.now() + milliseconds(query.time_left_ms());
+  if (query.cancels()) return cancel(request, std::move(respond));
+  read_state(request, std::move(respond));
+}
+
+void job_api::forward(const job_request& request, http::responder respond) {
+  steady_time now = clock_.now();
+  wire::job_query query;
+  query.set_job(request.id);
+  query.set_queue(request.queue);
+  query.set_cancels(request.method == http::verb::delete_);
+  send_query(std::make_shared<forwarded_query>(forwarded_query{
+      std::move(query), now, std::min(request.deadline, now + kForwardPeriod),
+      std::move(respond)}));
+}
+
+void job_api::send_query(std::shared_ptr<forwarded_query> call) {
+  milliseconds left =
+      std::chrono::duration_cast<milliseconds>(call->deadline - clock_.now());
+  milliseconds timeout = std::min(left, kForwardTimeout);
+  call->query.set_time_left_ms(static_cast<std::uint32_t>(timeout.count()));
+  owner_.forward(call->query, timeout,
+                 [self = shared_from_this(), call](forward_result result) {
+                   if (self->stopped_) return;
+                   self->on_query_result(call, std::move(result));
+                 });
+}
+
+void job_api::on_query_result(std::shared_ptr<forwarded_query> call,
+                              forward_result result) {
+  if (result.reply) {
+    if (call->query.cancels() && result.reply->result() == http::status::ok) {
+      events::emit(events::id::job_cancelled, "forward", "", "job={} queue={}",
+                   call->query.job(), call->query.queue());
+    }
+    return call->respond(std::move(*result.reply));
+  }
+  call->maybe_served |= result.maybe_served;
+  bool full = unserved_queries_.size() >= kMaxUnservedQueries;
+  if (full || clock_.now() + kForwardRetryInterval >= call->deadline) {
+    return refuse_query(*call);
+  }
+  call->retry_at = clock_.now() + kForwardRetryInterval;
+  unserved_queries_.push_back(std::move(call));
+  arm_timer();
+}
+
+void job_api::retry_queries(steady_time now) {
+  std::vector<std::shared_ptr<forwarded_query>> calls =
+      std::exchange(unserved_queries_, {});
+  for (std::shared_ptr<forwarded_query>& each : calls) {
+    if (each->retry_at > now) {
+      unserved_queries_.push_back(std::move(each));
+    } else if (each->deadline <= now) {
+      refuse_query(*each);
+    } else {
+      send_query(std::move(each));
+    }
+  }
+}
+
+void job_api::refuse_query(const forwarded_query& call) {
+  // A cancellation that an owner has received may be in the journal.
+  bool unknown = call.query.cancels() && call.maybe_served;
+  events::emit(
+      events::id::job_refused, "forward", "",
+      "job={} queue={} status={} cancels={} waited_ms={} "
+      "reason=\"no owner serves the call\"",
+      call.query.job(), call.query.queue(), unknown ? 504 : 503,
+      call.query.cancels(),
+      std::chrono::duration_cast<milliseconds>(clock_.now() - call.received)
+          .count());
+  if (unknown) {
+    return call.respond(http::error_response(http::status::gateway_timeout,
+                                             "the owner has not answered"));
+  }
+  call.respond(retry_later("the pool has no owner"));
+}
+
 // ---- Current reads ----------------------------------------------------------
 
 void job_api::when_current(steady_time deadline, http::responder respond,
                            std::function<void()> then) {
   pending_reads_.push_back(
       {clock_.now(), deadline, std::move(respond), std::move(then)});
-  journal_.read_now();
+  journal_->read_now();
   arm_timer();
 }
 
 void job_api::run_current_reads() {
   std::vector<pending_read> reads = std::exchange(pending_reads_, {});
   for (pending_read& each : reads) {
-    if (journal_.loaded() && journal_.current_as_of() >= each.received) {
+    if (has_journal() && journal_->current_as_of() >= each.received) {
       each.then();
     } else {
       pending_reads_.push_back(std::move(each));
@@ -225,21 +329,20 @@
 void job_api::write(std::shared_ptr<pending_write> pending) {
   milliseconds left = std::chrono::duration_cast<milliseconds>(
       pending->deadline - clock_.now());
-  write_through_owner_(pending->record, std::min(left, kOwnerWriteTimeout),
-                       [self = shared_from_this(), pending](owner_reply reply) {
-                         if (self->stopped_) return;
-                         if (reply == owner_reply::written) {
-                           return self->confirm(*pending);
-                         }
-                         // Appends of every daemon in addition to the owner's
-                         // would only slow the store further.
-                         if (reply == owner_reply::unavailable) {
-                           return self->refuse(*pending,
-                                               "the store takes no records");
-                         }
-                         pending->maybe_written = reply == owner_reply::unknown;
-                         self->write_directly(pending);
-                       });
+  owner_.write(pending->record, std::min(left, kOwnerWriteTimeout),
+               [self = shared_from_this(), pending](owner_reply reply) {
+                 if (self->stopped_) return;
+                 if (reply == owner_reply::written) {
+                   return self->confirm(*pending);
+                 }
+                 // Appends of every daemon in addition to the owner's would
+                 // only slow the store further.
+                 if (reply == owner_reply::unavailable) {
+                   return self->refuse(*pending, "the store takes no records");
+                 }
+                 pending->maybe_written = reply == owner_reply::unknown;
+                 self->write_directly(pending);
+               });
 }
 
 void job_api::write_directly(std::shared_ptr<pending_write> pending) {
@@ -338,6 +441,7 @@
     each->respond(http::error_response(http::status::gateway_timeout,
                                        "the store has not answered"));
   }
+  retry_queries(now);
   std::vector<pending_read> reads = std::exchange(pending_reads_, {});
   for (pending_read& each : reads) {
     if (each.deadline <= now || now - each.received > kCurrentReadTimeout) {
@@ -358,7 +462,8 @@
         self->timer_armed_ = false;
         self->check_deadlines();
         bool busy = !self->in_flight_.empty() || !self->queued_.empty() ||
-                    !self->pending_reads_.empty();
+                    !self->pending_reads_.empty() ||
+                    !self->unserved_queries_.empty();
         if (busy) self->arm_timer();
       });
 }
--- a/src/poold/job_api.h
+++ b/src/poold/job_api.h
@@ -1,6 +1,7 @@
 // HTTP API for callers: job submissions, job states, cancellations and queues.
-// Reads are served from this daemon's copy of the journal. Changes are written
-// to the journal before the caller gets a reply.
+// Reads are served from this daemon's copy of the journal, or by the pool's
+// owner if this daemon has no copy. Changes are written to the journal before
+// the caller gets a reply.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -8,8 +9,10 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "http/server.h"
@@ -19,6 +22,7 @@
 #include "poold/owner.h"
 #include "poold/store_client.h"
 #include "poold/topic_follower.h"
+#include "wire/journal.pb.h"
 
 namespace ebonygrade::poold {
 
@@ -32,16 +36,46 @@
 using end_fetcher =
     std::function<void(const std::string& job, std::function<void()> then)>;
 
+struct forward_result {
+  std::optional<http::response> reply;  // Absent: the owner didn't serve it.
+  bool maybe_served = false;            // The owner may have received it.
+};
+
+// Passes a caller's call about a job to the pool's owner.
+using query_forwarder =
+    std::function<void(const wire::job_query& query, milliseconds timeout,
+                       std::function<void(forward_result)> handler)>;
+
+// Number of jobs of a queue that wait for their first start, as the owner last
+// reported it; empty if the report is too old.
+using queue_reader =
+    std::function<std::optional<std::int64_t>(const std::string& queue)>;
+
+// What the API needs from the pool's owner.
+struct owner_calls {
+  owner_writer write;
+  end_fetcher fetch_end;
+  query_forwarder forward;
+  queue_reader not_started;
+};
+
 class job_api : public std::enable_shared_from_this<job_api> {
  public:
   // All references must outlive the object. Requests get 503 until the first
   // set_manifest.
   job_api(boost::asio::io_context& context, store_client& store,
           const clock::clock& clock, const std::string& daemon,
-          const jobs::table& table, topic_follower& journal,
-          owner_writer write_through_owner, end_fetcher fetch_end,
+          const jobs::table& table, owner_calls owner,
           measurements& measurements);
 
+  // Sets the follower that keeps `table` up to date; null if this daemon has no
+  // copy of the journal. Requires !waits_for_journal().
+  void set_journal(std::shared_ptr<topic_follower> journal);
+  // Whether replies depend on the next read of the journal.
+  bool waits_for_journal() const { return !pending_reads_.empty(); }
+  // Replies to a call that another daemon forwarded. Requires a copy of the
+  // journal.
+  void answer_query(const wire::job_query& query, http::responder respond);
   void set_manifest(std::shared_ptr<const pool::manifest> manifest);
   void handle(http::request&& request, http::responder respond);
   // Called after each read of the journal.
@@ -64,15 +98,36 @@
 
   struct job_request {
     http::verb method = http::verb::get;
-    const pool::queue_route* route = nullptr;
+    std::string queue;  // Name of the route.
     std::string id;
     steady_time deadline;
   };
 
-  void submit(const job_request& request, const std::string& body,
-              http::responder respond);
+  // A call that waits for the owner's reply.
+  struct forwarded_query {
+    wire::job_query query;
+    steady_time received;
+    steady_time deadline;
+    http::responder respond;
+    steady_time retry_at{};
+    bool maybe_served = false;  // An earlier attempt may have been served.
+  };
+
+  // Whether this daemon's copy of the journal is complete.
+  bool has_journal() const { return journal_ && journal_->loaded(); }
+  void read_queue(const std::string& queue, const http::responder& respond);
+  void submit(const job_request& request, const pool::queue_route& route,
+              const std::string& body, http::responder respond);
   void read_state(const job_request& request, http::responder respond);
   void cancel(const job_request& request, http::responder respond);
+  // Passes the call to the owner, again while the owner doesn't serve it. State
+  // queries and cancellations may be repeated.
+  void forward(const job_request& request, http::responder respond);
+  void send_query(std::shared_ptr<forwarded_query> call);
+  void on_query_result(std::shared_ptr<forwarded_query> call,
+                       forward_result result);
+  void retry_queries(steady_time now);
+  void refuse_query(const forwarded_query& call);
   // Runs `then` once this daemon has read the journal up to the present, or
   // replies with 503 if the read takes too long.
   void when_current(steady_time deadline, http::responder respond,
@@ -103,15 +158,16 @@
   const clock::clock& clock_;
   std::string daemon_;
   const jobs::table& table_;
-  topic_follower& journal_;
-  owner_writer write_through_owner_;
-  end_fetcher fetch_end_;
+  std::shared_ptr<topic_follower> journal_;
+  owner_calls owner_;
   measurements& measurements_;
   std::shared_ptr<const pool::manifest> manifest_;
   std::shared_ptr<appender> appender_;
   write_list queued_;     // For the next append.
   write_list in_flight_;  // In the current append.
   std::vector<pending_read> pending_reads_;
+  // Queries that the owner didn't serve yet; their number is limited.
+  std::vector<std::shared_ptr<forwarded_query>> unserved_queries_;
   boost::asio::steady_timer deadline_timer_;
   bool timer_armed_ = false;
   bool stopped_ = false;
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-// Short, so that a read over a dead connection times out soon.
-constexpr milliseconds kJournalWait{400};
 constexpr milliseconds kOperatorWait{600};
 constexpr milliseconds kOperatorReadInterval{250};
 // Longer than two failed reads of the journal, or one without a reply.
@@ -83,25 +81,30 @@
   if (owner_) owner_->stop();
   if (job_api_) job_api_->stop();
   if (journal_) journal_->stop();
+  if (directory_) directory_->stop();
+  if (directory_writer_) directory_writer_->stop();
   if (operator_) operator_->stop();
 }
 
 error::result<void> node::start() {
-  journal_ = follow({std::string(platform::kJournalTopic), kJournalWait,
-                     kFollowerReadInterval},
-                    [this](const std::vector<jobs::record>& records) {
-                      on_journal_records(records);
-                    });
-  job_api_ = std::make_shared<job_api>(
-      context_, store_, clock_, settings_.id, table_, *journal_,
-      [this](const jobs::record& record, milliseconds timeout,
-             std::function<void(owner_reply)> handler) {
-        write_through_owner(record, timeout, std::move(handler));
-      },
-      [this](const std::string& job, std::function<void()> then) {
-        fetch_end(job, std::move(then));
-      },
-      measurements_);
+  owner_calls calls;
+  calls.write = [this](const jobs::record& record, milliseconds timeout,
+                       std::function<void(owner_reply)> handler) {
+    write_through_owner(record, timeout, std::move(handler));
+  };
+  calls.fetch_end = [this](const std::string& job, std::function<void()> then) {
+    fetch_end(job, std::move(then));
+  };
+  calls.forward = [this](const wire::job_query& query, milliseconds timeout,
+                         std::function<void(forward_result)> handler) {
+    forward_query(query, timeout, std::move(handler));
+  };
+  calls.not_started = [this](const std::string& queue) {
+    return reported_not_started(queue);
+  };
+  job_api_ = std::make_shared<job_api>(context_, store_, clock_, settings_.id,
+                                       table_, std::move(calls), measurements_);
+  follow_directory();
   operator_ = follow({std::string(platform::kOperatorTopic), kOperatorWait,
                       kOperatorReadInterval},
                      [this](const std::vector<jobs::record>& records) {
@@ -117,7 +120,9 @@
 }
 
 bool node::is_ready() const {
-  return !draining_ && manifest_ != nullptr && journal_->loaded() &&
+  bool follows = has_journal() || (directory_ && directory_->loaded() &&
+                                   table_.owner.record.epoch() != 0);
+  return !draining_ && manifest_ != nullptr && follows &&
          clock_.now() - store_.last_reply() < kStoreTimeout;
 }
 
@@ -147,6 +152,7 @@
 void node::on_journal_records(const std::vector<jobs::record>& records) {
   for (const jobs::record& each : records) apply_record(each);
   steady_time now = clock_.now();
+  stop_directory();
   // After a gap in this daemon's reads, the owner timeout starts again.
   bool resumed = now - last_journal_read_ > kMaxReadGap;
   owner_seen_writing_ |= table_.owner_records != seen_owner_records_ &&
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -1,5 +1,7 @@
-// A complete pool daemon: follows the journal and the manifest, serves callers,
-// and claims the pool when the pool has no owner.
+// A complete pool daemon: follows the manifest, serves callers, and has one of
+// three roles. The owner decides for the pool. A standby follows the journal
+// and claims the pool when the pool has no owner. Any other daemon holds no
+// copy of the journal and passes its callers' requests to the owner.
 //
 // Everything runs on one thread. On the small VMs, passing work between threads
 // costs more CPU time than most of the work itself.
@@ -10,8 +12,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "http/server.h"
@@ -20,6 +24,7 @@
 #include "poold/measurements.h"
 #include "poold/owner.h"
 #include "poold/settings.h"
+#include "poold/standby.h"
 #include "poold/store_client.h"
 #include "poold/topic_follower.h"
 
@@ -39,6 +44,8 @@
 
   bool is_ready() const;
   bool owns_pool() const { return owner_ != nullptr; }
+  // Whether this daemon follows the journal, as the owner or a standby.
+  bool follows_journal() const { return journal_ != nullptr; }
 
  private:
   // Between two reads of the journal. Each read is a billed call to the store;
@@ -49,12 +56,34 @@
   std::shared_ptr<topic_follower> follow(
       follower_options options,
       std::function<void(const std::vector<jobs::record>&)> handler);
+  // Whether this daemon's copy of the journal is complete.
+  bool has_journal() const { return journal_ && journal_->loaded(); }
+  // Starts to follow the journal; the reason goes to the log.
+  void become_standby(std::string_view reason);
+  // Drops the copy of the journal and follows the directory instead.
+  void leave_standby();
+  // Becomes a standby if the pool has had no confirmed owner for too long.
+  void consider_standby(steady_time now);
+  void follow_directory();
+  void stop_directory();
+  void on_directory_records(const std::vector<jobs::record>& records);
+  // Names this daemon as the owner in the directory.
+  void write_directory(std::uint64_t epoch);
+  void on_owner_status(const wire::owner_status& status, bool confirmed,
+                       steady_time asked);
+  std::optional<std::int64_t> reported_not_started(
+      const std::string& queue) const;
   void apply_record(const jobs::record& record);
   // Requests a journal write from the owner, which may be this daemon.
   void write_through_owner(const jobs::record& record, milliseconds timeout,
                            std::function<void(owner_reply)> handler);
   owner_reply owner_reply_of(const http::call_result& result);
   void fetch_end(const std::string& job, std::function<void()> then);
+  void forward_query(const wire::job_query& query, milliseconds timeout,
+                     std::function<void(forward_result)> handler);
+  void handle_job_query(const http::request& request, http::responder respond);
+  void handle_presence(const http::request& request,
+                       const http::responder& respond);
   void handle_end_query(const http::request& request,
                         const http::responder& respond);
   void handle_peer_write(http::request&& request, http::responder respond);
@@ -73,6 +102,8 @@
   bool owner_moved() const {
     return table_.owner.record.peer_address() != owner_address_;
   }
+  // Connects to the owner that this daemon knows of.
+  void connect_owner();
   void announce(steady_time now);
   void handle_peer(http::request&& request, http::responder respond);
   void update_relays(const wire::owner_status& status);
@@ -87,7 +118,10 @@
   store_client store_;
   jobs::table table_;
   measurements measurements_;
-  std::shared_ptr<topic_follower> journal_;
+  std::shared_ptr<topic_follower> journal_;    // Null without a copy.
+  std::shared_ptr<topic_follower> directory_;  // Null while journal_ is loaded.
+  std::shared_ptr<appender>
+      directory_writer_;  // While this daemon is the owner.
   std::shared_ptr<topic_follower> operator_;
   std::shared_ptr<const pool::manifest> manifest_;
   std::map<std::uint64_t, pool::maintenance_wave> waves_;
@@ -105,6 +139,12 @@
   steady_time last_journal_read_;
   // An owner wrote to the journal since this daemon started.
   bool owner_seen_writing_ = false;
+  // The owner's last report about its queues.
+  std::map<std::string, std::int64_t> reported_queues_;
+  steady_time reported_at_;
+  bool had_owner_ = false;     // An owner has confirmed its ownership.
+  steady_time standby_after_;  // Default value: an owner is confirmed.
+  steady_time surplus_since_;  // Default value: needed as a standby.
   bool announcing_ = false;
   // The owner's last reply was missing or didn't confirm its ownership.
   bool owner_unconfirmed_ = false;
--- a/src/poold/node_ownership.cpp
+++ b/src/poold/node_ownership.cpp
@@ -47,14 +47,17 @@
 
 void node::on_tick() {
   steady_time now = clock_.now();
-  if (owner_ || draining_) return;
+  if (owner_) return;
+  // A draining daemon still passes open calls to the owner.
+  if (draining_) return connect_owner();
   if (owner_moved() || now - announced_at_ >= kAnnounceInterval) announce(now);
+  consider_standby(now);
   consider_claim(now);
 }
 
 void node::consider_claim(steady_time now) {
   if (owner_ || draining_ || claiming_) return;
-  if (!manifest_ || !journal_->loaded()) return;
+  if (!manifest_ || !has_journal()) return;
   const wire::ownership_record& last = table_.owner.record;
   bool unowned =
       last.epoch() == 0 || last.released() || last.daemon() == settings_.id;
@@ -115,7 +118,7 @@
                   // in the meantime, a new claim follows the next read.
                   claiming_ = false;
                   ++lost_claims_;
-                  journal_->read_now();
+                  if (journal_) journal_->read_now();
                 });
 }
 
@@ -143,6 +146,7 @@
   }
   journal_->set_read_interval(kOwnerReadInterval);
   journal_->read_now();
+  write_directory(epoch);
 }
 
 void node::step_down() {
@@ -151,6 +155,7 @@
                owner_->epoch());
   owner_->stop();
   owner_.reset();
+  directory_writer_->stop();
   last_owner_contact_ = clock_.now();
   journal_->set_read_interval(kFollowerReadInterval);
 }
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -18,31 +18,40 @@
 
 }  // namespace
 
+void node::connect_owner() {
+  const std::string& address = table_.owner.record.peer_address();
+  if (address.empty() || address == settings_.peer_address) return;
+  if (address == owner_address_) return;
+  owner_address_ = address;
+  owner_unconfirmed_ = false;
+  // Pending writes through the former owner end with an unknown outcome.
+  if (owner_link_) owner_link_->close();
+  http::client_options options;
+  options.connections = kOwnerConnections;
+  owner_link_ = std::make_unique<http::client>(context_, address, options);
+}
+
 void node::announce(steady_time now) {
   const std::string& address = table_.owner.record.peer_address();
   if (announcing_ || address.empty() || address == settings_.peer_address) {
     return;
   }
-  if (address != owner_address_) {
-    owner_address_ = address;
-    owner_unconfirmed_ = false;
-    // Pending writes through the former owner end with an unknown outcome.
-    if (owner_link_) owner_link_->close();
-    http::client_options options;
-    options.connections = kOwnerConnections;
-    owner_link_ = std::make_unique<http::client>(context_, address, options);
-  }
+  connect_owner();
   announcing_ = true;
   announced_at_ = now;
   wire::presence presence;
   presence.set_daemon(settings_.id);
   presence.set_peer_address(settings_.peer_address);
+  presence.set_zone(settings_.zone);
+  presence.set_region(settings_.region);
+  presence.set_cpu_share(settings_.cpu_share);
+  presence.set_follows_journal(journal_ != nullptr);
   std::uint64_t epoch = table_.owner.record.epoch();
   owner_link_->call(
       "announce",
       http::json_request(http::verb::post, kPresencePath,
                          http::to_compact_json(presence)),
-      kProbeTimeout, [this, epoch](http::call_result&& result) {
+      kProbeTimeout, [this, epoch, now](http::call_result&& result) {
         announcing_ = false;
         wire::owner_status status;
         bool replied = result.has_value() &&
@@ -50,6 +59,7 @@
         if (replied) update_relays(status);
         owner_unconfirmed_ =
             !replied || status.epoch() != epoch || !status.journal_reachable();
+        on_owner_status(status, !owner_unconfirmed_, now);
       });
 }
 
@@ -132,18 +142,62 @@
     return respond(http::error_response(http::status::conflict,
                                         "not the owner of this epoch"));
   }
-  owner_->write({message.key(), message.value(), 0},
-                [respond](owner_reply reply) {
-                  http::status code = http::status::bad_gateway;
-                  if (reply == owner_reply::written) {
-                    code = http::status::ok;
-                  } else if (reply == owner_reply::refused) {
-                    code = http::status::conflict;
-                  } else if (reply == owner_reply::unavailable) {
-                    code = http::status::service_unavailable;
-                  }
-                  respond(http::text_response(code, "text/plain", ""));
-                });
+  jobs::record record{message.key(), message.value(), 0};
+  if (jobs::is_repeated_submission(table_, record)) {
+    return respond(http::text_response(http::status::ok, "text/plain", ""));
+  }
+  owner_->write(std::move(record), [respond](owner_reply reply) {
+    http::status code = http::status::bad_gateway;
+    if (reply == owner_reply::written) {
+      code = http::status::ok;
+    } else if (reply == owner_reply::refused) {
+      code = http::status::conflict;
+    } else if (reply == owner_reply::unavailable) {
+      code = http::status::service_unavailable;
+    }
+    respond(http::text_response(code, "text/plain", ""));
+  });
+}
+
+void node::forward_query(const wire::job_query& query, milliseconds timeout,
+                         std::function<void(forward_result)> handler) {
+  if (!owner_link_ || owner_unconfirmed_) return handler({});
+  wire::job_query message = query;
+  message.set_epoch(table_.owner.record.epoch());
+  http::request request{http::verb::post, kJobPath, http::kHttpVersion11};
+  request.body() = message.SerializeAsString();
+  request.prepare_payload();
+  owner_link_->call(
+      "forward", std::move(request), timeout,
+      [this, handler = std::move(handler)](http::call_result&& result) {
+        forward_result out;
+        if (result.has_error()) {
+          // The next announcement checks whether the owner is alive.
+          owner_unconfirmed_ = true;
+          out.maybe_served = result.error().maybe_sent;
+        } else if (result->result() != http::status::conflict) {
+          out.reply = http::json_response(result->result(), result->body());
+          boost::beast::string_view retry_after =
+              (*result)[boost::beast::http::field::retry_after];
+          if (!retry_after.empty()) {
+            out.reply->set(boost::beast::http::field::retry_after, retry_after);
+          }
+        }
+        handler(std::move(out));
+      });
+}
+
+void node::handle_job_query(const http::request& request,
+                            http::responder respond) {
+  wire::job_query query;
+  if (!query.ParseFromString(request.body()) || query.job().empty()) {
+    return respond(http::error_response(http::status::bad_request, "no query"));
+  }
+  if (!owner_ || owner_->epoch() != query.epoch()) {
+    return respond(http::error_response(http::status::conflict,
+                                        "not the owner of this epoch"));
+  }
+  job_api_->answer_query(query, std::move(respond));
 }
 
 void node::fetch_end(const std::string& job, std::function<void()> then) {
@@ -177,6 +231,9 @@
   if (request.target() == kRecordPath) {
     return handle_peer_write(std::move(request), std::move(respond));
   }
+  if (request.target() == kJobPath) {
+    return handle_job_query(request, std::move(respond));
+  }
   if (request.target() == kEndPath) return handle_end_query(request, respond);
   if (request.target() == kAdvicePath) {
     return relay_advice(std::move(request), std::move(respond));
@@ -193,6 +250,11 @@
     return respond(
         http::error_response(http::status::not_found, "no such route"));
   }
+  handle_presence(request, respond);
+}
+
+void node::handle_presence(const http::request& request,
+                           const http::responder& respond) {
   wire::presence presence;
   if (http::from_json(request.body(), &presence).has_error()) {
     return respond(
@@ -200,12 +262,23 @@
   }
   wire::owner_status status;
   if (owner_) {
-    for (const std::string& each : owner_->peer_addresses()) {
-      if (each != presence.peer_address()) status.add_peer_addresses(each);
+    steady_time now = clock_.now();
+    owner_->record_daemon({presence.daemon(), presence.peer_address(),
+                           presence.zone(), presence.region(),
+                           presence.cpu_share(), presence.follows_journal()});
+    for (const std::string& each :
+         owner_->daemons().relays_for(presence.daemon(), now)) {
+      status.add_peer_addresses(each);
     }
-    owner_->record_daemon(presence.daemon(), presence.peer_address());
+    status.set_standby(owner_->daemons().is_standby(presence.daemon(), now));
     status.set_epoch(owner_->epoch());
     status.set_journal_reachable(owner_->journal_reachable());
+    for (const std::pair<const std::string, std::int64_t>& each :
+         table_.not_started) {
+      wire::queue_length* queue = status.add_queues();
+      queue->set_queue(each.first);
+      queue->set_not_started(each.second);
+    }
   }
   respond(http::json_response(http::status::ok, http::to_compact_json(status)));
 }
@@ -237,6 +310,9 @@
   measurements_.job_times.append_text(&text);
   append_value(&text, "ebonygrade_pool_owner", "gauge",
                "1 while this daemon owns the pool.", owner_ ? 1 : 0);
+  append_value(&text, "ebonygrade_pool_standby", "gauge",
+               "1 while this daemon holds a copy of the journal.",
+               has_journal() ? 1 : 0);
   append_value(&text, "ebonygrade_pool_store_calls_total", "counter",
                "Calls to the platform's store.", store_.calls());
   append_value(&text, "ebonygrade_pool_jobs_known", "gauge",
--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -3,6 +3,7 @@
 // condition counts as failed.
 #include "poold/node.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
@@ -446,6 +447,100 @@
   CHECK(cell.ledger.violations().empty());
 }
 
+// A cell that is too large for a copy of the journal in every daemon.
+struct large_cell : cell {
+  static constexpr std::size_t kDaemons = 12;
+  // The owner and two standbys, as all daemons are in one region.
+  static constexpr std::size_t kCopies = 3;
+
+  large_cell() {
+    ledger.add_job(kJob, submission(), 2);
+    store.put("keyed.op", "config", kManifest);
+    add_worker("w1");
+    for (std::size_t i = 0; i < kDaemons; ++i) add_node(std::to_string(i));
+  }
+  std::size_t copies() const {
+    return static_cast<std::size_t>(std::count_if(
+        nodes.begin(), nodes.end(), [](const std::unique_ptr<node>& each) {
+          return each && each->follows_journal();
+        }));
+  }
+  bool all_ready() const {
+    return std::all_of(nodes.begin(), nodes.end(),
+                       [](const std::unique_ptr<node>& each) {
+                         return !each || each->is_ready();
+                       });
+  }
+  // Index of a daemon without a copy.
+  std::size_t daemon_without_copy() const {
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      if (nodes[i] && !nodes[i]->follows_journal()) return i;
+    }
+    FAIL("every daemon has a copy of the journal");
+    return 0;
+  }
+  bool settles() {
+    return wait_until([&] { return copies() == kCopies && all_ready(); });
+  }
+};
+
+TEST_CASE("daemons without a copy of the journal serve through the owner") {
+  large_cell cell;
+  REQUIRE(cell.settles());
+  std::size_t entry = cell.daemon_without_copy();
+  std::string path = "/q/" + std::string(kJob);
+  CHECK(cell.call(entry, http::verb::get, path).first == 410);
+  CHECK(cell.call(entry, http::verb::delete_, path).first == 410);
+  CHECK(cell.call(entry, http::verb::post, path, kBody).first == 200);
+  CHECK(cell.call(entry, http::verb::post, path, kBody).first == 200);
+  CHECK(cell.reaches_state(entry, "complete"));
+  CHECK(cell.call(entry, http::verb::delete_, path).first == 200);
+  // A job that fits no worker waits, is counted and can be cancelled.
+  std::string waiting = "/q/00000000000000ab";
+  std::string large = kBody;
+  large.replace(large.find("100"), 3, "1000000");
+  REQUIRE(cell.call(entry, http::verb::post, waiting, large).first == 200);
+  CHECK(cell.wait_until([&] {
+    return cell.call(entry, http::verb::get, "/q/").second ==
+           R"({"notStarted":1})";
+  }));
+  CHECK(cell.call(entry, http::verb::delete_, waiting).first == 200);
+  CHECK(cell.call(entry, http::verb::get, waiting).second ==
+        R"({"state":"cancelled"})");
+  CHECK_FALSE(cell.nodes[entry]->follows_journal());
+  int submissions = 0;
+  for (const standin::stored_record& each :
+       cell.store.records("keyed.journal")) {
+    submissions +=
+        each.key == "s" + std::string(kJob) && !each.value.empty() ? 1 : 0;
+  }
+  CHECK(submissions == 1);
+  CHECK(cell.ledger.violations().empty());
+}
+
+// Guards against a pool that stays without an owner when no daemon with a copy
+// of the journal is left.
+TEST_CASE("the pool outlives the owner and all standbys") {
+  large_cell cell;
+  REQUIRE(cell.settles());
+  cell.workers.clear();
+  std::size_t entry = cell.daemon_without_copy();
+  std::string path = "/q/" + std::string(kJob);
+  REQUIRE(cell.call(entry, http::verb::post, path, kBody).first == 200);
+  for (std::unique_ptr<node>& each : cell.nodes) {
+    if (each->follows_journal()) each.reset();
+  }
+  cell.add_worker("w2");
+  CHECK(cell.wait_until([&] {
+    return std::any_of(cell.nodes.begin(), cell.nodes.end(),
+                       [](const std::unique_ptr<node>& each) {
+                         return each && each->owns_pool();
+                       });
+  }));
+  CHECK(cell.reaches_state(entry, "complete"));
+  CHECK(cell.ledger.violations().empty());
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -60,6 +60,7 @@
           context, store, std::string(platform::kJournalTopic),
           platform::producer{kOwnerProducer, epoch, 1})),
       advice_dispatcher_(context, clock, settings.advice_address),
+      daemons_(clock.now()),
       round_timer_(context),
       flush_timer_(context) {
   pool_.limits = make_limits(settings);
@@ -154,9 +155,9 @@
   return clock_.now() - last_write_ < kJournalTimeout;
 }
 
-void owner::record_daemon(const std::string& daemon,
-                          const std::string& peer_address) {
-  advice_dispatcher_.record_daemon(daemon, peer_address);
+void owner::record_daemon(const daemon_info& daemon) {
+  daemons_.record(daemon, clock_.now());
+  advice_dispatcher_.record_daemon(daemon.id, daemon.peer_address);
 }
 
 // ---- Workers ----------------------------------------------------------------
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -22,6 +22,7 @@
 #include "poold/maintenance_runner.h"
 #include "poold/measurements.h"
 #include "poold/settings.h"
+#include "poold/standby.h"
 #include "poold/store_client.h"
 #include "poold/topic_follower.h"
 #include "poold/worker_link.h"
@@ -65,12 +66,9 @@
   void on_change(const jobs::table& table, const jobs::change& change);
   void on_wave(const pool::maintenance_wave& wave, const jobs::table& table);
   void on_manifest(const pool::manifest& manifest);
-  void record_daemon(const std::string& daemon,
-                     const std::string& peer_address);
+  void record_daemon(const daemon_info& daemon);
 
-  std::vector<std::string> peer_addresses() const {
-    return advice_dispatcher_.peer_addresses();
-  }
+  daemon_registry& daemons() { return daemons_; }
   // Whether the journal accepted a record of this owner recently.
   bool journal_reachable() const;
   std::uint64_t epoch() const { return epoch_; }
@@ -133,6 +131,7 @@
   std::shared_ptr<appender> journal_;
   std::shared_ptr<topic_follower> discovery_;
   advice_dispatcher advice_dispatcher_;
+  daemon_registry daemons_;
   // Null if the settings have no machines address.
   std::shared_ptr<maintenance_runner> maintenance_;
   std::unordered_map<std::string, std::shared_ptr<worker_link>> links_;
--- a/src/poold/peer_paths.h
+++ b/src/poold/peer_paths.h
@@ -10,6 +10,7 @@
 // Followed by the path and query of the call to the store.
 inline constexpr std::string_view kStorePath = "/v1/store";
 inline constexpr char kRecordPath[] = "/v1/record";
+inline constexpr char kJobPath[] = "/v1/job";
 inline constexpr char kEndPath[] = "/v1/end";
 inline constexpr char kMetricsPath[] = "/metrics";
 
--- /dev/null
+++ b/src/poold/standby_test.cpp
@@ -0,0 +1,129 @@
+#include "poold/standby.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace ebonygrade::poold {
+
+namespace {
+
+// Two regions with three zones each. Every eighth daemon is large.
+std::vector<daemon_info> make_daemons(int count) {
+  std::vector<daemon_info> daemons;
+  for (int i = 0; i < count; ++i) {
+    daemon_info each;
+    each.id = "d" + std::to_string(1000 + i);
+    each.peer_address = each.id + ":1";
+    each.region = i % 2 == 0 ? "near" : "far";
+    each.zone = each.region + std::to_string(i / 2 % 3);
+    each.cpu_share = i / 6 % 8 == 0 ? 0.5 : 0.12;
+    daemons.push_back(each);
+  }
+  return daemons;
+}
+
+daemon_info& find(std::vector<daemon_info>& daemons, const std::string& id) {
+  for (daemon_info& each : daemons) {
+    if (each.id == id) return each;
+  }
+  FAIL("unknown daemon " << id);
+  return daemons.front();
+}
+
+TEST_CASE("every daemon of a small cell is a standby") {
+  CHECK(choose_standbys(make_daemons(5)).size() == 5);
+}
+
+// Replays the growth of the large deployment: copies must not grow with the
+// number of daemons.
+TEST_CASE("the number of copies doesn't grow with the number of daemons") {
+  for (int count : {30, 100, 147, 300}) {
+    std::vector<daemon_info> daemons = make_daemons(count);
+    std::set<std::string> chosen = choose_standbys(daemons);
+    CHECK(chosen.size() == 4);
+    std::set<std::string> zones;
+    for (const std::string& each : chosen) {
+      const daemon_info& daemon = find(daemons, each);
+      CHECK(daemon.cpu_share == 0.5);
+      zones.insert(daemon.zone);
+    }
+    CHECK(zones.size() == 4);
+  }
+}
+
+TEST_CASE("a standby keeps its role when other daemons come") {
+  std::vector<daemon_info> daemons = make_daemons(100);
+  std::set<std::string> before = choose_standbys(daemons);
+  std::vector<daemon_info> more = make_daemons(147);
+  for (const std::string& each : before)
+    find(more, each).follows_journal = true;
+  CHECK(choose_standbys(more) == before);
+}
+
+TEST_CASE("small daemons are standbys only without large ones") {
+  std::vector<daemon_info> daemons = make_daemons(100);
+  for (daemon_info& each : daemons) {
+    if (each.region == "far") each.cpu_share = 0.12;
+  }
+  std::set<std::string> chosen = choose_standbys(daemons);
+  CHECK(chosen.size() == 4);
+  int small = 0;
+  for (const std::string& each : chosen) {
+    if (find(daemons, each).cpu_share < 0.2) ++small;
+  }
+  CHECK(small == 2);
+}
+
+TEST_CASE("daemons become standbys one after the other without an owner") {
+  std::optional<milliseconds> near = milliseconds(5);
+  std::optional<milliseconds> far = milliseconds(22);
+  // The latest large daemon comes before the earliest small one.
+  CHECK(standby_delay(false, far, 0.5, 0.99) <
+        standby_delay(false, near, 0.12, 0));
+  CHECK(standby_delay(false, near, 0.5, 0.5) <
+        standby_delay(false, far, 0.5, 0.5));
+  // Standbys replace a lost owner first.
+  CHECK(standby_delay(true, near, 0.5, 0) >= milliseconds(2000));
+}
+
+TEST_CASE("a new registry keeps each daemon's role") {
+  steady_time start = steady_time() + std::chrono::hours(1);
+  daemon_registry registry(start);
+  std::vector<daemon_info> daemons = make_daemons(30);
+  daemons.back().follows_journal = true;
+  for (const daemon_info& each : daemons) registry.record(each, start);
+  CHECK(registry.is_standby(daemons.back().id, start));
+  CHECK_FALSE(registry.is_standby(daemons.front().id, start));
+  steady_time later = start + std::chrono::seconds(3);
+  CHECK(registry.is_standby(daemons.front().id, later));
+}
+
+TEST_CASE("silent daemons are neither standbys nor relays") {
+  steady_time start = steady_time() + std::chrono::hours(1);
+  daemon_registry registry(start);
+  std::vector<daemon_info> daemons = make_daemons(30);
+  for (const daemon_info& each : daemons) registry.record(each, start);
+  steady_time later = start + std::chrono::seconds(5);
+  registry.record(daemons.front(), later);
+  registry.record(daemons.back(), later);
+  CHECK(registry.relays_for(daemons.front().id, later) ==
+        std::vector<std::string>{daemons.back().peer_address});
+  CHECK(registry.is_standby(daemons.back().id, later));
+  CHECK_FALSE(registry.is_standby(daemons[1].id, later));
+}
+
+TEST_CASE("the number of relays doesn't grow with the number of daemons") {
+  steady_time start = steady_time() + std::chrono::hours(1);
+  daemon_registry registry(start);
+  std::vector<daemon_info> daemons = make_daemons(147);
+  for (const daemon_info& each : daemons) registry.record(each, start);
+  std::vector<std::string> relays =
+      registry.relays_for(daemons.front().id, start);
+  CHECK(relays.size() == 8);
+  CHECK(relays == registry.relays_for(daemons.front().id, start));
+}
+
+}  // namespace
+
+}  // namespace ebonygrade::poold
