Collect room for many gangs at once, and lighten the owner

At most 24 advice requests were pending although 147 daemons can each send one, and 600 workers were held for gangs whose request was still open, of which the service grants a third.

- Pending advice requests grow with the daemons, and a large gang asks through several daemons at a time.
- A gang holds room only on workers it has been granted, and only if they will hold it; every gang does so, up to four fifths of the pool, on twice the workers it needs while it doesn't fit.
Tickets are renewed once it fits.
A gang that collects for 1.5 s asks for more workers.
- Urgent steps avoid workers on which gangs collect.
Best fit comes before the speed of workers that are fast enough: noisy speeds had undone it.
- Jobs that can't end in time any more come after those that can.
A gang's search looks at granted workers only.
- The owner doesn't read back its own records.
Its copy lagged by 16 s under load, so that it didn't know jobs that other daemons had written.
- A late reply to a state query no longer counts the owner as lost; it sent the daemon's next submissions past the owner.

--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -53,6 +53,7 @@
   worker_avoided = 824,
   step_done = 825,
   upkeep_ordered = 826,
+  pool_load = 827,
   manifest_in_force = 831,
   journal_loaded = 832,
 };
@@ -160,6 +161,9 @@
     definition{id::upkeep_ordered, "upkeep_ordered", level::info,
                "The platform answered, or didn't, an order for upkeep.",
                "machine"},
+    definition{id::pool_load, "pool_load", level::info,
+               "Once a second: what the owner has to place, and where.",
+               "none"},
     definition{id::manifest_in_force, "manifest_in_force", level::info,
                "A version of the operator's manifest took effect here.",
                "none"},
--- a/src/pool/advice.cpp
+++ b/src/pool/advice.cpp
@@ -4,6 +4,7 @@
 // it names no more workers than the step is likely to need.
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -16,11 +17,23 @@
 
 // Delay after a request that returned no ticket.
 constexpr milliseconds kAdviceRetryDelay{300};
+// Delay after a round that found no workers to ask for. The search looks at
+// every worker with free capacity.
+constexpr milliseconds kNoWorkersRetryDelay{100};
 // Slots per waiting task in a request that renews tickets.
 constexpr std::size_t kRenewalWorkersPerTask = 2;
-// Limit of pending requests that are not urgent. Later ones are created only
-// when others end, so that they name workers with free capacity at that time.
-constexpr std::size_t kMaxPendingRequests = 24;
+// Limit of pending requests that are not urgent: this number, or this many for
+// each daemon if that is more. Later ones are created only when others end, so
+// that they name workers with free capacity at that time.
+constexpr std::size_t kMinPendingRequestLimit = 24;
+constexpr double kPendingRequestsPerDaemon = 0.75;
+// Requests of one step at a time: one for each of this many daemons.
+constexpr std::size_t kDaemonsPerParallelRequest = 16;
+// Slots per task in a request that renews a gang's tickets.
+constexpr double kGangRenewalFactor = 1.5;
+// A gang that has collected room for this long asks for further workers, as
+// those granted may stay busy.
+constexpr milliseconds kMaxCollectTime{1500};
 // Limit of the advice service.
 constexpr std::size_t kMaxWorkersPerRequest = 100;
 // In pools up to this size, the first request names all workers: a grant is
@@ -31,6 +44,8 @@
 // The first request names this many times the workers that the step needs if
 // each is half free, as other steps use some of them before the reply.
 constexpr double kFirstRequestSpareFactor = 1.5;
+// A gang needs all its workers at the same time, so it names more.
+constexpr double kFirstGangRequestSpareFactor = 3;
 // Weight of the newest reply in the smoothed share of granted workers.
 constexpr double kGrantShareWeight = 0.1;
 // Advice is requested while the CPU of all steps that wait for advice is at
@@ -42,6 +57,13 @@
 constexpr milliseconds kTicketUseDelay{100};
 constexpr std::int64_t kMillisecondsPerSecond = 1000;
 
+std::size_t pending_request_limit(const pool_state& pool) {
+  return std::max(
+      kMinPendingRequestLimit,
+      static_cast<std::size_t>(kPendingRequestsPerDaemon *
+                               static_cast<double>(pool.advice_daemons)));
+}
+
 double grant_share(const scheduling_round& round,
                    const candidate_step& candidate) {
   std::unordered_map<std::string, double>::const_iterator found =
@@ -63,8 +85,12 @@
   double needed = static_cast<double>(tasks) / half_free;
   constexpr double kMinGrantShare = 0.1;
   double share = std::max(kMinGrantShare, grant_share(round, candidate));
-  std::size_t enough =
-      static_cast<std::size_t>(needed * kFirstRequestSpareFactor / share) + 1;
+  bool gang = definition(*candidate.job, *candidate.step).gang();
+  double spare =
+      gang && round.pool->advice_daemons >= kDaemonsPerParallelRequest
+          ? kFirstGangRequestSpareFactor
+          : kFirstRequestSpareFactor;
+  std::size_t enough = static_cast<std::size_t>(needed * spare / share) + 1;
   return std::max(enough, kMinFirstRequestWorkers);
 }
 
@@ -101,10 +127,11 @@
                      round.reserved.count(each) == 0;
             });
     double affordable = affordable_slowdown(round, candidate);
-    std::stable_partition(eligible.begin(), without_capacity,
-                          [&](const worker* each) {
-                            return slowdown_of(*each, round.now) <= affordable;
-                          });
+    std::stable_partition(
+        eligible.begin(), without_capacity, [&](const worker* each) {
+          bool avoided = candidate.priority == 0 && each->held_for_gang;
+          return !avoided && slowdown_of(*each, round.now) <= affordable;
+        });
   }
   std::vector<std::string> names;
   for (std::size_t i = 0; i < count; ++i)
@@ -132,15 +159,47 @@
          kMaxAdviceBacklogFactor * (round.free_cpu + coming);
 }
 
+// Workers for a later request of a gang. Load pattern: many gangs wait in a
+// full pool, and tickets expire before there is room for all tasks. New tickets
+// are therefore requested only once the gang fits on granted workers. Until
+// then room is collected on them, and only a gang with too few of them asks for
+// more.
+std::vector<std::string> workers_for_gang(const scheduling_round& round,
+                                          const candidate_step& candidate) {
+  const step_state& step = *candidate.step;
+  std::uint32_t count = count_waiting_tasks(step);
+  std::vector<collectable_worker> granted =
+      collectable_workers(round, candidate);
+  std::vector<std::string> names;
+  std::uint32_t free = 0;
+  for (const collectable_worker& each : granted) {
+    if (each.free == 0 || free >= count * kGangRenewalFactor) break;
+    free += each.free;
+    names.push_back(each.worker->entry.id);
+  }
+  if (free >= count) return names;
+  bool collecting = round.now - step.last_advice < kMaxCollectTime &&
+                    count_to_collect(granted, count) > 0;
+  if (collecting) return {};
+  names.clear();
+  for (const placement_option& each :
+       find_options(round, candidate, ticket_mode::ignored, count)) {
+    const std::string& id = each.worker->entry.id;
+    if (step.granted.count(id) == 0) names.push_back(id);
+  }
+  return names;
+}
+
 // Workers with free capacity whose tickets have expired, or that joined the
 // pool after the first request; the best first.
 std::vector<std::string> workers_for_renewal(const scheduling_round& round,
                                              const candidate_step& candidate) {
   std::uint32_t count = count_waiting_tasks(*candidate.step);
+  bool gang = definition(*candidate.job, *candidate.step).gang();
+  if (gang) return workers_for_gang(round, candidate);
   std::vector<placement_option> options =
       find_options(round, candidate, ticket_mode::ignored, count);
-  bool gang = definition(*candidate.job, *candidate.step).gang();
-  if (options.empty() || (gang && total_slots(options) < count)) return {};
+  if (options.empty()) return {};
   sort_by_preference(round, candidate, &options);
   std::vector<std::string> names;
   std::uint32_t slots = 0;
@@ -152,22 +211,10 @@
   return names;
 }
 
-}  // namespace
-
-void request_advice(scheduling_round* round, const candidate_step& candidate) {
+void send_request(scheduling_round* round, const candidate_step& candidate,
+                  std::vector<std::string> names) {
   step_state& step = *candidate.step;
-  if (step.advice_pending || step.advice_retry_at > round->now) return;
-  if (any_placed(step) && definition(*candidate.job, step).gang()) return;
-  if (!capacity_is_expected(*round, candidate)) return;
-  bool urgent = candidate.policy->priority == 0;
-  if (!urgent && round->pool->pending_advice_requests >= kMaxPendingRequests)
-    return;
-  std::vector<std::string> names =
-      step.queried.empty() ? workers_for_first_request(*round, candidate)
-                           : workers_for_renewal(*round, candidate);
-  if (names.empty()) return;
-  if (names.size() > kMaxWorkersPerRequest) names.resize(kMaxWorkersPerRequest);
-  step.advice_pending = true;
+  ++step.pending_advice;
   ++round->pool->pending_advice_requests;
   ++round->pool->counters.advice_requests;
   advice_request order;
@@ -181,6 +228,32 @@
   round->out->advice.push_back(std::move(order));
 }
 
+}  // namespace
+
+void request_advice(scheduling_round* round, const candidate_step& candidate) {
+  step_state& step = *candidate.step;
+  if (step.pending_advice > 0 || step.advice_retry_at > round->now) return;
+  if (any_placed(step) && definition(*candidate.job, step).gang()) return;
+  if (!capacity_is_expected(*round, candidate)) return;
+  bool urgent = candidate.policy->priority == 0;
+  if (!urgent && round->pool->pending_advice_requests >=
+                     pending_request_limit(*round->pool)) {
+    return;
+  }
+  std::vector<std::string> names =
+      step.queried.empty() ? workers_for_first_request(*round, candidate)
+                           : workers_for_renewal(*round, candidate);
+  std::size_t parallel = std::max<std::size_t>(
+      1, round->pool->advice_daemons / kDaemonsPerParallelRequest);
+  for (std::size_t first = 0, i = 0; first < names.size() && i < parallel;
+       first += kMaxWorkersPerRequest, ++i) {
+    std::size_t end = std::min(names.size(), first + kMaxWorkersPerRequest);
+    send_request(round, candidate,
+                 {std::make_move_iterator(names.begin() + first),
+                  std::make_move_iterator(names.begin() + end)});
+  }
+}
+
 void observe_advice(pool_state* pool, const advice_request& order, bool replied,
                     const std::vector<ticket>& tickets, steady_time valid_until,
                     steady_time now) {
@@ -189,7 +262,8 @@
   step_state* step =
       job == nullptr ? nullptr : find_step(job, order.occurrence, order.step);
   if (step == nullptr) return;
-  step->advice_pending = false;
+  if (step->pending_advice > 0) --step->pending_advice;
+  step->last_advice = now;
   if (!replied) {
     step->advice_retry_at = now + kAdviceRetryDelay;
     return;
--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -13,6 +13,11 @@
 
 // A result has no value after this many times the objective.
 constexpr int kValueEndFactor = 3;
+// Run times below this share of their estimates are not expected.
+constexpr double kShortestRunFactor = 0.7;
+// Limit of the workers that are reserved for gangs, relative to all available
+// workers. The rest serves steps of lower priority.
+constexpr double kMaxReservedShare = 0.8;
 
 // Priority comes before lateness: after an interruption, many urgent jobs are
 // late at once. They are small and keep their value for a short time only,
@@ -33,6 +38,14 @@
              policy.stretch * static_cast<double>(job.critical_path.count())));
 }
 
+// The job's run time from this step on, if the estimates are too high. Load
+// pattern: with a backlog, jobs that can't be in time any more come next by
+// their deadline, and each makes another job late in its turn.
+milliseconds shortest_rest(const job& job, const step_state& step) {
+  return std::chrono::duration_cast<milliseconds>(
+      job.remaining_paths[step.step] * kShortestRunFactor);
+}
+
 candidate_step make_candidate(job* job, step_state* step,
                               const queue_policy& policy, unix_time wall) {
   candidate_step result;
@@ -42,9 +55,10 @@
   result.job = job;
   result.step = step;
   result.policy = &policy;
-  if (wall > result.deadline) result.tier = tier::late;
+  unix_time earliest_end = wall + shortest_rest(*job, *step);
+  if (earliest_end > result.deadline) result.tier = tier::late;
   result.value_ends = job->accepted + kValueEndFactor * target;
-  if (wall > result.value_ends) result.tier = tier::no_value;
+  if (earliest_end > result.value_ends) result.tier = tier::no_value;
   return result;
 }
 
@@ -186,56 +200,59 @@
   return true;
 }
 
-// Reserves workers for a gang that waits for capacity, so that smaller steps
-// don't use all capacity that becomes free.
+// Reserves workers for a gang that waits for capacity or for new tickets, so
+// that smaller steps don't use all capacity that becomes free. Load pattern:
+// gangs wait while nearly half of the pool is free, a few cores on each worker.
+// Every gang with enough tickets collects room at the same time, within a
+// limit; the first gang always does.
 void reserve_workers(scheduling_round* round, const candidate_step& candidate) {
-  const wire::step_definition& step =
-      definition(*candidate.job, *candidate.step);
-  bool advised = candidate.policy->needs_advice;
-  std::vector<std::pair<std::int64_t, worker*>> eligible;
-  for (const available_worker& each : round->available) {
-    if (!is_eligible(*each.worker, *candidate.job, step)) continue;
-    if (advised && is_denied(*candidate.step, each.worker->entry.id)) continue;
-    eligible.emplace_back(free_resources_of(*each.worker).cpu_milli,
-                          each.worker);
-  }
-  std::sort(eligible.begin(), eligible.end(), [](const auto& a, const auto& b) {
-    if (a.first != b.first) return a.first > b.first;
-    return a.second->entry.id < b.second->entry.id;
-  });
-  std::uint32_t count =
-      static_cast<std::uint32_t>(candidate.step->tasks.size());
-  std::uint32_t slots = 0;
-  for (const std::pair<std::int64_t, worker*>& each : eligible) {
-    if (slots >= count) return;
-    slots +=
-        count_slots(each.second->entry.capacity, resources_needed(step), count);
-    round->reserved.insert(each.second);
+  std::size_t limit = static_cast<std::size_t>(
+      kMaxReservedShare * static_cast<double>(round->available.size()));
+  bool first = round->reserved.empty();
+  if (!first && round->reserved.size() >= limit) return;
+  std::vector<collectable_worker> workers =
+      collectable_workers(*round, candidate);
+  std::size_t needed = count_to_collect(
+      workers, static_cast<std::uint32_t>(candidate.step->tasks.size()));
+  if (!first && round->reserved.size() + needed > limit) return;
+  for (std::size_t i = 0; i < needed; ++i) {
+    round->reserved.insert(workers[i].worker);
   }
 }
 
-// Reserves workers on which the gang fits now, while its tickets are being
-// renewed. False if it doesn't fit.
-bool reserve_current_options(scheduling_round* round,
-                             const candidate_step& candidate) {
-  std::uint32_t count =
-      static_cast<std::uint32_t>(candidate.step->tasks.size());
-  std::vector<placement_option> options =
-      find_options(*round, candidate, ticket_mode::ignored, count);
-  if (total_slots(options) < count) return false;
-  sort_by_preference(*round, candidate, &options);
-  std::uint32_t slots = 0;
-  for (const placement_option& each : options) {
-    if (slots >= count) break;
-    slots += each.slots;
-    round->reserved.insert(each.worker);
+void count_waiting(const candidate_step& candidate, load_summary* load) {
+  std::uint32_t tasks = count_waiting_tasks(*candidate.step);
+  if (tasks == 0) return;
+  std::int64_t cpu =
+      tasks *
+      resources_needed(definition(*candidate.job, *candidate.step)).cpu_milli;
+  load->waiting_cpu_milli += cpu;
+  if (candidate.step->pending_advice > 0) load->waiting_for_advice_milli += cpu;
+  if (candidate.tier == tier::in_time) ++load->waiting_in_time;
+  if (candidate.tier == tier::late) ++load->waiting_late;
+  if (candidate.tier == tier::no_value) ++load->waiting_without_value;
+}
+
+load_summary summarize(const scheduling_round& round,
+                       const std::vector<candidate_step>& candidates) {
+  load_summary load;
+  load.available_workers = round.available.size();
+  load.reserved_workers = round.reserved.size();
+  for (const available_worker& each : round.available) {
+    std::int64_t free =
+        std::max<std::int64_t>(0, free_resources_of(*each.worker).cpu_milli);
+    load.free_cpu_milli += free;
+    if (round.reserved.count(each.worker) > 0) {
+      load.reserved_free_cpu_milli += free;
+    }
   }
-  return true;
+  for (const candidate_step& each : candidates) count_waiting(each, &load);
+  return load;
 }
 
-void place_waiting_steps(scheduling_round* round) {
-  bool reserved_for_gang = false;
-  for (const candidate_step& each : candidates(round->pool, round->wall)) {
+void place_waiting_steps(scheduling_round* round,
+                         const std::vector<candidate_step>& candidates) {
+  for (const candidate_step& each : candidates) {
     bool gang = definition(*each.job, *each.step).gang();
     bool placed = true;
     std::size_t first = round->pool->unrecorded_starts.size();
@@ -248,7 +265,7 @@
     record_placements(*round, each, first, had_started);
     if (each.policy->needs_advice && count_waiting_tasks(*each.step) > 0) {
       request_advice(round, each);
-      if (each.step->advice_pending) {
+      if (each.step->pending_advice > 0) {
         round->cpu_awaiting_advice +=
             count_waiting_tasks(*each.step) *
             resources_needed(definition(*each.job, *each.step)).cpu_milli;
@@ -257,9 +274,6 @@
     // Gangs of priority 0 are small and need no reservation.
     if (placed || each.priority == 0) continue;
     if (each.tier == tier::no_value) continue;
-    if (each.step->advice_pending && reserve_current_options(round, each))
-      continue;
-    if (std::exchange(reserved_for_gang, true)) continue;
     reserve_workers(round, each);
   }
 }
@@ -271,7 +285,12 @@
   start_occurrences(pool, wall);
   process_outstanding_orders(pool, &out, now);
   scheduling_round round = begin_round(pool, &out, now, wall);
-  place_waiting_steps(&round);
+  std::vector<candidate_step> waiting = candidates(pool, wall);
+  place_waiting_steps(&round, waiting);
+  for (std::pair<const std::string, worker>& each : pool->workers) {
+    each.second.held_for_gang = round.reserved.count(&each.second) > 0;
+  }
+  pool->load = summarize(round, waiting);
   pool->counters.stops += out.stops.size();
   return out;
 }
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -75,7 +75,6 @@
     batch.records.push_back(
         {jobs::progress_key(id), serialize_progress(*job), 0});
     if (job->outcome == wire::OPEN) continue;
-    batch.job_ends.push_back(batch.records.back());
     // Every daemon reads the newest record of each key at its start, and
     // submissions are by far the largest, so they are deleted at the end of the
     // job. While runs are being stopped, a later owner still needs the
--- a/src/pool/options.cpp
+++ b/src/pool/options.cpp
@@ -14,6 +14,12 @@
 // Tickets that expire sooner are not used, as the journal is written before a
 // start.
 constexpr milliseconds kTicketMargin{120};
+// One part in this many of the resources in use is expected to become free
+// while a gang collects room.
+constexpr int kReleasedShareDivisor = 2;
+// A gang collects room on workers for this many times its tasks, if it may use
+// so many, as it starts with the first of them that become free.
+constexpr std::uint32_t kCollectFactor = 2;
 // Run time of a step's slowest task relative to its estimate.
 constexpr double kSlowestTaskFactor = 1.3;
 // Workers whose slowdown differs by less rank as equal.
@@ -47,6 +53,20 @@
   return false;
 }
 
+// Number of the step's tasks that the resources on the worker hold, within the
+// step's limit for each worker.
+std::uint32_t count_step_slots(const worker& worker,
+                               const candidate_step& candidate,
+                               const resources& free, std::uint32_t max_slots) {
+  const wire::step_definition& step =
+      definition(*candidate.job, *candidate.step);
+  std::uint32_t slots = count_slots(free, resources_needed(step), max_slots);
+  if (step.max_per_worker() == 0) return slots;
+  std::uint32_t running = runs_of_step(worker, *candidate.job, *candidate.step);
+  if (running >= step.max_per_worker()) return 0;
+  return std::min(slots, step.max_per_worker() - running);
+}
+
 // Adds the worker to the options if it can run a task of the step.
 void add_option(const scheduling_round& round, const candidate_step& candidate,
                 worker* target, std::string_view ticket,
@@ -62,15 +82,9 @@
   if (would_interfere(round.pool, *target, step)) return;
   result.worker = target;
   result.ticket = ticket;
-  result.slots = count_slots(result.free, need, max_slots);
+  result.slots = count_step_slots(*target, candidate, result.free, max_slots);
   result.near_data =
       step.data_rack().empty() || step.data_rack() == target->entry.rack;
-  if (step.max_per_worker() > 0) {
-    std::uint32_t running =
-        runs_of_step(*target, *candidate.job, *candidate.step);
-    if (running >= step.max_per_worker()) return;
-    result.slots = std::min(result.slots, step.max_per_worker() - running);
-  }
   if (result.slots > 0) found->push_back(result);
 }
 
@@ -108,6 +122,14 @@
   return found;
 }
 
+// Resources of the worker that are free now or will be soon.
+resources expected_resources(const worker& worker) {
+  resources free = free_resources_of(worker);
+  return {free.cpu_milli + worker.used.cpu_milli / kReleasedShareDivisor,
+          free.memory_mb + worker.used.memory_mb / kReleasedShareDivisor,
+          free.gpus + worker.used.gpus / kReleasedShareDivisor};
+}
+
 // Updates the rate, smoothed over about one second.
 void update_cpu_release_rate(cpu_release_rate* rate_state, steady_time now) {
   std::chrono::duration<double> passed = now - rate_state->measured;
@@ -231,13 +253,15 @@
     double slowdown = slowdown_of(*each.worker, round.now);
     int step = static_cast<int>(std::lround(slowdown / kSlowdownBucket));
     // Among workers that are too slow, the fastest comes first.
-    each.speed_rank = slowdown <= affordable ? -step : step;
+    each.speed_rank = slowdown <= affordable ? 0 : step;
     each.fast_enough = slowdown <= affordable;
+    each.avoided = candidate.priority == 0 && each.worker->held_for_gang;
   }
   std::sort(options->begin(), options->end(),
             [](const placement_option& a, const placement_option& b) {
               if (a.near_data != b.near_data) return a.near_data;
               if (a.fast_enough != b.fast_enough) return a.fast_enough;
+              if (a.avoided != b.avoided) return b.avoided;
               if (a.speed_rank != b.speed_rank) {
                 return a.speed_rank < b.speed_rank;
               }
@@ -248,6 +272,54 @@
             });
 }
 
+std::vector<collectable_worker> collectable_workers(
+    const scheduling_round& round, const candidate_step& candidate) {
+  const wire::step_definition& step =
+      definition(*candidate.job, *candidate.step);
+  std::uint32_t count =
+      static_cast<std::uint32_t>(candidate.step->tasks.size());
+  std::vector<collectable_worker> found;
+  auto consider = [&](worker* each) {
+    if (round.reserved.count(each) > 0) return;
+    if (!is_eligible(*each, *candidate.job, step)) return;
+    found.push_back(
+        {count_step_slots(*each, candidate, expected_resources(*each), count),
+         count_step_slots(*each, candidate, free_resources_of(*each), count),
+         each});
+  };
+  if (candidate.policy->needs_advice) {
+    for (const std::string& id : candidate.step->granted) {
+      worker* granted = find_worker(round.pool, id);
+      if (granted != nullptr && is_available(*granted, round.now)) {
+        consider(granted);
+      }
+    }
+  } else {
+    for (const available_worker& each : round.available) consider(each.worker);
+  }
+  std::sort(found.begin(), found.end(),
+            [](const collectable_worker& a, const collectable_worker& b) {
+              if (a.free != b.free) return a.free > b.free;
+              if (a.expected != b.expected) return a.expected > b.expected;
+              return a.worker->entry.id < b.worker->entry.id;
+            });
+  return found;
+}
+
+std::size_t count_to_collect(const std::vector<collectable_worker>& workers,
+                             std::uint32_t tasks) {
+  std::uint32_t expected = 0;
+  std::uint32_t free = 0;
+  std::size_t used = 0;
+  for (const collectable_worker& each : workers) {
+    if (free >= tasks || expected >= kCollectFactor * tasks) break;
+    expected += each.expected;
+    free += each.free;
+    ++used;
+  }
+  return expected < tasks ? 0 : used;
+}
+
 bool any_placed(const step_state& step) {
   return std::any_of(step.tasks.begin(), step.tasks.end(),
                      [](const task& each) { return each.placed; });
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -106,7 +106,8 @@
   std::vector<placement> placements;
   resources used;
   std::uint32_t consecutive_failures = 0;
-  steady_time avoid_until;  // No starts before this time.
+  steady_time avoid_until;     // No starts before this time.
+  bool held_for_gang = false;  // Reserved in the last scheduling round.
   pool::speed speed;
 };
 
@@ -136,8 +137,9 @@
   std::uint32_t done = 0;
   bool ready = false;  // All steps it depends on are done.
   // Advice: the workers that may run the step, and the tickets that prove this.
-  bool advice_pending = false;
+  std::uint32_t pending_advice = 0;         // Requests without a reply.
   steady_time advice_retry_at;              // No request before this.
+  steady_time last_advice;                  // Last reply to a request.
   std::unordered_set<std::string> queried;  // Workers in requests so far.
   std::unordered_set<std::string> granted;  // Subset; a grant is final.
   std::unordered_map<std::string, cached_ticket> tickets;
@@ -219,6 +221,19 @@
   std::uint64_t refused_starts = 0;
 };
 
+// Load of the pool as the last scheduling round left it.
+struct load_summary {
+  std::size_t available_workers = 0;  // May get starts.
+  std::size_t reserved_workers = 0;   // Kept free for a waiting gang.
+  std::int64_t free_cpu_milli = 0;    // Of the available workers.
+  std::int64_t reserved_free_cpu_milli = 0;
+  std::int64_t waiting_cpu_milli = 0;         // Of all waiting tasks.
+  std::int64_t waiting_for_advice_milli = 0;  // Part of it without tickets.
+  std::size_t waiting_in_time = 0;            // Steps, by value of the result.
+  std::size_t waiting_late = 0;
+  std::size_t waiting_without_value = 0;
+};
+
 struct pool_state {
   pool::limits limits;
   std::unordered_map<std::string, worker> workers;
@@ -233,10 +248,14 @@
   // Placements that are not in the journal yet.
   std::vector<placement_key> unrecorded_starts;
   std::size_t pending_advice_requests = 0;  // To the advice service.
+  // Daemons that send advice requests, set by the caller. The service handles
+  // one request at a time for each of them.
+  std::size_t advice_daemons = 1;
   // Smoothed share of the requested workers that are granted, by queue.
   std::unordered_map<std::string, double> grant_shares;
   pool::cpu_release_rate cpu_release_rate;
-  bool superseded = false;            // A worker has seen a newer owner.
+  bool superseded = false;  // A worker has seen a newer owner.
+  load_summary load;
   std::vector<job_event> job_events;  // The caller removes them.
   pool::counters counters;
 };
@@ -299,7 +318,6 @@
   // Highest applied end of each worker that has ends to acknowledge.
   std::vector<std::pair<std::string, std::uint64_t>> ends_to_acknowledge;
   std::vector<placement_key> starts;
-  std::vector<jobs::record> job_ends;  // Records of `records` that end a job.
 };
 
 journal_batch take_batch(pool_state* pool, unix_time wall);
--- a/src/pool/round_pvt.h
+++ b/src/pool/round_pvt.h
@@ -57,7 +57,8 @@
   bool near_data = true;
   // Set by sort_by_preference().
   bool fast_enough = true;
-  int speed_rank = 0;  // Lowest first.
+  bool avoided = false;  // Held for a gang that the step precedes.
+  int speed_rank = 0;    // Lowest first.
 };
 
 // Whether an option needs a valid ticket. Without this, all workers count that
@@ -72,8 +73,8 @@
                                            std::uint32_t max_slots);
 // Sorts the best option first, by these criteria:
 // - the worker is near the data;
-// - it is fast enough for the step's objective; among these, the slower ones
-//   come first, which keeps the fast ones for steps that need them;
+// - it is fast enough for the step's objective;
+// - no gang collects room on it, for steps that come before all gangs;
 // - best fit: the least free CPU.
 void sort_by_preference(const scheduling_round& round,
                         const candidate_step& candidate,
@@ -99,6 +100,24 @@
 bool any_placed(const step_state& step);
 std::uint32_t count_waiting_tasks(const step_state& step);
 
+// A worker on which a gang may collect room, with the number of the gang's
+// tasks that fit there.
+struct collectable_worker {
+  std::uint32_t expected = 0;  // Soon, counting a part of the runs as ended.
+  std::uint32_t free = 0;      // Now.
+  pool::worker* worker = nullptr;
+};
+
+// The workers on which a gang may collect room, the most room first. With
+// advice only granted workers count: room held for a reply that denies most of
+// its workers stays idle while other steps wait.
+std::vector<collectable_worker> collectable_workers(
+    const scheduling_round& round, const candidate_step& candidate);
+// How many of the first workers are needed for a gang of so many tasks; 0 if
+// all of them don't suffice.
+std::size_t count_to_collect(const std::vector<collectable_worker>& workers,
+                             std::uint32_t tasks);
+
 // Requests advice for the step, if a request is useful now.
 void request_advice(scheduling_round* round, const candidate_step& candidate);
 
--- a/src/poold/advice_dispatcher.cpp
+++ b/src/poold/advice_dispatcher.cpp
@@ -57,6 +57,14 @@
   return channel.local || now - channel.last_contact <= kAnnouncementTimeout;
 }
 
+std::size_t advice_dispatcher::available_daemons() const {
+  steady_time now = clock_.now();
+  return static_cast<std::size_t>(std::count_if(
+      channels_.begin(), channels_.end(),
+      [&](const std::pair<const std::string, std::shared_ptr<advice_channel>>&
+              each) { return is_available(*each.second, now); }));
+}
+
 std::shared_ptr<advice_dispatcher::advice_channel> advice_dispatcher::choose(
     const pool::advice_request& request, steady_time now) const {
   std::vector<std::shared_ptr<advice_channel>> daemons;
--- a/src/poold/advice_dispatcher.h
+++ b/src/poold/advice_dispatcher.h
@@ -34,6 +34,8 @@
   // Records an announcement of another daemon, which can then relay requests.
   void record_daemon(const std::string& daemon,
                      const std::string& peer_address);
+  // Number of daemons that may send a request now, this one included.
+  std::size_t available_daemons() const;
   // The handler gets no value if there was no usable reply. It may be called
   // before this function returns.
   void submit(const pool::advice_request& request, handler handler);
--- a/src/poold/appender.cpp
+++ b/src/poold/appender.cpp
@@ -46,6 +46,7 @@
     switch (result.reply.outcome) {
       case platform::append_outcome::written:
         ++producer_.sequence;
+        last_offset_ = result.reply.offset;
         return finish(write_outcome::written);
       case platform::append_outcome::fenced:
         return finish(write_outcome::fenced);
--- a/src/poold/appender.h
+++ b/src/poold/appender.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -41,6 +42,8 @@
   bool in_doubt() const { return busy_ && in_doubt_; }
   // Whether an attempt of the current write got no reply or was rejected.
   bool has_failed_attempt() const { return busy_ && (in_doubt_ || rejected_); }
+  // Offset of the first record of the last write that was written.
+  std::uint64_t last_offset() const { return last_offset_; }
   void stop();
 
  private:
@@ -59,6 +62,7 @@
   bool in_doubt_ = false;
   bool rejected_ = false;
   std::uint32_t unanswered_attempts_ = 0;
+  std::uint64_t last_offset_ = 0;
   bool stopped_ = false;
   http::backoff backoff_{milliseconds(40), 3, 0};
   std::mt19937 random_;
--- a/src/poold/node_ownership.cpp
+++ b/src/poold/node_ownership.cpp
@@ -138,7 +138,11 @@
   owner_ = std::make_shared<owner>(
       context_, store_, clock_, settings_, measurements_, epoch,
       [this] { step_down(); },
-      [this](const jobs::record& record) { apply_record(record); });
+      [this](const jobs::record& record) { apply_record(record); },
+      // The owner has applied its records when they are written.
+      [this](std::uint64_t from, std::uint64_t to) {
+        journal_->skip(from, to);
+      });
   owner_->start(table_, *manifest_);
   for (const std::pair<const std::uint64_t, pool::maintenance_wave>& each :
        waves_) {
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -172,8 +172,9 @@
       [this, handler = std::move(handler)](http::call_result&& result) {
         forward_result out;
         if (result.has_error()) {
-          // The next announcement checks whether the owner is alive.
-          owner_unconfirmed_ = true;
+          // Without a connection, the next announcement checks whether the
+          // owner is alive. A late reply doesn't show that it is not.
+          if (!result.error().maybe_sent) owner_unconfirmed_ = true;
           out.maybe_served = result.error().maybe_sent;
         } else if (result->result() != http::status::conflict) {
           out.reply = http::json_response(result->result(), result->body());
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -12,8 +12,12 @@
 namespace {
 
 constexpr milliseconds kMinRoundInterval{10};
+// The interval between rounds is at least this many times the last round, so
+// that reports, orders and callers get their share of the CPU under load.
+constexpr int kRoundIntervalFactor = 8;
 // Applies without an event that starts a scheduling round earlier.
 constexpr milliseconds kMaxRoundInterval{100};
+constexpr milliseconds kLoadEventInterval{1000};
 // Records that arrive within this interval share one append.
 constexpr milliseconds kMinFlushInterval{20};
 // Other daemons claim the pool after several missed heartbeats.
@@ -46,7 +50,8 @@
              const clock::clock& clock, const node_settings& settings,
              measurements& measurements, std::uint64_t epoch,
              std::function<void()> on_superseded,
-             std::function<void(const jobs::record&)> on_record)
+             std::function<void(const jobs::record&)> on_record,
+             std::function<void(std::uint64_t, std::uint64_t)> on_appended)
     : context_(context),
       store_(store),
       clock_(clock),
@@ -55,6 +60,7 @@
       epoch_(epoch),
       on_superseded_(std::move(on_superseded)),
       on_record_(std::move(on_record)),
+      on_appended_(std::move(on_appended)),
       // The claim was the first append of the epoch.
       journal_(std::make_shared<appender>(
           context, store, std::string(platform::kJournalTopic),
@@ -283,7 +289,7 @@
 // ---- Scheduling rounds ------------------------------------------------------
 
 void owner::schedule_round() {
-  schedule_round_at(std::max(clock_.now(), last_round_ + kMinRoundInterval));
+  schedule_round_at(std::max(clock_.now(), last_round_ + round_interval_));
 }
 
 void owner::schedule_round_at(steady_time when) {
@@ -302,12 +308,36 @@
   last_round_ = clock_.now();
   if (pool_.superseded) return step_down();
   if (is_stalled()) fail_queued_callers(owner_reply::unavailable);
+  pool_.advice_daemons = advice_dispatcher_.available_daemons();
   if (!releasing_) send_orders(pool::decide(&pool_, clock_.now(), wall_now()));
   emit_job_events();
+  emit_load(last_round_);
   schedule_flush();
   schedule_round_at(last_round_ + kMaxRoundInterval);
 }
 
+void owner::emit_load(steady_time now) {
+  longest_round_ = std::max(
+      longest_round_, std::chrono::duration_cast<std::chrono::microseconds>(
+                          clock_.now() - now));
+  if (now - load_emitted_at_ < kLoadEventInterval) return;
+  load_emitted_at_ = now;
+  const pool::load_summary& load = pool_.load;
+  events::emit(
+      events::id::pool_load, "decide", "",
+      "epoch={} workers={} available={} free={} reserved_workers={} "
+      "reserved_free={} waiting={} advice={} advice_requests={} in_time={} "
+      "late={} no_value={} round_ms={:.1f}",
+      epoch_, pool_.workers.size(), load.available_workers, load.free_cpu_milli,
+      load.reserved_workers, load.reserved_free_cpu_milli,
+      load.waiting_cpu_milli, load.waiting_for_advice_milli,
+      pool_.pending_advice_requests, load.waiting_in_time, load.waiting_late,
+      load.waiting_without_value,
+      std::chrono::duration<double, std::milli>(
+          std::exchange(longest_round_, {}))
+          .count());
+}
+
 void owner::record_latency(const pool::job_event& event) {
   std::unordered_map<std::string, pool::job>::const_iterator job =
       pool_.jobs.find(event.job);
@@ -457,13 +487,22 @@
   // The owner's own records are retried without limit; callers don't wait.
   bool has_callers = !callers.empty();
   steady_time retry_until = clock_.now() + kRetryPeriod;
+  std::size_t count = records.size();
   journal_->write(
       std::move(records),
       [this, has_callers, retry_until] {
         return !has_callers || clock_.now() < retry_until;
       },
       [self = shared_from_this(), batch = std::move(batch),
-       callers = std::move(callers), releases](write_outcome outcome) mutable {
+       callers = std::move(callers), releases,
+       count](write_outcome outcome) mutable {
+        if (outcome == write_outcome::written && !self->stopped_) {
+          std::uint64_t first = self->journal_->last_offset();
+          self->on_appended_(first, first + count);
+          for (const jobs::record& each : batch.records) {
+            self->on_record_(each);
+          }
+        }
         self->reply_to_callers(callers, outcome);
         if (outcome != write_outcome::abandoned) {
           return self->on_written(batch, outcome, releases);
@@ -531,7 +570,6 @@
        pool::observe_batch_written(&pool_, batch, clock_.now())) {
     send_start(each);
   }
-  for (const jobs::record& each : batch.job_ends) on_record_(each);
   for (const std::pair<std::string, std::uint64_t>& each :
        batch.ends_to_acknowledge) {
     std::unordered_map<std::string, std::shared_ptr<worker_link>>::iterator
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -45,13 +45,15 @@
  public:
   // `epoch` is the claim's epoch and serves as the fencing token.
   // `on_superseded` is called at most once, asynchronously, when another owner
-  // is known to exist. `on_record` is called for each written record of a
-  // caller and each written end of a job.
+  // is known to exist. `on_record` is called for each written record, and
+  // `on_appended` with the offsets of a written append: the first, and one
+  // after the last.
   owner(boost::asio::io_context& context, store_client& store,
         const clock::clock& clock, const node_settings& settings,
         measurements& measurements, std::uint64_t epoch,
         std::function<void()> on_superseded,
-        std::function<void(const jobs::record&)> on_record);
+        std::function<void(const jobs::record&)> on_record,
+        std::function<void(std::uint64_t, std::uint64_t)> on_appended);
 
   // Loads the jobs of the journal and starts scheduling.
   void start(const jobs::table& table, const pool::manifest& manifest);
@@ -93,6 +95,8 @@
   void schedule_round();
   void schedule_round_at(steady_time when);
   void run_round();
+  // Logs the load of the pool once a second.
+  void emit_load(steady_time now);
   void record_latency(const pool::job_event& event);
   void emit_job_events();
   void send_orders(const pool::decisions& orders);
@@ -126,6 +130,7 @@
   std::uint64_t epoch_;
   std::function<void()> on_superseded_;
   std::function<void(const jobs::record&)> on_record_;
+  std::function<void(std::uint64_t, std::uint64_t)> on_appended_;
   std::vector<caller_write> caller_writes_;  // For the next append.
   pool::pool_state pool_;
   std::shared_ptr<appender> journal_;
@@ -142,6 +147,10 @@
   bool releasing_ = false;
   std::function<void()> on_released_;
   steady_time last_round_;
+  std::chrono::microseconds round_interval_{0};  // Minimum, by the last round.
+  steady_time load_emitted_at_;
+  // Longest time of a round since the load was last logged.
+  std::chrono::microseconds longest_round_{0};
   steady_time next_round_ = steady_time::max();
   steady_time last_flush_;
   steady_time last_write_;  // Last append of this owner that succeeded.
--- a/src/poold/topic_follower.cpp
+++ b/src/poold/topic_follower.cpp
@@ -93,6 +93,18 @@
       });
 }
 
+void topic_follower::skip(std::uint64_t from, std::uint64_t to) {
+  if (!loaded_) return;
+  skipped_.emplace_back(from, to);
+  if (next_ == from) next_ = to;
+}
+
+bool topic_follower::is_skipped(std::uint64_t offset) const {
+  return std::any_of(skipped_.begin(), skipped_.end(), [&](const auto& each) {
+    return each.first <= offset && offset < each.second;
+  });
+}
+
 void topic_follower::read() {
   if (stopped_) return;
   steady_time sent = clock_.now();
@@ -107,7 +119,14 @@
         }
         record_success(self->backoff_);
         if (reply->trimmed) return self->load();
-        self->next_ = reply->next;
+        std::erase_if(reply->records, [&](const jobs::record& each) {
+          return self->is_skipped(each.offset);
+        });
+        // Records may have been skipped while the read was in flight.
+        self->next_ = std::max(self->next_, reply->next);
+        std::erase_if(self->skipped_, [&](const auto& each) {
+          return each.second <= self->next_;
+        });
         if (reply->next >= reply->end) self->current_as_of_ = sent;
         self->handlers_.on_records(reply->records);
         if (self->stopped_) return;
--- a/src/poold/topic_follower.h
+++ b/src/poold/topic_follower.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "http/backoff.h"
@@ -44,6 +45,10 @@
   // Ends the delay before the next read. No effect while a read is in flight.
   void read_now();
 
+  // Drops the records from offset `from` up to `to` when they are read, and
+  // avoids reading them. For records that this daemon wrote and has applied.
+  void skip(std::uint64_t from, std::uint64_t to);
+
   bool loaded() const { return loaded_; }
   std::uint64_t next() const { return next_; }
   // Send time of the last read that reached the end of the topic.
@@ -54,6 +59,7 @@
   void load();
   void load_page(const std::string& after);
   void read();
+  bool is_skipped(std::uint64_t offset) const;
   void schedule(milliseconds delay, void (topic_follower::*step)());
 
   store_client& store_;
@@ -65,6 +71,8 @@
   milliseconds load_timeout_{0};     // For the next page.
   std::uint64_t first_page_end_ = 0;
   std::uint64_t next_ = 0;
+  // Offsets to skip that may still be read: first, and one after the last.
+  std::vector<std::pair<std::uint64_t, std::uint64_t>> skipped_;
   bool loaded_ = false;
   bool stopped_ = false;
   bool scheduled_ = false;
