--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -200,6 +200,21 @@
   return true;
 }
 
+// How many of the first workers hold a gang of so many tasks once they are
+// idle; 0 if all of them don't suffice.
+std::size_t count_if_idle(const std::vector<collectable_worker>& workers,
+                          const candidate_step& candidate,
+                          std::uint32_t tasks) {
+  resources need =
+      resources_needed(definition(*candidate.job, *candidate.step));
+  std::uint32_t slots = 0;
+  for (std::size_t i = 0; i < workers.size(); ++i) {
+    slots += count_slots(workers[i].worker->entry.capacity, need, tasks);
+    if (slots >= tasks) return i + 1;
+  }
+  return 0;
+}
+
 // Reserves workers for a gang that waits for capacity or for new tickets, so
 // that smaller steps don't use all capacity that becomes free. Load pattern:
 // gangs wait while nearly half of the pool is free, a few cores on each worker.
@@ -212,8 +227,11 @@
   if (!first && round->reserved.size() >= limit) return;
   std::vector<collectable_worker> workers =
       collectable_workers(*round, candidate);
-  std::size_t needed = count_to_collect(
-      workers, static_cast<std::uint32_t>(candidate.step->tasks.size()));
+  std::uint32_t count =
+      static_cast<std::uint32_t>(candidate.step->tasks.size());
+  std::size_t needed = count_to_collect(workers, count);
+  // A gang that needs most of the pool would never start otherwise.
+  if (needed == 0 && first) needed = count_if_idle(workers, candidate, count);
   if (!first && round->reserved.size() + needed > limit) return;
   for (std::size_t i = 0; i < needed; ++i) {
     round->reserved.insert(workers[i].worker);
--- a/src/pool/load_test.cpp
+++ b/src/pool/load_test.cpp
@@ -132,6 +132,18 @@
   }
 }
 
+// Small steps would otherwise take every core that becomes free.
+TEST_CASE("a gang that needs the whole pool holds it") {
+  loaded_pool pool(4);
+  pool.policy.needs_advice = false;
+  set_queues(&pool.state, {{kQueue, pool.policy}});
+  pool.fill(4, 4000);
+  pool.submit_gang("00000000000000aa", 4, 16000);
+  pool.submit_to(kSmallQueue, "00000000000000ab", test_pool::step(4, 3000));
+  CHECK(pool.round().empty());
+  CHECK(pool.held().size() == 4);
+}
+
 // Tickets that are renewed before there is room expire unused, and the requests
 // delay those of other steps.
 TEST_CASE("a gang renews tickets only once it fits on granted workers") {
--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -235,6 +235,26 @@
         R"({"state":"complete"})");
 }
 
+// Guards against an owner that lags behind its own records: at 1,100 workers it
+// read back what it had written 16 s late and counted started jobs as waiting.
+TEST_CASE("the owner knows its own records without reading the journal") {
+  cell cell;
+  cell.ledger.add_job(kJob, submission(), 2);
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.add_worker("w1");
+  cell.add_node("n1");
+  REQUIRE(cell.wait_until([&] { return cell.nodes[0]->owns_pool(); }));
+  cell.store.block_reads("keyed.journal");
+  // The second step fits no worker, so that the job stays open.
+  std::string body =
+      R"({"spec":"s","steps":[{"count":2,"cpu":100,"memMb":1,"estMs":100},)"
+      R"({"count":1,"cpu":1000000,"memMb":1,"estMs":100,"dependsOn":[0]}]})";
+  std::string path = "/q/" + std::string(kJob);
+  REQUIRE(cell.call(0, http::verb::post, path, body).first == 200);
+  CHECK(cell.reaches_state(0, "running"));
+  CHECK(cell.call(0, http::verb::get, "/q/").second == R"({"notStarted":0})");
+}
+
 // Guards against a pool that stays without an owner: after the owner stopped
 // while the store was slow, for 3.5 s every claim lost the race for the end of
 // the journal against the appends of daemons that wrote for their callers.
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -311,15 +311,22 @@
   pool_.advice_daemons = advice_dispatcher_.available_daemons();
   if (!releasing_) send_orders(pool::decide(&pool_, clock_.now(), wall_now()));
   emit_job_events();
+  measure_round(last_round_);
   emit_load(last_round_);
   schedule_flush();
   schedule_round_at(last_round_ + kMaxRoundInterval);
 }
 
+void owner::measure_round(steady_time begun) {
+  std::chrono::microseconds taken =
+      std::chrono::duration_cast<std::chrono::microseconds>(clock_.now() -
+                                                            begun);
+  longest_round_ = std::max(longest_round_, taken);
+  round_interval_ = std::clamp<std::chrono::microseconds>(
+      taken * kRoundIntervalFactor, kMinRoundInterval, kMaxRoundInterval);
+}
+
 void owner::emit_load(steady_time now) {
-  longest_round_ = std::max(
-      longest_round_, std::chrono::duration_cast<std::chrono::microseconds>(
-                          clock_.now() - now));
   if (now - load_emitted_at_ < kLoadEventInterval) return;
   load_emitted_at_ = now;
   const pool::load_summary& load = pool_.load;
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -95,6 +96,8 @@
   void schedule_round();
   void schedule_round_at(steady_time when);
   void run_round();
+  // Limits the rate of rounds by the time of the last one.
+  void measure_round(steady_time begun);
   // Logs the load of the pool once a second.
   void emit_load(steady_time now);
   void record_latency(const pool::job_event& event);
