Tell what a queue length is based on, and which starts are unconfirmed

Added, without a change of decisions:

- queue_length_told: the number, its source and the age of that;
- topic_read_failed: each failed read, how long it waited, how far the follower is behind;
- pool_load: unconfirmed_starts, unconfirmed_jobs, oldest_unconfirmed_ms;
- manifest_in_force: the size in bytes;
- gauges ebonygrade_pool_journal_age_ms and ebonygrade_pool_unconfirmed_starts.

events_test, pool_test and poold_test pass.

--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -47,6 +47,7 @@
   job_refused = 812,
   job_cancelled = 813,
   job_ended = 814,
+  queue_length_told = 815,
   task_placed = 821,
   task_ended = 822,
   start_refused = 823,
@@ -56,6 +57,7 @@
   pool_load = 827,
   manifest_in_force = 831,
   journal_loaded = 832,
+  topic_read_failed = 833,
 };
 
 struct definition {
@@ -146,6 +148,8 @@
                "A caller's cancellation is in the journal.", "none"},
     definition{id::job_ended, "job_ended", level::info,
                "The job reached its final state.", "none"},
+    definition{id::queue_length_told, "queue_length_told", level::info,
+               "A caller was told how many jobs of a queue wait.", "none"},
     definition{id::task_placed, "task_placed", level::info,
                "The owner chose a worker for a run of a task.", "worker"},
     definition{id::task_ended, "task_ended", level::info,
@@ -169,6 +173,8 @@
                "none"},
     definition{id::journal_loaded, "journal_loaded", level::info,
                "The newest record of every key was read.", "topic"},
+    definition{id::topic_read_failed, "topic_read_failed", level::info,
+               "A read of a topic got no reply and is repeated.", "topic"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -92,6 +92,7 @@
   placed.run = run;
   placed.need = resources_needed(definition(*candidate.job, *candidate.step));
   placed.phase_since = round.now;
+  placed.placed_at = round.now;
   placed.last_progress = round.now;
   placed.ticket = std::string(at->ticket);
   at->free = at->free - placed.need;
@@ -298,6 +299,30 @@
 
 }  // namespace
 
+unconfirmed_starts count_unconfirmed_starts(const pool_state& pool,
+                                            steady_time now) {
+  unconfirmed_starts found;
+  std::unordered_map<std::string_view, bool> confirmed;  // By job.
+  for (const std::pair<const std::string, worker>& each : pool.workers) {
+    for (const placement& placed : each.second.placements) {
+      bool unconfirmed =
+          placed.phase == phase::recording || placed.phase == phase::sent;
+      confirmed[placed.task.job] |= !unconfirmed;
+      if (!unconfirmed) continue;
+      ++found.runs;
+      found.oldest = std::max(
+          found.oldest,
+          std::chrono::duration_cast<milliseconds>(now - placed.placed_at));
+    }
+  }
+  found.jobs = static_cast<std::size_t>(
+      std::count_if(confirmed.begin(), confirmed.end(),
+                    [](const std::pair<const std::string_view, bool>& each) {
+                      return !each.second;
+                    }));
+  return found;
+}
+
 decisions decide(pool_state* pool, steady_time now, unix_time wall) {
   decisions out;
   start_occurrences(pool, wall);
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -74,6 +74,7 @@
   resources need;
   pool::phase phase = pool::phase::recording;
   steady_time phase_since;  // Or max(), while a start has no outcome.
+  steady_time placed_at;
   std::uint32_t starts_sent = 0;
   std::string ticket;
   std::uint32_t percent = 0;
@@ -221,6 +222,13 @@
   std::uint64_t refused_starts = 0;
 };
 
+// Runs that were placed and that no worker has confirmed.
+struct unconfirmed_starts {
+  std::size_t runs = 0;
+  std::size_t jobs = 0;  // Of them, those without any confirmed run.
+  milliseconds oldest{0};
+};
+
 // Load of the pool as the last scheduling round left it.
 struct load_summary {
   std::size_t available_workers = 0;  // May get starts.
@@ -311,6 +319,9 @@
 
 decisions decide(pool_state* pool, steady_time now, unix_time wall);
 
+unconfirmed_starts count_unconfirmed_starts(const pool_state& pool,
+                                            steady_time now);
+
 // Changes that must be in the journal before orders that depend on them are
 // sent.
 struct journal_batch {
--- a/src/poold/job_api.cpp
+++ b/src/poold/job_api.cpp
@@ -137,12 +137,21 @@
 
 void job_api::read_queue(const std::string& queue,
                          const http::responder& respond) {
-  std::optional<std::int64_t> count = has_journal()
-                                          ? jobs::not_started(table_, queue)
-                                          : owner_.not_started(queue);
-  if (!count) return respond(retry_later("no recent report of the owner"));
-  respond(http::json_response(http::status::ok,
-                              platform::encode_not_started(*count)));
+  std::optional<queue_length> length;
+  if (has_journal()) {
+    length = {jobs::not_started(table_, queue),
+              std::chrono::duration_cast<milliseconds>(
+                  clock_.now() - journal_->current_as_of())};
+  } else {
+    length = owner_.not_started(queue);
+  }
+  if (!length) return respond(retry_later("no recent report of the owner"));
+  events::emit(events::id::queue_length_told, "read queue", "",
+               "queue={} not_started={} source={} age_ms={}", queue,
+               length->not_started, has_journal() ? "copy" : "owner",
+               length->age.count());
+  respond(http::json_response(
+      http::status::ok, platform::encode_not_started(length->not_started)));
 }
 
 void job_api::submit(const job_request& request, const pool::queue_route& route,
--- a/src/poold/job_api.h
+++ b/src/poold/job_api.h
@@ -46,10 +46,16 @@
     std::function<void(const wire::job_query& query, milliseconds timeout,
                        std::function<void(forward_result)> handler)>;
 
-// Number of jobs of a queue that wait for their first start, as the owner last
-// reported it; empty if the report is too old.
+// Number of jobs of a queue that wait for their first start.
+struct queue_length {
+  std::int64_t not_started = 0;
+  milliseconds age{0};  // Of the state that was counted.
+};
+
+// The length of a queue as the owner last reported it; empty if the report is
+// too old.
 using queue_reader =
-    std::function<std::optional<std::int64_t>(const std::string& queue)>;
+    std::function<std::optional<queue_length>(const std::string& queue)>;
 
 // What the API needs from the pool's owner.
 struct owner_calls {
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -200,8 +200,8 @@
     if (manifest_ && decoded->version <= manifest_->version) continue;
     manifest_ = std::make_shared<pool::manifest>(std::move(*decoded));
     events::emit(events::id::manifest_in_force, "read manifest", "",
-                 "version={} routes={} offset={}", manifest_->version,
-                 manifest_->routes.size(), each.offset);
+                 "version={} routes={} bytes={} offset={}", manifest_->version,
+                 manifest_->routes.size(), each.value.size(), each.offset);
     job_api_->set_manifest(manifest_);
     if (owner_) owner_->on_manifest(*manifest_);
   }
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -71,7 +71,7 @@
   void write_directory(std::uint64_t epoch);
   void on_owner_status(const wire::owner_status& status, bool confirmed,
                        steady_time asked);
-  std::optional<std::int64_t> reported_not_started(
+  std::optional<queue_length> reported_not_started(
       const std::string& queue) const;
   void apply_record(const jobs::record& record);
   // Requests a journal write from the owner, which may be this daemon.
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -319,6 +319,14 @@
   append_value(&text, "ebonygrade_pool_jobs_known", "gauge",
                "Jobs in this daemon's copy of the journal.",
                table_.jobs.size());
+  if (has_journal()) {
+    append_value(
+        &text, "ebonygrade_pool_journal_age_ms", "gauge",
+        "Age of this daemon's copy of the journal, in milliseconds.",
+        static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
+                                       clock_.now() - journal_->current_as_of())
+                                       .count()));
+  }
   append_value(&text, "ebonygrade_pool_unreadable_records_total", "counter",
                "Records of the journal that could not be read.",
                table_.unreadable_records);
@@ -333,6 +341,9 @@
   append_value(text, "ebonygrade_pool_waiting_steps", "gauge",
                "Steps with tasks that wait for a place.",
                state.waiting_steps.size());
+  append_value(text, "ebonygrade_pool_unconfirmed_starts", "gauge",
+               "Runs that were placed and that no worker has confirmed.",
+               pool::count_unconfirmed_starts(state, clock_.now()).runs);
   append_value(text, "ebonygrade_pool_starts_total", "counter",
                "Starts sent to workers, copies included.",
                state.counters.starts);
--- a/src/poold/node_roles.cpp
+++ b/src/poold/node_roles.cpp
@@ -145,13 +145,15 @@
   if (idle && asked - surplus_since_ >= kSurplusPeriod) leave_standby();
 }
 
-std::optional<std::int64_t> node::reported_not_started(
+std::optional<queue_length> node::reported_not_started(
     const std::string& queue) const {
   if (reported_at_ == steady_time()) return std::nullopt;
-  if (clock_.now() - reported_at_ > kMaxReportAge) return std::nullopt;
+  milliseconds age =
+      std::chrono::duration_cast<milliseconds>(clock_.now() - reported_at_);
+  if (age > kMaxReportAge) return std::nullopt;
   std::map<std::string, std::int64_t>::const_iterator found =
       reported_queues_.find(queue);
-  return found == reported_queues_.end() ? 0 : found->second;
+  return queue_length{found == reported_queues_.end() ? 0 : found->second, age};
 }
 
 }  // namespace ebonygrade::poold
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -330,16 +330,20 @@
   if (now - load_emitted_at_ < kLoadEventInterval) return;
   load_emitted_at_ = now;
   const pool::load_summary& load = pool_.load;
+  pool::unconfirmed_starts unconfirmed =
+      pool::count_unconfirmed_starts(pool_, now);
   events::emit(
       events::id::pool_load, "decide", "",
       "epoch={} workers={} available={} free={} reserved_workers={} "
       "reserved_free={} waiting={} advice={} advice_requests={} in_time={} "
-      "late={} no_value={} round_ms={:.1f}",
+      "late={} no_value={} unconfirmed_starts={} unconfirmed_jobs={} "
+      "oldest_unconfirmed_ms={} round_ms={:.1f}",
       epoch_, pool_.workers.size(), load.available_workers, load.free_cpu_milli,
       load.reserved_workers, load.reserved_free_cpu_milli,
       load.waiting_cpu_milli, load.waiting_for_advice_milli,
       pool_.pending_advice_requests, load.waiting_in_time, load.waiting_late,
-      load.waiting_without_value,
+      load.waiting_without_value, unconfirmed.runs, unconfirmed.jobs,
+      unconfirmed.oldest.count(),
       std::chrono::duration<double, std::milli>(
           std::exchange(longest_round_, {}))
           .count());
--- a/src/poold/topic_follower.cpp
+++ b/src/poold/topic_follower.cpp
@@ -66,6 +66,7 @@
        sent](error::result<platform::newest_reply> reply) {
         if (self->stopped_) return;
         if (reply.has_error()) {
+          self->emit_failure("load", sent, reply.error());
           self->load_timeout_ =
               std::min(2 * self->load_timeout_, kMaxLoadTimeout);
           return self->schedule(next_delay(self->backoff_, self->random_),
@@ -105,6 +106,20 @@
   });
 }
 
+void topic_follower::emit_failure(std::string_view step, steady_time sent,
+                                  const error::failure& cause) const {
+  steady_time now = clock_.now();
+  events::emit(
+      events::id::topic_read_failed, step, options_.topic,
+      "next={} failures={} waited_ms={} behind_ms={} cause=\"{}\"", next_,
+      backoff_.failures + 1,
+      std::chrono::duration_cast<milliseconds>(now - sent).count(),
+      loaded_ ? std::chrono::duration_cast<milliseconds>(now - current_as_of_)
+                    .count()
+              : 0,
+      cause.detail);
+}
+
 void topic_follower::read() {
   if (stopped_) return;
   steady_time sent = clock_.now();
@@ -114,6 +129,7 @@
        sent](error::result<platform::read_reply> reply) {
         if (self->stopped_) return;
         if (reply.has_error()) {
+          self->emit_failure("read", sent, reply.error());
           return self->schedule(next_delay(self->backoff_, self->random_),
                                 &topic_follower::read);
         }
--- a/src/poold/topic_follower.h
+++ b/src/poold/topic_follower.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -60,6 +61,8 @@
   void load_page(const std::string& after);
   void read();
   bool is_skipped(std::uint64_t offset) const;
+  void emit_failure(std::string_view step, steady_time sent,
+                    const error::failure& cause) const;
   void schedule(milliseconds delay, void (topic_follower::*step)());
 
   store_client& store_;
