--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -31,6 +31,34 @@
   CHECK(pool.state.workers["w1"].used.cpu_milli == 0);
 }
 
+// Guards against queue lengths that leave out jobs whose starts got no reply or
+// were refused.
+TEST_CASE("a job counts as waiting until a worker has begun one of its tasks",
+          "[!shouldfail]") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(jobs::not_started(pool.table, kQueue) == 1);
+  CHECK(pool.job_state(kJob) == jobs::state::pending);
+  observe_start(&pool.state, starts[0], start_outcome::unhealthy, pool.now);
+  pool.round();
+  CHECK(jobs::not_started(pool.table, kQueue) == 1);
+  pool.advance(milliseconds(1500));
+  pool.report("w1", {});
+  starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  observe_start(&pool.state, starts[0], start_outcome::unknown, pool.now);
+  pool.round();
+  CHECK(jobs::not_started(pool.table, kQueue) == 1);
+  pool.advance(milliseconds(100));
+  pool.report("w1", {{}, 1, {reported_run_of(starts[0])}, {}});
+  pool.round();
+  CHECK(jobs::not_started(pool.table, kQueue) == 0);
+  CHECK(pool.job_state(kJob) == jobs::state::running);
+}
+
 // Guards against counting a failed run twice. This happened when the owner
 // ended after the failure was in the journal and before the worker got the
 // acknowledgement, so that the worker reported the end to the next owner as
