--- a/src/pool/simulated_cell.cpp
+++ b/src/pool/simulated_cell.cpp
@@ -95,7 +95,13 @@
 void simulated_cell::apply(const jobs::record& record) {
   jobs::record numbered = record;
   numbered.offset = offset_++;
-  jobs::apply(&table_, numbered);
+  jobs::change change = jobs::apply(&table_, numbered);
+  if (change.kind != jobs::change_kind::progressed) return;
+  bool started = table_.jobs[change.job].progress.started();
+  if (started && !ledger_.job_started(change.job)) {
+    ledger_.report_violation("recorded as started before any start: " +
+                             change.job);
+  }
 }
 
 void simulated_cell::submit_jobs() {
--- a/src/pool/simulated_worker.cpp
+++ b/src/pool/simulated_worker.cpp
@@ -67,6 +67,7 @@
 void ledger::record_start(const std::string& worker, const task_key& task,
                           std::uint32_t run) {
   ++starts_;
+  started_jobs_.insert(task.job);
   std::set<std::pair<std::string, std::uint32_t>>& alive = alive_[task];
   if (!alive.empty()) {
     report_violation("two active runs: " + name_of(task, run) + " on " +
--- a/src/pool/simulated_worker.h
+++ b/src/pool/simulated_worker.h
@@ -41,6 +41,10 @@
     return found != done_.end() && !found->second.empty();
   }
   bool job_done(const std::string& id) const;
+  // Whether a worker has begun a task of the job.
+  bool job_started(const std::string& id) const {
+    return started_jobs_.count(id) > 0;
+  }
   // Whether all tasks completed and their ends were acknowledged.
   bool job_acknowledged(const std::string& id) const;
   const std::vector<std::string>& violations() const { return violations_; }
@@ -55,6 +59,7 @@
   bool step_done(const std::string& id, std::uint32_t step) const;
 
   std::map<std::string, known_job> jobs_;
+  std::set<std::string> started_jobs_;
   // Active runs of each task, with their workers.
   std::map<task_key, std::set<std::pair<std::string, std::uint32_t>>> alive_;
   std::map<task_key, std::set<std::uint32_t>> done_;  // Completed runs.
