Deliver the outcome of orders whose link was replaced

Cause: when a worker's link is closed after a 421, or replaced, the replies and time-outs of its open starts were dropped. The owner then waits for them for ever: the run is neither repeated nor stopped while the worker answers the polls of its next link, and its task doesn't run.

Orders now end with their outcome on a stopped link as well; the owner ignores them once it has stopped itself.

--- a/src/poold/worker_link.cpp
+++ b/src/poold/worker_link.cpp
@@ -106,7 +106,6 @@
   client_.call("start", platform::encode_start(order, fencing_token_),
                [self = shared_from_this(),
                 handler = std::move(handler)](http::call_result&& result) {
-                 if (self->stopped_) return;
                  if (result.has_error()) {
                    return handler(pool::start_outcome::unknown);
                  }
@@ -119,7 +118,6 @@
   client_.call("stop", platform::encode_stop(order, fencing_token_),
                [self = shared_from_this(),
                 handler = std::move(handler)](http::call_result&& result) {
-                 if (self->stopped_) return;
                  handler(result.has_value() && platform::decode_stop(*result));
                });
 }
--- a/src/poold/worker_link.h
+++ b/src/poold/worker_link.h
@@ -38,6 +38,7 @@
               std::uint64_t fencing_token, handlers handlers);
 
   void start();
+  // Ends the polls. Orders that were sent still get their outcome.
   void stop();
   // Called when reported ends are in the journal. Polls again if the next poll
   // waits for them.
