--- a/src/poold/node_roles.cpp
+++ b/src/poold/node_roles.cpp
@@ -14,8 +14,9 @@
 constexpr milliseconds kJournalWait{400};
 constexpr milliseconds kDirectoryWait{1000};
 constexpr milliseconds kDirectoryReadInterval{100};
-// Longer than a wait and an interval of the directory's reads.
-constexpr milliseconds kMaxStoreSilence{1400};
+// Longer than two waits and an interval of the directory's reads, as its age
+// counts from the sending of a read.
+constexpr milliseconds kMaxDirectoryAge{2400};
 // Callers learn a queue's length with at most this delay.
 constexpr milliseconds kMaxReportAge{2500};
 // A standby that the owner doesn't need keeps its copy for this long, so that
@@ -108,9 +109,10 @@
   if (last.daemon() == settings_.id) {
     return become_standby("this daemon was the owner");
   }
-  // While this daemon doesn't reach the store, it can't tell whether there is
-  // another owner. After an outage the owner confirms itself first.
-  bool reading = now - store_.last_reply() < kMaxStoreSilence;
+  // While this daemon can't read the directory, it can't tell whether there is
+  // another owner, and the journal would add to the load of a full link. After
+  // an outage the owner confirms itself first.
+  bool reading = now - directory_->current_as_of() < kMaxDirectoryAge;
   if (!reading || !owner_unconfirmed_) {
     standby_after_ = {};
     return;
--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -561,6 +561,22 @@
   CHECK(cell.ledger.violations().empty());
 }
 
+// Guards against a full link that stays full: daemons that got no reply from
+// the owner or the directory over it all loaded the journal over it as well.
+TEST_CASE("daemons that can't read the directory don't load the journal") {
+  large_cell cell;
+  REQUIRE(cell.settles());
+  cell.store.block_reads("keyed.owner");
+  for (std::unique_ptr<node>& each : cell.nodes) {
+    if (each->owns_pool()) each.reset();
+  }
+  // Several times the delay after which a daemon without an owner loads it.
+  cell.context.run_for(std::chrono::seconds(7));
+  CHECK(cell.copies() <= large_cell::kCopies);
+  cell.store.block_reads("");
+  CHECK(cell.settles());
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
