--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -486,6 +486,34 @@
   CHECK(pool.state.workers.at("a").speed.samples == 1);
 }
 
+// Replies on different connections may overtake each other, so the reply to a
+// stop can arrive after the first report of the worker's next incarnation.
+TEST_CASE("a stop that an earlier incarnation confirmed frees no task",
+          "[!shouldfail]") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  decisions orders;
+  for (int i = 0; i < 20 && orders.stops.empty(); ++i) {
+    observe_start(&pool.state, starts[0], start_outcome::unknown, pool.now);
+    pool.advance(milliseconds(100));
+    pool.report("w1", {});
+    pool.round(&orders);
+  }
+  REQUIRE(orders.stops.size() == 1);
+  worker_report restarted;
+  restarted.incarnation_ms = 2;
+  pool.advance(milliseconds(100));
+  pool.report("w1", restarted);
+  observe_stop(&pool.state, orders.stops[0], true, pool.now);
+  pool.advance(milliseconds(100));
+  pool.report("w1", restarted);
+  // Copies of the first start may still reach the new incarnation.
+  CHECK(pool.round().empty());
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
