Ignore a stop that an earlier incarnation of the worker confirmed

Cause: a stop order didn't name the incarnation that it was for. If its reply arrived after the first report of the worker's next incarnation, the task was freed and could be placed elsewhere, although copies of its start could still reach the new incarnation, which had confirmed nothing.

--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -86,7 +86,8 @@
                now - placed->stop_sent_at < kStopRetryInterval;
   if (waits) return;
   placed->stop_sent_at = now;
-  out->stops.push_back({worker->entry.id, placed->task, placed->run});
+  out->stops.push_back({worker->entry.id, worker->entry.incarnation_ms,
+                        placed->task, placed->run});
 }
 
 void process_worker_orders(pool_state* pool, worker* worker, decisions* out,
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -517,8 +517,7 @@
 
 // Replies on different connections may overtake each other, so the reply to a
 // stop can arrive after the first report of the worker's next incarnation.
-TEST_CASE("a stop that an earlier incarnation confirmed frees no task",
-          "[!shouldfail]") {
+TEST_CASE("a stop that an earlier incarnation confirmed frees no task") {
   test_pool pool;
   pool.add_worker("w1");
   pool.submit(kJob, {test_pool::step(1, 1000)});
--- a/src/pool/types.h
+++ b/src/pool/types.h
@@ -92,6 +92,7 @@
 
 struct stop_order {
   std::string worker;
+  std::int64_t incarnation_ms = 0;  // Of the worker, when the order was made.
   task_key task;
   std::uint32_t run = 0;
 };
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -493,6 +493,8 @@
                   steady_time now) {
   worker* worker = find_worker(pool, order.worker);
   if (worker == nullptr || !confirmed) return;
+  // An earlier incarnation keeps no start away from the current one.
+  if (order.incarnation_ms != worker->entry.incarnation_ms) return;
   placement* placed = find_placement(worker, order.task, order.run);
   if (placed == nullptr) return;
   placed->stop_confirmed = true;
