Acknowledge an end only to the incarnation that listed it

Cause: a worker counts its ends anew in each incarnation. Had the owner been lost then, a later one would have run a completed task again (TWICE).

--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -90,7 +90,8 @@
   batch.starts = std::exchange(pool->unrecorded_starts, {});
   for (const std::pair<const std::string, worker>& each : pool->workers) {
     if (each.second.last_end > each.second.acked_end) {
-      batch.ends_to_acknowledge.emplace_back(each.first, each.second.last_end);
+      batch.ends_to_acknowledge.push_back(
+          {each.first, each.second.entry.incarnation_ms, each.second.last_end});
     }
   }
   return batch;
--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -142,12 +142,11 @@
                                                const journal_batch& batch,
                                                steady_time now) {
   std::vector<start_order> orders;
-  for (const std::pair<std::string, std::uint64_t>& end :
-       batch.ends_to_acknowledge) {
-    worker* worker = find_worker(pool, end.first);
-    if (worker != nullptr && end.second <= worker->last_end) {
-      worker->acked_end = std::max(worker->acked_end, end.second);
-    }
+  for (const applied_end& end : batch.ends_to_acknowledge) {
+    worker* worker = find_worker(pool, end.worker);
+    if (worker == nullptr) continue;
+    if (worker->entry.incarnation_ms != end.incarnation_ms) continue;
+    worker->acked_end = std::max(worker->acked_end, end.number);
   }
   for (const placement_key& key : batch.starts) {
     worker* worker = find_worker(pool, key.worker);
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -323,12 +323,18 @@
 unconfirmed_starts count_unconfirmed_starts(const pool_state& pool,
                                             steady_time now);
 
+// The highest end that was applied of one incarnation of a worker.
+struct applied_end {
+  std::string worker;
+  std::int64_t incarnation_ms = 0;
+  std::uint64_t number = 0;
+};
+
 // Changes that must be in the journal before orders that depend on them are
 // sent.
 struct journal_batch {
   std::vector<jobs::record> records;
-  // Highest applied end of each worker that has ends to acknowledge.
-  std::vector<std::pair<std::string, std::uint64_t>> ends_to_acknowledge;
+  std::vector<applied_end> ends_to_acknowledge;
   std::vector<placement_key> starts;
 };
 
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -542,6 +542,25 @@
   CHECK(pool.round().empty());
 }
 
+// The numbers of ends count anew in each incarnation.
+TEST_CASE("an end is acknowledged only to the incarnation that listed it") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(2, 1000)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 2);
+  pool.confirm(starts);
+  pool.report("w1",
+              {{}, 1, {}, {reported_end_of(1, starts[0], end_kind::failed)}});
+  journal_batch batch = take_batch(&pool.state, pool.wall);
+  pool.report("w1",
+              {{}, 2, {}, {reported_end_of(1, starts[1], end_kind::done)}});
+  observe_batch_written(&pool.state, batch, pool.now);
+  CHECK(pool.state.workers["w1"].acked_end == 0);
+  pool.round();
+  CHECK(pool.state.workers["w1"].acked_end == 1);
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -581,10 +581,9 @@
        pool::observe_batch_written(&pool_, batch, clock_.now())) {
     send_start(each);
   }
-  for (const std::pair<std::string, std::uint64_t>& each :
-       batch.ends_to_acknowledge) {
+  for (const pool::applied_end& each : batch.ends_to_acknowledge) {
     std::unordered_map<std::string, std::shared_ptr<worker_link>>::iterator
-        link = links_.find(each.first);
+        link = links_.find(each.worker);
     if (link != links_.end()) link->second->on_ends_recorded();
   }
 }
