Add a failing test: a standby tells a queue length of any age

The test accepts the owner's report of 1, and then, without an owner, a 503 with Retry-After; it never accepts the old 0 afterwards.

The stand-in store's block_reads now holds back the reads that wait already, too; one of them brought the job to the standby otherwise.

--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -11,6 +11,7 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -82,13 +83,13 @@
     return condition();
   }
 
-  // Returns the status and body of the reply; status 0 if the call failed.
-  std::pair<unsigned, std::string> call(std::size_t node_index,
-                                        http::verb method,
-                                        const std::string& path,
-                                        const std::string& body = "") {
+  // Returns nothing if the call failed.
+  std::optional<http::response> exchange(std::size_t node_index,
+                                         http::verb method,
+                                         const std::string& path,
+                                         const std::string& body = "") {
     boost::asio::ip::tcp::socket socket(context);
-    std::pair<unsigned, std::string> out{0, ""};
+    std::optional<http::response> out;
     bool done = false;
     http::request request{method, path, http::kHttpVersion11};
     request.body() = body;
@@ -107,7 +108,7 @@
                 boost::beast::http::async_read(
                     socket, buffer, reply,
                     [&](boost::system::error_code got, std::size_t) {
-                      if (!got) out = {reply.result_int(), reply.body()};
+                      if (!got) out = std::move(reply);
                       done = true;
                     });
               });
@@ -116,6 +117,50 @@
     return out;
   }
 
+  // Returns the status and body of the reply; status 0 if the call failed.
+  std::pair<unsigned, std::string> call(std::size_t node_index,
+                                        http::verb method,
+                                        const std::string& path,
+                                        const std::string& body = "") {
+    std::optional<http::response> reply =
+        exchange(node_index, method, path, body);
+    if (!reply) return {0, ""};
+    return {reply->result_int(), reply->body()};
+  }
+
+  // Whether the daemon has loaded a copy of the journal.
+  bool has_copy(std::size_t node_index) {
+    caller_addresses.push_back(peer_addresses.at(node_index));
+    std::string text =
+        call(caller_addresses.size() - 1, http::verb::get, "/metrics").second;
+    caller_addresses.pop_back();
+    return text.find("\nebonygrade_pool_standby 1\n") != std::string::npos;
+  }
+
+  // Adds two daemons that know of no owner, so that both load the journal.
+  bool start_owner_and_standby() {
+    for (const char* id : {"n1", "n2"}) add_node(id);
+    return wait_until([&] {
+      return nodes[0]->owns_pool() != nodes[1]->owns_pool() && has_copy(0) &&
+             has_copy(1);
+    });
+  }
+
+  bool tells_queue_length(std::size_t node_index, int not_started) {
+    return wait_until([&] {
+      return call(node_index, http::verb::get, "/q/").second ==
+             R"({"notStarted":)" + std::to_string(not_started) + "}";
+    });
+  }
+
+  // Whether the daemon refuses to tell the queue's length for now.
+  bool refuses_queue_length(std::size_t node_index) {
+    std::optional<http::response> reply =
+        exchange(node_index, http::verb::get, "/q/");
+    return reply && reply->result() == http::status::service_unavailable &&
+           !(*reply)[boost::beast::http::field::retry_after].empty();
+  }
+
   bool reaches_state(std::size_t node_index, const std::string& state) {
     return wait_until([&] {
       return call(node_index, http::verb::get, "/q/" + std::string(kJob))
@@ -255,6 +300,32 @@
   CHECK(cell.call(0, http::verb::get, "/q/").second == R"({"notStarted":0})");
 }
 
+// Guards against queue lengths that leave out waiting jobs: while the link to
+// the store was full, standbys told what they had last read, however old.
+TEST_CASE("a standby that can't read the journal tells no old queue length",
+          "[!shouldfail]") {
+  cell cell;
+  cell.store.put("keyed.op", "config", kManifest);
+  REQUIRE(cell.start_owner_and_standby());
+  std::size_t owner = cell.nodes[0]->owns_pool() ? 0 : 1;
+  std::size_t standby = 1 - owner;
+  cell.store.block_reads("keyed.journal");
+  // Without a worker the job waits.
+  std::string path = "/q/" + std::string(kJob);
+  REQUIRE(cell.call(owner, http::verb::post, path, kBody).first == 200);
+  // The owner's report brings the length.
+  REQUIRE(cell.tells_queue_length(standby, 1));
+  // Without an owner the report gets old as well.
+  cell.nodes[owner]->drain([] {});
+  bool told_old = false;
+  CHECK(cell.wait_until([&] {
+    told_old |= cell.call(standby, http::verb::get, "/q/").second ==
+                R"({"notStarted":0})";
+    return cell.refuses_queue_length(standby);
+  }));
+  CHECK_FALSE(told_old);
+}
+
 // Guards against a pool that stays without an owner: after the owner stopped
 // while the store was slow, for 3.5 s every claim lost the race for the end of
 // the journal against the appends of daemons that wrote for their callers.
--- a/standin/pool/keyed_store.cpp
+++ b/standin/pool/keyed_store.cpp
@@ -102,6 +102,15 @@
   add(&topics_[topic], {parse_record(raw + key + value)});
 }
 
+void keyed_store::block_reads(const std::string& topic) {
+  blocked_topic_ = topic;
+  for (const std::shared_ptr<waiting_read>& each : waiting_reads_) {
+    if (each->topic != topic || std::exchange(each->answered, true)) continue;
+    each->timer->cancel();
+    blocked_reads_.push_back(std::move(each->answer));
+  }
+}
+
 void keyed_store::compact(const std::string& name) {
   topics_[name].first_offset = topics_[name].records.size();
 }
--- a/standin/pool/keyed_store.h
+++ b/standin/pool/keyed_store.h
@@ -39,8 +39,8 @@
   void set_unavailable(bool unavailable) { unavailable_ = unavailable; }
   void drop_replies(int count) { replies_to_drop_ = count; }
   int replies_to_drop() const { return replies_to_drop_; }
-  // Leaves all later reads of the topic without a reply.
-  void block_reads(const std::string& topic) { blocked_topic_ = topic; }
+  // Leaves all reads of the topic without a reply, those that wait included.
+  void block_reads(const std::string& topic);
   // Appends a record of another writer to the topic just before every append
   // that is conditional on an offset, so that the condition fails.
   void inject_conflicts(const std::string& topic) { conflict_topic_ = topic; }
