Count the age of a loaded copy from its first page

Fix: the time of the first page counts, as does its end of the topic, from which the follower reads on.

--- a/src/poold/topic_follower.cpp
+++ b/src/poold/topic_follower.cpp
@@ -76,7 +76,10 @@
         self->load_timeout_ = kInitialLoadTimeout;
         // Keys of earlier pages may change while later pages load. Reading on
         // from the end as of the first page returns those changes.
-        if (after.empty()) self->first_page_end_ = reply->end;
+        if (after.empty()) {
+          self->first_page_end_ = reply->end;
+          self->first_page_sent_ = sent;
+        }
         for (jobs::record& each : reply->records) {
           self->pages_.push_back(std::move(each));
         }
@@ -85,7 +88,7 @@
         }
         self->next_ = self->first_page_end_;
         self->loaded_ = true;
-        self->current_as_of_ = sent;
+        self->current_as_of_ = self->first_page_sent_;
         std::vector<jobs::record> all = std::exchange(self->pages_, {});
         events::emit(events::id::journal_loaded, "load", self->options_.topic,
                      "records={} next={}", all.size(), self->next_);
--- a/src/poold/topic_follower.h
+++ b/src/poold/topic_follower.h
@@ -54,7 +54,7 @@
   bool loaded() const { return loaded_; }
   std::uint64_t next() const { return next_; }
   // Send time of the last call that showed the end of the topic: a read that
-  // reached it, or an append of this daemon there.
+  // reached it, an append of this daemon there, or the first page of a load.
   steady_time current_as_of() const { return current_as_of_; }
 
  private:
@@ -75,6 +75,7 @@
   std::vector<jobs::record> pages_;  // While loading.
   milliseconds load_timeout_{0};     // For the next page.
   std::uint64_t first_page_end_ = 0;
+  steady_time first_page_sent_;
   std::uint64_t next_ = 0;
   // Offsets to skip that may still be read: first, and one after the last.
   std::vector<std::pair<std::uint64_t, std::uint64_t>> skipped_;
