Ignore a confirmed start of an earlier incarnation of the worker

Cause: the reply "running" to a repeated start was taken for the worker's current incarnation. If the worker had restarted under its id in between, its next report didn't list the run, the task was freed and placed elsewhere, while another copy of the start could still reach the new incarnation (TWICE).

The order already names its incarnation; the reply now counts only for that one, and the run is stopped and confirmed as gone like any other start of unknown outcome.

--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -542,6 +542,28 @@
   CHECK(pool.round().empty());
 }
 
+TEST_CASE("a start that an earlier incarnation confirmed frees no task") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  observe_start(&pool.state, starts[0], start_outcome::unknown, pool.now);
+  pool.advance(milliseconds(100));
+  decisions orders;
+  pool.round(&orders);
+  REQUIRE(orders.repeated_starts.size() == 1);
+  worker_report restarted;
+  restarted.incarnation_ms = 2;
+  pool.report("w1", restarted);
+  observe_start(&pool.state, orders.repeated_starts[0], start_outcome::running,
+                pool.now);
+  pool.advance(milliseconds(100));
+  pool.report("w1", restarted);
+  // The other copy of the start may still reach the new incarnation.
+  CHECK(pool.round().empty());
+}
+
 // The numbers of ends count anew in each incarnation.
 TEST_CASE("an end is acknowledged only to the incarnation that listed it") {
   test_pool pool;
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -445,10 +445,12 @@
   bool sent_once = placed->starts_sent == 1;
   switch (outcome) {
     case start_outcome::running:
+      mark_started(pool, order.task.job);
+      // Another copy of the start may still reach the current incarnation.
+      if (order.incarnation_ms != worker->entry.incarnation_ms) return;
       placed->phase = phase::running;
       placed->phase_since = now;
       placed->last_progress = now;
-      mark_started(pool, order.task.job);
       return;
     case start_outcome::fenced:
       pool->superseded = true;
