--- a/standin/pool/keyed_store.cpp
+++ b/standin/pool/keyed_store.cpp
@@ -232,7 +232,8 @@
 }
 
 http::response keyed_store::make_read_reply(const topic& from,
-                                            std::uint64_t offset) const {
+                                            std::uint64_t offset) {
+  if (offset < from.records.size()) ++reads_with_records_;
   std::string body;
   append_u64(&body, from.records.size());
   append_u64(&body, from.first_offset);
--- a/standin/pool/keyed_store.h
+++ b/standin/pool/keyed_store.h
@@ -47,6 +47,8 @@
   void compact(const std::string& topic);
   const std::vector<stored_record>& records(const std::string& topic);
   std::uint64_t appends() const { return appends_; }
+  // Replies to reads that held at least one record.
+  std::uint64_t reads_with_records() const { return reads_with_records_; }
   // Names of the producers that appended or tried to.
   std::set<std::string> producers(const std::string& topic) const;
 
@@ -78,7 +80,7 @@
                                 const std::vector<stored_record>& records);
   http::response newest(const http::target_parts& target);
   void read(const http::target_parts& target, http::responder answer);
-  http::response make_read_reply(const topic& from, std::uint64_t offset) const;
+  http::response make_read_reply(const topic& from, std::uint64_t offset);
   void add(topic* into, const std::vector<stored_record>& records);
   void answer_waiting_reads();
 
@@ -93,6 +95,7 @@
   std::string conflict_topic_;
   std::vector<http::responder> blocked_reads_;
   std::uint64_t appends_ = 0;
+  std::uint64_t reads_with_records_ = 0;
 };
 
 }  // namespace ebonygrade::standin
