Let a read of the store finish while its reply makes progress

Cause: a read of the log had a fixed limit of its wait and 700 ms. A reply has one whole record at least, so a record that needs longer over its link is broken off and transferred again from its first byte, by every daemon, without end. Loading pages had the same fault, eased by doubled limits; relayed reads had a limit of 2 s.

- A call may have a stall timeout beside its timeout.
It ends without progress as early as before, and goes on while bytes of the reply arrive.
Other calls take the code path that they took before.
- Reads and pages use it.
The limits without progress are the former limits; the total is 15 s, doubled with each failure up to 60 s, so that the retry of a record too large for it doesn't repeat the same failure for ever.
- A relay passes a reply on as a whole, so the daemon that asked would see no bytes.
The relay sends interim replies (102) while its own read makes progress, and breaks that read off once the other daemon has gone.
A header asks for this; reads of daemons without it are relayed as before.

The larger limits of the total aren't tested: they would take 15 s and more.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -194,11 +194,27 @@
 
 client::~client() { implementation_->detach(); }
 
+void client::call(std::string_view step, request&& request,
+                  call_options options, handler handler) {
+  clock::steady_time now = std::chrono::steady_clock::now();
+  pending_call made;
+  made.step = step;
+  made.message = std::move(request);
+  made.last_deadline = now + options.timeout;
+  made.deadline =
+      now + std::min(options.timeout,
+                     options.stall_timeout.value_or(options.timeout));
+  made.stall_timeout = options.stall_timeout;
+  made.on_progress = std::move(options.on_progress);
+  made.handler = std::move(handler);
+  implementation_->call(std::move(made));
+}
+
 void client::call(std::string_view step, request&& request,
                   milliseconds timeout, handler handler) {
-  implementation_->call({std::string(step), std::move(request),
-                         std::chrono::steady_clock::now() + timeout,
-                         std::move(handler)});
+  call_options options;
+  options.timeout = timeout;
+  call(step, std::move(request), std::move(options), std::move(handler));
 }
 
 void client::call(std::string_view step, request&& request, handler handler) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -37,6 +38,20 @@
   std::size_t max_body_bytes = 64 << 20;
 };
 
+struct call_options {
+  // For the whole call, with the wait for a connection and connecting.
+  milliseconds timeout{2000};
+  // If set, the call also fails when no byte of the reply has arrived for this
+  // long. `timeout` may then allow for a large reply over a slow link, while a
+  // dead connection is still detected soon. Interim replies (status 1xx) count
+  // as bytes of the reply and are dropped.
+  std::optional<milliseconds> stall_timeout;
+  // Called when bytes of the reply arrive, except the last; returns whether the
+  // call is still wanted, otherwise it fails. Must not destroy the client.
+  // Requires a stall timeout.
+  std::function<bool()> on_progress;
+};
+
 struct call_failure {
   error::failure cause;
   bool maybe_sent = false;  // The peer may have processed the request.
@@ -70,9 +85,11 @@
   // calls that an earlier close() made fail still are.
   ~client();
 
-  // `step` names the call in failures. The timeout starts now and includes the
-  // wait for a connection and connecting. The handler is never called from
-  // within call().
+  // `step` names the call in failures. The timeouts start now. The handler is
+  // never called from within call().
+  void call(std::string_view step, request&& request, call_options options,
+            handler handler);
+  // The same without a stall timeout.
   void call(std::string_view step, request&& request, milliseconds timeout,
             handler handler);
   // The same with the call timeout of the options.
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -28,6 +29,7 @@
   call_ = std::move(call);
   ++traffic_->calls;
   send_started_ = false;
+  reply_started_ = false;
   deadline_.set(call_->deadline);
   if (transport_) {
     send();
@@ -73,19 +75,50 @@
   transport_->parser.emplace();
   transport_->parser->header_limit(options_.max_header_bytes);
   transport_->parser->body_limit(options_.max_body_bytes);
-  beast_http::async_read(
-      transport_->socket, transport_->buffer, *transport_->parser,
-      [self = shared_from_this(), current = transport_](
-          beast::error_code failed, std::size_t bytes) {
-        if (current != self->transport_) return;
-        self->traffic_->bytes_received += bytes;
-        if (!failed) return self->on_reply();
-        bool lost = failed == beast_http::error::end_of_stream ||
-                    failed == beast_http::error::partial_message ||
-                    failed.category() == asio::error::get_system_category();
-        self->fail(lost ? error::code::connection_lost : error::code::bad_reply,
-                   failed.message());
-      });
+  if (call_->stall_timeout) return receive_some();
+  beast_http::async_read(transport_->socket, transport_->buffer,
+                         *transport_->parser,
+                         [self = shared_from_this(), current = transport_](
+                             beast::error_code failed, std::size_t bytes) {
+                           if (current != self->transport_) return;
+                           self->on_received(failed, bytes);
+                         });
+}
+
+void connection::receive_some() {
+  beast_http::async_read_some(transport_->socket, transport_->buffer,
+                              *transport_->parser,
+                              [self = shared_from_this(), current = transport_](
+                                  beast::error_code failed, std::size_t bytes) {
+                                if (current != self->transport_) return;
+                                self->on_received(failed, bytes);
+                              });
+}
+
+void connection::on_received(beast::error_code failed, std::size_t bytes) {
+  traffic_->bytes_received += bytes;
+  if (failed) {
+    bool lost = failed == beast_http::error::end_of_stream ||
+                failed == beast_http::error::partial_message ||
+                failed.category() == asio::error::get_system_category();
+    return fail(lost ? error::code::connection_lost : error::code::bad_reply,
+                failed.message());
+  }
+  if (!call_->stall_timeout) return on_reply();
+  bool interim =
+      beast_http::to_status_class(transport_->parser->get().result()) ==
+      beast_http::status_class::informational;
+  if (transport_->parser->is_done() && !interim) return on_reply();
+  reply_started_ = true;
+  call_->deadline =
+      std::min(std::chrono::steady_clock::now() + *call_->stall_timeout,
+               call_->last_deadline);
+  deadline_.set(call_->deadline);
+  if (call_->on_progress && !call_->on_progress()) {
+    return fail(error::code::unavailable, "reply not wanted any more");
+  }
+  if (interim) return receive();
+  receive_some();
 }
 
 void connection::on_reply() {
@@ -119,7 +152,9 @@
 void connection::on_deadline() {
   if (!call_) return disconnect();
   bool connected = transport_ && transport_->connected;
-  fail(error::code::timeout, connected ? "no reply" : "no connection");
+  std::string_view detail = connected ? "no reply" : "no connection";
+  if (reply_started_) detail = "incomplete reply";
+  fail(error::code::timeout, detail);
 }
 
 void connection::fail(error::code code, std::string_view detail) {
--- a/src/http/connection_pvt.h
+++ b/src/http/connection_pvt.h
@@ -18,7 +18,10 @@
 struct pending_call {
   std::string step;
   request message;
-  clock::steady_time deadline;
+  clock::steady_time deadline;       // Moves while the reply makes progress.
+  clock::steady_time last_deadline;  // Limit of `deadline`.
+  std::optional<milliseconds> stall_timeout;
+  std::function<bool()> on_progress;
   client::handler handler;
 };
 
@@ -58,6 +61,9 @@
   void connect();
   void send();
   void receive();
+  // Reads the reply piece by piece, for a call with a stall timeout.
+  void receive_some();
+  void on_received(boost::system::error_code failed, std::size_t bytes);
   void on_reply();
   void watch_idle();
   void on_deadline();
@@ -74,7 +80,9 @@
   std::function<void()> on_free_;
   deadline deadline_;
   std::optional<pending_call> call_;
-  bool send_started_ = false;  // For the current call.
+  // For the current call.
+  bool send_started_ = false;
+  bool reply_started_ = false;
 };
 
 }  // namespace ebonygrade::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -49,6 +49,10 @@
   pending_->connection->send_reply(std::move(reply));
 }
 
+void responder::send_processing() const {
+  if (!pending_->replied) pending_->connection->send_processing();
+}
+
 void responder::drop() const {
   if (std::exchange(pending_->replied, true)) return;
   pending_->connection->close();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -50,6 +50,9 @@
  public:
   explicit responder(std::shared_ptr<session> session);
   void operator()(response&& reply) const;
+  // Sends the interim reply 102, so that a client with a stall timeout goes on
+  // waiting. No effect after the reply or while an interim reply is being sent.
+  void send_processing() const;
   // Closes the connection without a reply.
   void drop() const;
   // Whether the client has closed the connection, so that a reply would be
--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -172,10 +172,30 @@
   bool keep_alive = keep_alive_ && !context_->stopping;
   // Posted, because the handler may still be running.
   asio::post(socket_.get_executor(), [self = shared_from_this(), keep_alive] {
-    if (!self->ended_) self->write(keep_alive);
+    if (self->ended_) return;
+    if (!self->sending_interim_) return self->write(keep_alive);
+    self->keep_alive_ = keep_alive;
+    self->reply_waits_ = true;
   });
 }
 
+void session::send_processing() {
+  static constexpr std::string_view kProcessing =
+      "HTTP/1.1 102 Processing\r\n\r\n";
+  if (!handling_ || ended_ || sending_interim_) return;
+  sending_interim_ = true;
+  asio::async_write(
+      socket_, asio::buffer(kProcessing),
+      [self = shared_from_this()](beast::error_code failed, std::size_t) {
+        self->sending_interim_ = false;
+        if (self->ended_) return;
+        if (failed) return self->end();
+        if (std::exchange(self->reply_waits_, false)) {
+          self->write(self->keep_alive_);
+        }
+      });
+}
+
 void session::refuse(beast::error_code cause) {
   reading_ = false;
   bool disconnected = cause == beast_http::error::end_of_stream ||
--- a/src/http/session_pvt.h
+++ b/src/http/session_pvt.h
@@ -38,6 +38,8 @@
 
   // Sends the reply to the current request.
   void send_reply(response&& reply);
+  // Sends the interim reply 102 for the current request.
+  void send_processing();
   bool client_disconnected() const { return client_disconnected_; }
   std::uint64_t number() const { return number_; }
 
@@ -72,6 +74,8 @@
   bool handling_ = false;  // The handler has not replied yet.
   bool client_disconnected_ = false;
   bool keep_alive_ = false;
+  bool sending_interim_ = false;
+  bool reply_waits_ = false;  // Until the interim reply has been sent.
   bool ended_ = false;
 };
 
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -15,6 +15,9 @@
 // Limits how long a caller's state query waits for the owner.
 constexpr milliseconds kEndQueryTimeout{250};
 constexpr std::size_t kOwnerConnections = 6;
+// Between interim replies to a relayed read; below the time without progress
+// after which its sender gives up.
+constexpr milliseconds kInterimInterval{200};
 
 }  // namespace
 
@@ -83,16 +86,29 @@
     message.body() = std::move(request.body());
     message.prepare_payload();
   }
-  store_.relay(std::move(message), [respond](http::call_result&& result) {
-    if (result.has_error()) {
-      // The store may have received the call.
-      return respond(http::error_response(http::status::bad_gateway,
-                                          to_string(result.error().cause)));
-    }
-    http::response reply = std::move(*result);
-    respond(http::text_response(reply.result(), "application/octet-stream",
-                                std::move(reply.body())));
-  });
+  std::function<bool()> on_progress;
+  if (request.find(kAcceptsInterimHeader) != request.end()) {
+    on_progress = [this, respond, last = clock_.now()]() mutable {
+      steady_time now = clock_.now();
+      if (now - last >= kInterimInterval) {
+        last = now;
+        respond.send_processing();
+      }
+      return !respond.abandoned();
+    };
+  }
+  store_.relay(
+      std::move(message), std::move(on_progress),
+      [respond](http::call_result&& result) {
+        if (result.has_error()) {
+          // The store may have received the call.
+          return respond(http::error_response(http::status::bad_gateway,
+                                              to_string(result.error().cause)));
+        }
+        http::response reply = std::move(*result);
+        respond(http::text_response(reply.result(), "application/octet-stream",
+                                    std::move(reply.body())));
+      });
 }
 
 owner_reply node::owner_reply_of(const http::call_result& result) {
--- a/src/poold/peer_paths.h
+++ b/src/poold/peer_paths.h
@@ -9,6 +9,8 @@
 inline constexpr char kPresencePath[] = "/v1/presence";
 // Followed by the path and query of the call to the store.
 inline constexpr std::string_view kStorePath = "/v1/store";
+// Header of a relayed read whose sender accepts interim replies.
+inline constexpr char kAcceptsInterimHeader[] = "Accepts-Interim";
 inline constexpr char kRecordPath[] = "/v1/record";
 inline constexpr char kJobPath[] = "/v1/job";
 inline constexpr char kEndPath[] = "/v1/end";
--- a/src/poold/store_client.cpp
+++ b/src/poold/store_client.cpp
@@ -18,12 +18,23 @@
 constexpr int kAppendTimeoutFactor = 5;
 // Weight of the newest sample in the smoothed append time is 1/divisor.
 constexpr int kSmoothingDivisor = 4;
-// Added to the wait of a long poll.
+// Added to the wait of a long poll. Limits the time without progress.
 constexpr milliseconds kReadTimeoutMargin{700};
-// For a call relayed for another daemon; longer than that daemon's timeouts.
+// Limits the time without progress while a page with the newest records loads.
+// It doubles with each failure, as the store or a shared link may be slow.
+constexpr milliseconds kNewestTimeout{1000};
+constexpr std::uint32_t kMaxNewestTimeoutDoublings = 3;
+// Limits the time of a read that makes progress, for which the largest record
+// needs 0.5 Mbit/s. It doubles with each failure, as a read that is broken off
+// transfers the same record again.
+constexpr milliseconds kTotalReadTimeout{15000};
+constexpr std::uint32_t kMaxTotalReadTimeoutDoublings = 2;
+// For a call relayed for another daemon; longer than that daemon's timeouts. If
+// that daemon accepts interim replies, it limits the time without progress.
 constexpr milliseconds kRelayTimeout{2000};
 // Limits the size of one reply, so that a daemon that lags behind makes
-// progress over a slow link, too: 128 KB take 0.2 s at 5 Mbit/s.
+// progress over a slow link, too: 128 KB take 0.2 s at 5 Mbit/s. A larger
+// record is returned whole.
 constexpr std::uint32_t kMaxReadKilobytes = 128;
 constexpr std::size_t kReadConnections = 6;
 constexpr std::size_t kAppendConnections = 4;
@@ -39,6 +50,20 @@
   return options;
 }
 
+milliseconds doubled(milliseconds first, std::uint32_t failed_attempts,
+                     std::uint32_t max_doublings) {
+  return first * (1 << std::min(failed_attempts, max_doublings));
+}
+
+http::call_options read_options(milliseconds stall_timeout,
+                                std::uint32_t failed_attempts) {
+  http::call_options options;
+  options.timeout = doubled(kTotalReadTimeout, failed_attempts,
+                            kMaxTotalReadTimeoutDoublings);
+  options.stall_timeout = stall_timeout;
+  return options;
+}
+
 bool is_rejection(const http::response& reply) {
   return reply.result() == http::status::too_many_requests ||
          reply.result() == http::status::service_unavailable ||
@@ -123,15 +148,16 @@
 }
 
 void store_client::call(std::string_view step, http::request&& request,
-                        bool appends, milliseconds timeout,
+                        bool appends, http::call_options options,
                         std::function<void(http::call_result&&)> handler) {
   ++calls_;
   std::shared_ptr<route> chosen = choose_route(appends);
   if (!chosen->path_prefix.empty()) {
     request.target(chosen->path_prefix + std::string(request.target()));
+    if (options.stall_timeout) request.set(kAcceptsInterimHeader, "1");
   }
   http::client& client = *client_for(*chosen, appends).client;
-  client.call(step, std::move(request), timeout,
+  client.call(step, std::move(request), std::move(options),
               [this, alive = std::weak_ptr<bool>(alive_), chosen, appends,
                step = std::string(step),
                handler = std::move(handler)](http::call_result&& result) {
@@ -142,6 +168,7 @@
 }
 
 void store_client::relay(http::request&& request,
+                         std::function<bool()> on_progress,
                          std::function<void(http::call_result&&)> handler) {
   bool appends = request.method() == http::verb::post;
   route_client& route_client = client_for(*direct_, appends);
@@ -150,7 +177,13 @@
                                         "the store doesn't serve this daemon"));
   }
   ++calls_;
-  route_client.client->call("relay", std::move(request), kRelayTimeout,
+  http::call_options options;
+  options.timeout = kRelayTimeout;
+  if (!appends && on_progress) {
+    options = read_options(kRelayTimeout, kMaxTotalReadTimeoutDoublings);
+    options.on_progress = std::move(on_progress);
+  }
+  route_client.client->call("relay", std::move(request), std::move(options),
                             std::move(handler));
 }
 
@@ -159,7 +192,7 @@
   constexpr std::uint32_t kMaxDoublings = 3;
   milliseconds first =
       std::max(kMinAppendTimeout, smoothed_append_time_ * kAppendTimeoutFactor);
-  return std::min(first * (1 << std::min(unanswered_attempts, kMaxDoublings)),
+  return std::min(doubled(first, unanswered_attempts, kMaxDoublings),
                   kCallTimeout);
 }
 
@@ -168,8 +201,10 @@
                           std::uint32_t unanswered_attempts,
                           std::function<void(append_result)> handler) {
   steady_time sent = clock_.now();
+  http::call_options options;
+  options.timeout = append_timeout(unanswered_attempts);
   call("append", platform::encode_append(request, records), true,
-       append_timeout(unanswered_attempts),
+       std::move(options),
        [this, sent, handler = std::move(handler)](http::call_result&& result) {
          append_result out;
          if (result.has_error()) {
@@ -198,9 +233,10 @@
 
 void store_client::read(
     std::string_view topic, std::uint64_t from, milliseconds wait,
+    std::uint32_t failed_attempts,
     std::function<void(error::result<platform::read_reply>)> handler) {
   call("read log", platform::encode_read(topic, from, wait, kMaxReadKilobytes),
-       false, wait + kReadTimeoutMargin,
+       false, read_options(wait + kReadTimeoutMargin, failed_attempts),
        [from, handler = std::move(handler)](http::call_result&& result) {
          if (result.has_error()) return handler(result.error().cause);
          handler(platform::decode_read(*result, from));
@@ -208,10 +244,14 @@
 }
 
 void store_client::newest(
-    std::string_view topic, std::string_view after, milliseconds timeout,
+    std::string_view topic, std::string_view after,
+    std::uint32_t failed_attempts,
     std::function<void(error::result<platform::newest_reply>)> handler) {
   steady_time sent = clock_.now();
-  call("read newest", platform::encode_newest(topic, after), false, timeout,
+  milliseconds stall_timeout =
+      doubled(kNewestTimeout, failed_attempts, kMaxNewestTimeoutDoublings);
+  call("read newest", platform::encode_newest(topic, after), false,
+       read_options(stall_timeout, failed_attempts),
        [this, sent, handler = std::move(handler)](http::call_result&& result) {
          if (result.has_error()) return handler(result.error().cause);
          milliseconds taken =
--- a/src/poold/store_client.h
+++ b/src/poold/store_client.h
@@ -47,18 +47,26 @@
               const std::vector<jobs::record>& records,
               std::uint32_t unanswered_attempts,
               std::function<void(append_result)> handler);
-  // Long poll: waits up to `wait` for a record at offset `from`.
+  // Long poll: waits up to `wait` for a record at offset `from`. A reply that
+  // makes progress is not broken off before a total time limit, which doubles
+  // with each of `failed_attempts`, up to a limit.
   void read(std::string_view topic, std::uint64_t from, milliseconds wait,
+            std::uint32_t failed_attempts,
             std::function<void(error::result<platform::read_reply>)> handler);
+  // Reads a page. The time limits are like those of read(); the limit without
+  // progress doubles, too.
   void newest(
-      std::string_view topic, std::string_view after, milliseconds timeout,
+      std::string_view topic, std::string_view after,
+      std::uint32_t failed_attempts,
       std::function<void(error::result<platform::newest_reply>)> handler);
 
   // Peer addresses of the daemons that may relay calls.
   void set_relays(const std::vector<std::string>& addresses);
   // Relays a call of another daemon. Replies with 503 at once if direct calls
-  // of this daemon have failed recently, too.
-  void relay(http::request&& request,
+  // of this daemon have failed recently, too. If `on_progress` is set, it is
+  // called while the reply to a read arrives and returns whether the reply is
+  // still wanted; such a read has the time limits of read().
+  void relay(http::request&& request, std::function<bool()> on_progress,
              std::function<void(http::call_result&&)> handler);
 
   // Time of the last reply that was not a rejection.
@@ -90,7 +98,7 @@
                                     const std::string& path_prefix);
   std::shared_ptr<route> choose_route(bool appends);
   void call(std::string_view step, http::request&& request, bool appends,
-            milliseconds timeout,
+            http::call_options options,
             std::function<void(http::call_result&&)> handler);
   // Updates the health of the route with the result of a call.
   void record_result(route& route, bool appends, std::string_view step,
--- a/src/poold/store_client_test.cpp
+++ b/src/poold/store_client_test.cpp
@@ -23,7 +23,7 @@
   bool read() {
     bool done = false;
     bool answered = false;
-    calls.read("keyed.op", 0, kWait,
+    calls.read("keyed.op", 0, kWait, 0,
                [&](error::result<platform::read_reply> reply) {
                  done = true;
                  answered = reply.has_value();
@@ -70,7 +70,7 @@
         http::request message{request.method(),
                               target.substr(std::string("/v1/store").size()),
                               http::kHttpVersion11};
-        relaying.relay(std::move(message),
+        relaying.relay(std::move(message), nullptr,
                        [answer](http::call_result&& result) {
                          answer(std::move(result.value()));
                        });
@@ -80,7 +80,7 @@
   int answered = 0;
   for (int i = 0; i < 3; ++i) {
     bool done = false;
-    rejected.read("keyed.op", 0, kWait,
+    rejected.read("keyed.op", 0, kWait, 0,
                   [&](error::result<platform::read_reply> reply) {
                     done = true;
                     answered += reply.has_value() ? 1 : 0;
--- a/src/poold/topic_follower.cpp
+++ b/src/poold/topic_follower.cpp
@@ -7,16 +7,6 @@
 
 namespace ebonygrade::poold {
 
-namespace {
-
-// Timeout for loading one page. A page may hold a megabyte and the link may be
-// slow or shared, so the timeout doubles with each failure. A single lost reply
-// costs only the initial timeout.
-constexpr milliseconds kInitialLoadTimeout{1000};
-constexpr milliseconds kMaxLoadTimeout{8000};
-
-}  // namespace
-
 topic_follower::topic_follower(boost::asio::io_context& context,
                                store_client& store, const clock::clock& clock,
                                follower_options options, handlers handlers)
@@ -58,22 +48,18 @@
 }
 
 void topic_follower::load_page(const std::string& after) {
-  load_timeout_ = std::max(load_timeout_, kInitialLoadTimeout);
   steady_time sent = clock_.now();
   store_.newest(
-      options_.topic, after, load_timeout_,
+      options_.topic, after, backoff_.failures,
       [self = shared_from_this(), after,
        sent](error::result<platform::newest_reply> reply) {
         if (self->stopped_) return;
         if (reply.has_error()) {
           self->emit_failure("load", sent, reply.error());
-          self->load_timeout_ =
-              std::min(2 * self->load_timeout_, kMaxLoadTimeout);
           return self->schedule(next_delay(self->backoff_, self->random_),
                                 &topic_follower::load);
         }
         record_success(self->backoff_);
-        self->load_timeout_ = kInitialLoadTimeout;
         // Keys of earlier pages may change while later pages load. Reading on
         // from the end as of the first page returns those changes.
         if (after.empty()) self->first_page_end_ = reply->end;
@@ -124,7 +110,7 @@
   if (stopped_) return;
   steady_time sent = clock_.now();
   store_.read(
-      options_.topic, next_, options_.max_wait,
+      options_.topic, next_, options_.max_wait, backoff_.failures,
       [self = shared_from_this(),
        sent](error::result<platform::read_reply> reply) {
         if (self->stopped_) return;
--- a/src/poold/topic_follower.h
+++ b/src/poold/topic_follower.h
@@ -71,7 +71,6 @@
   handlers handlers_;
   boost::asio::steady_timer timer_;
   std::vector<jobs::record> pages_;  // While loading.
-  milliseconds load_timeout_{0};     // For the next page.
   std::uint64_t first_page_end_ = 0;
   std::uint64_t next_ = 0;
   // Offsets to skip that may still be read: first, and one after the last.
--- a/standin/pool/keyed_store.cpp
+++ b/standin/pool/keyed_store.cpp
@@ -111,6 +111,10 @@
   return topics_[topic].records;
 }
 
+std::uint64_t keyed_store::reads_with_records(const std::string& topic) {
+  return topics_[topic].reads_with_records;
+}
+
 std::set<std::string> keyed_store::producers(const std::string& topic) const {
   std::map<std::string, std::set<std::string>>::const_iterator found =
       producers_.find(topic);
@@ -231,9 +235,8 @@
                              std::to_string(from.records.size()) + "}");
 }
 
-http::response keyed_store::make_read_reply(const topic& from,
-                                            std::uint64_t offset) {
-  if (offset < from.records.size()) ++reads_with_records_;
+http::response keyed_store::make_read_reply(topic& from, std::uint64_t offset) {
+  if (offset < from.records.size()) ++from.reads_with_records;
   std::string body;
   append_u64(&body, from.records.size());
   append_u64(&body, from.first_offset);
@@ -278,7 +281,7 @@
   std::vector<std::shared_ptr<waiting_read>> still_waiting;
   for (std::shared_ptr<waiting_read>& each : waiting_reads_) {
     if (each->answered) continue;
-    const topic& from = topics_[each->topic];
+    topic& from = topics_[each->topic];
     if (each->from >= from.records.size()) {
       still_waiting.push_back(std::move(each));
       continue;
--- a/standin/pool/keyed_store.h
+++ b/standin/pool/keyed_store.h
@@ -33,6 +33,7 @@
   explicit keyed_store(boost::asio::io_context& context);
 
   std::string address() const;
+  std::uint16_t port() const { return server_.port(); }
   // Appends a record without a producer, as the operator or a worker does.
   void put(const std::string& topic, const std::string& key,
            const std::string& value);
@@ -47,8 +48,8 @@
   void compact(const std::string& topic);
   const std::vector<stored_record>& records(const std::string& topic);
   std::uint64_t appends() const { return appends_; }
-  // Replies to reads that held at least one record.
-  std::uint64_t reads_with_records() const { return reads_with_records_; }
+  // Replies to reads of the topic that held at least one record.
+  std::uint64_t reads_with_records(const std::string& topic);
   // Names of the producers that appended or tried to.
   std::set<std::string> producers(const std::string& topic) const;
 
@@ -63,6 +64,7 @@
     std::vector<stored_record> records;
     // Reads below this offset get status 410.
     std::uint64_t first_offset = 0;
+    std::uint64_t reads_with_records = 0;
     std::map<std::string, producer_state> producers;
   };
   struct waiting_read {
@@ -80,7 +82,7 @@
                                 const std::vector<stored_record>& records);
   http::response newest(const http::target_parts& target);
   void read(const http::target_parts& target, http::responder answer);
-  http::response make_read_reply(const topic& from, std::uint64_t offset);
+  http::response make_read_reply(topic& from, std::uint64_t offset);
   void add(topic* into, const std::vector<stored_record>& records);
   void answer_waiting_reads();
 
@@ -95,7 +97,6 @@
   std::string conflict_topic_;
   std::vector<http::responder> blocked_reads_;
   std::uint64_t appends_ = 0;
-  std::uint64_t reads_with_records_ = 0;
 };
 
 }  // namespace ebonygrade::standin
