Test calls with a stall timeout

The tests show that such a reply arrives, and that the call still fails without a reply, when its reply stalls, at its timeout in spite of progress, and when the reply isn't wanted any more; interim replies count as progress and aren't taken for the reply.

--- a/src/http/client_test.cpp
+++ b/src/http/client_test.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "http/server.h"
+#include "testsuite/cell/slow_link.h"
 
 namespace asio = boost::asio;
 namespace error = ebonygrade::error;
@@ -21,6 +22,10 @@
 constexpr std::chrono::seconds kTestTimeout{20};
 constexpr milliseconds kShortTimeout{30};
 constexpr milliseconds kLongTimeout{20000};
+constexpr milliseconds kStallTimeout{800};
+// Takes 0.9 s over a slow link.
+constexpr std::size_t kLargeBytes =
+    45 * ebonygrade::testsuite::slow_link::kPieceBytes;
 
 struct fixture {
   asio::io_context context;
@@ -30,6 +35,7 @@
   bool reply_later = false;
   std::optional<http::server> server;
   std::optional<http::client> client;
+  std::optional<ebonygrade::testsuite::slow_link> link;
 
   explicit fixture(http::client_options options = {},
                    const http::server_options& server_options = {}) {
@@ -54,6 +60,18 @@
           results.push_back(std::move(result));
         });
   }
+  // Calls over a slow link with a stall timeout.
+  void call_slowly(milliseconds timeout, std::function<bool()> on_progress) {
+    link.emplace(context, server->port());
+    client.emplace(context, link->address(), http::client_options());
+    client->call("echo",
+                 http::json_request(http::verb::post, "/v1/echo",
+                                    std::string(kLargeBytes, 'x')),
+                 {timeout, kStallTimeout, std::move(on_progress)},
+                 [this](http::call_result&& result) {
+                   results.push_back(std::move(result));
+                 });
+  }
   void run_until(const std::function<bool()>& condition) {
     while (!condition()) {
       context.restart();
@@ -108,6 +126,53 @@
   CHECK(f.client->traffic().connects == 2);
 }
 
+TEST_CASE("a reply that makes progress outlasts the stall timeout") {
+  fixture f;
+  f.call_slowly(kLongTimeout, nullptr);
+  f.run_until_results(1);
+  CHECK(f.results[0].value().body().size() == kLargeBytes);
+}
+
+TEST_CASE("a call with a stall timeout fails") {
+  fixture f;
+  error::code code = error::code::timeout;
+  SECTION("without a reply") {
+    f.reply_later = true;
+    f.call_slowly(std::chrono::hours(1), nullptr);
+  }
+  SECTION("when its reply stalls") {
+    f.call_slowly(std::chrono::hours(1), [&] {
+      f.link->stall();
+      return true;
+    });
+  }
+  SECTION("at its timeout in spite of progress") {
+    f.call_slowly(kStallTimeout / 4, nullptr);
+  }
+  SECTION("when its reply isn't wanted any more") {
+    f.call_slowly(kLongTimeout, [] { return false; });
+    code = error::code::unavailable;
+  }
+  f.run_until_results(1);
+  REQUIRE(f.results[0].has_error());
+  CHECK(f.results[0].error().cause.code == code);
+}
+
+TEST_CASE("interim replies are progress and not the reply") {
+  fixture f;
+  f.reply_later = true;
+  int progress = 0;
+  f.call_slowly(kLongTimeout, [&] { return ++progress > 0; });
+  f.run_until([&] { return !f.responders.empty(); });
+  f.responders[0].send_processing();
+  f.run_until([&] { return progress == 1; });
+  // The reply waits until the interim reply has been sent.
+  f.responders[0].send_processing();
+  f.responders[0](http::json_response(http::status::ok, "body"));
+  f.run_until_results(1);
+  CHECK(f.results[0].value().body() == "body");
+}
+
 TEST_CASE("a call that could not connect is reported as not sent") {
   fixture f;
   f.server->close();
