--- a/standin/pool/keyed_store.h
+++ b/standin/pool/keyed_store.h
@@ -33,6 +33,7 @@
   explicit keyed_store(boost::asio::io_context& context);
 
   std::string address() const;
+  std::uint16_t port() const { return server_.port(); }
   // Appends a record without a producer, as the operator or a worker does.
   void put(const std::string& topic, const std::string& key,
            const std::string& value);
@@ -47,6 +48,8 @@
   void compact(const std::string& topic);
   const std::vector<stored_record>& records(const std::string& topic);
   std::uint64_t appends() const { return appends_; }
+  // Replies to reads of the topic that held at least one record.
+  std::uint64_t reads_with_records(const std::string& topic);
   // Names of the producers that appended or tried to.
   std::set<std::string> producers(const std::string& topic) const;
 
@@ -61,6 +64,7 @@
     std::vector<stored_record> records;
     // Reads below this offset get status 410.
     std::uint64_t first_offset = 0;
+    std::uint64_t reads_with_records = 0;
     std::map<std::string, producer_state> producers;
   };
   struct waiting_read {
@@ -78,7 +82,7 @@
                                 const std::vector<stored_record>& records);
   http::response newest(const http::target_parts& target);
   void read(const http::target_parts& target, http::responder answer);
-  http::response make_read_reply(const topic& from, std::uint64_t offset) const;
+  http::response make_read_reply(topic& from, std::uint64_t offset);
   void add(topic* into, const std::vector<stored_record>& records);
   void answer_waiting_reads();
 
