Pause the wait for an owner at a lost read of the directory

Now a lost read pauses the wait, and only an outage of the directory, longer than the timeout and the retry of a read, ends it. The decision stands in poold/standby.

--- a/src/poold/large_read_test.cpp
+++ b/src/poold/large_read_test.cpp
@@ -1,5 +1,3 @@
-#include "poold/topic_follower.h"
-
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
@@ -7,6 +5,7 @@
 #include <vector>
 
 #include "poold/node.h"
+#include "poold/topic_follower.h"
 #include "standin/pool/keyed_store.h"
 #include "testsuite/cell/ports.h"
 #include "testsuite/cell/slow_link.h"
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -141,8 +141,8 @@
   // An owner wrote to the journal since this daemon started.
   bool owner_seen_writing_ = false;
   queue_report reported_queues_;
-  bool had_owner_ = false;     // An owner has confirmed its ownership.
-  steady_time standby_after_;  // Default value: an owner is confirmed.
+  bool had_owner_ = false;  // An owner has confirmed its ownership.
+  poold::standby_wait standby_wait_;
   steady_time surplus_since_;  // Default value: needed as a standby.
   bool announcing_ = false;
   // The owner's last reply was missing or didn't confirm its ownership.
--- a/src/poold/node_roles.cpp
+++ b/src/poold/node_roles.cpp
@@ -14,9 +14,6 @@
 constexpr milliseconds kJournalWait{400};
 constexpr milliseconds kDirectoryWait{1000};
 constexpr milliseconds kDirectoryReadInterval{100};
-// Longer than two waits and an interval of the directory's reads, as its age
-// counts from the sending of a read.
-constexpr milliseconds kMaxDirectoryAge{2400};
 // A standby that the owner doesn't need keeps its copy for this long, so that
 // a short silence of other standbys doesn't move copies around.
 constexpr milliseconds kSurplusPeriod{3000};
@@ -29,7 +26,7 @@
                "reason=\"{}\" owner={} epoch={}", reason,
                table_.owner.record.daemon(), table_.owner.record.epoch());
   surplus_since_ = {};
-  standby_after_ = {};
+  standby_wait_ = {};
   journal_ = follow({std::string(platform::kJournalTopic), kJournalWait,
                      kFollowerReadInterval},
                     [this](const std::vector<jobs::record>& records) {
@@ -107,20 +104,15 @@
   if (last.daemon() == settings_.id) {
     return become_standby("this daemon was the owner");
   }
-  // While this daemon can't read the directory, it can't tell whether there is
-  // another owner, and the journal would add to the load of a full link. After
-  // an outage the owner confirms itself first.
-  bool reading = now - directory_->current_as_of() < kMaxDirectoryAge;
-  if (!reading || !owner_unconfirmed_) {
-    standby_after_ = {};
-    return;
-  }
-  if (standby_after_ == steady_time()) {
-    std::uniform_real_distribution<double> spread(0, 1);
-    standby_after_ = now + standby_delay(had_owner_, store_.min_round_trip(),
-                                         settings_.cpu_share, spread(random_));
+  std::uniform_real_distribution<double> spread(0, 1);
+  milliseconds delay = standby_delay(had_owner_, store_.min_round_trip(),
+                                     settings_.cpu_share, spread(random_));
+  milliseconds directory_age = std::chrono::duration_cast<milliseconds>(
+      now - directory_->current_as_of());
+  if (advance_standby_wait(&standby_wait_, owner_unconfirmed_, directory_age,
+                           delay, now)) {
+    become_standby("no owner is confirmed");
   }
-  if (now >= standby_after_) become_standby("no owner is confirmed");
 }
 
 void node::on_owner_status(const wire::owner_status& status, bool confirmed,
--- a/src/poold/standby.cpp
+++ b/src/poold/standby.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+// Longer than two waits and an interval of the directory's reads, as the age
+// counts from the sending of a read.
+constexpr milliseconds kMaxDirectoryAge{2400};
+// Longer by the timeout and the retry of one read.
+constexpr milliseconds kDirectoryOutage{4500};
 // In a cell with at most this many daemons beside the owner, all are standbys.
 constexpr std::size_t kMaxSmallCell = 9;
 constexpr std::size_t kStandbysPerRegion = 2;
@@ -84,6 +89,23 @@
          std::chrono::duration_cast<milliseconds>(width * spread);
 }
 
+bool advance_standby_wait(standby_wait* wait, bool owner_unconfirmed,
+                          milliseconds directory_age, milliseconds delay,
+                          steady_time now) {
+  steady_time previous = std::exchange(wait->observed_at, now);
+  if (!owner_unconfirmed || directory_age > kDirectoryOutage) {
+    wait->due.reset();
+    return false;
+  }
+  bool paused = directory_age > kMaxDirectoryAge;
+  if (!wait->due) {
+    if (!paused) wait->due = now + delay;
+    return false;
+  }
+  if (paused) *wait->due += now - previous;
+  return now >= *wait->due;
+}
+
 void daemon_registry::record(const daemon_info& daemon, steady_time now) {
   daemons_[daemon.id] = {daemon, now};
 }
--- a/src/poold/standby.h
+++ b/src/poold/standby.h
@@ -46,6 +46,22 @@
                            std::optional<milliseconds> min_round_trip,
                            double cpu_share, double spread);
 
+// The time until a daemon without a confirmed owner becomes a standby.
+struct standby_wait {
+  std::optional<steady_time> due;  // Empty: not waiting.
+  steady_time observed_at;
+};
+
+// Advances the wait; called at short intervals. Returns whether the daemon is
+// to become a standby. A daemon that can't read the directory can't tell
+// whether there is another owner, and over a full link the journal would add to
+// the load. `directory_age` is the time since the sending of the last
+// successful read of the directory: one lost read pauses the wait, an outage
+// ends it. `delay` is the length of a wait that begins now.
+bool advance_standby_wait(standby_wait* wait, bool owner_unconfirmed,
+                          milliseconds directory_age, milliseconds delay,
+                          steady_time now);
+
 // The daemons that are in contact with an owner. Not thread-safe.
 class daemon_registry {
  public:
--- a/src/poold/standby_test.cpp
+++ b/src/poold/standby_test.cpp
@@ -87,6 +87,47 @@
   CHECK(standby_delay(true, near, 0.5, 0) >= milliseconds(2000));
 }
 
+// Time until a daemon without an owner becomes a standby. The directory's reads
+// take 1.1 s each; every `lost_every`-th gets no reply. Empty: never.
+std::optional<milliseconds> time_to_standby(int lost_every) {
+  constexpr milliseconds kTick{100};
+  constexpr int kTicksPerRead = 11;
+  standby_wait wait;
+  steady_time now{std::chrono::hours(1)};
+  steady_time begun = now;
+  steady_time read_sent = now;
+  steady_time current_as_of = now;
+  for (int tick = 1; tick < 600; ++tick) {
+    now += kTick;
+    if (tick % kTicksPerRead == 0) {
+      bool lost = tick / kTicksPerRead % lost_every == 0;
+      if (!lost) current_as_of = read_sent;
+      read_sent = now;
+    }
+    milliseconds age =
+        std::chrono::duration_cast<milliseconds>(now - current_as_of);
+    if (advance_standby_wait(&wait, true, age, milliseconds(2500), now)) {
+      return std::chrono::duration_cast<milliseconds>(now - begun);
+    }
+  }
+  return std::nullopt;
+}
+
+// Guards against a region that stays without an owner because single reads of
+// the directory are lost.
+TEST_CASE("a lost read of the directory only delays a standby") {
+  std::optional<milliseconds> undisturbed = time_to_standby(1000);
+  REQUIRE(undisturbed.has_value());
+  CHECK(*undisturbed <= milliseconds(2700));
+  std::optional<milliseconds> disturbed = time_to_standby(2);
+  REQUIRE(disturbed.has_value());
+  CHECK(*disturbed <= milliseconds(6000));
+}
+
+TEST_CASE("no daemon becomes a standby while the directory is unreadable") {
+  CHECK_FALSE(time_to_standby(1).has_value());
+}
+
 TEST_CASE("a new registry keeps each daemon's role") {
   steady_time start = steady_time() + std::chrono::hours(1);
   daemon_registry registry(start);
