--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -58,6 +58,9 @@
   manifest_in_force = 831,
   journal_loaded = 832,
   topic_read_failed = 833,
+  worker_restarted = 841,
+  run_unexpected = 842,
+  worker_entry_outdated = 843,
 };
 
 struct definition {
@@ -178,6 +181,14 @@
                "The newest record of every key was read.", "topic"},
     definition{id::topic_read_failed, "topic_read_failed", level::info,
                "A read of a topic got no reply and is repeated.", "topic"},
+    definition{id::worker_restarted, "worker_restarted", level::warning,
+               "The worker began another incarnation under its id.", "worker"},
+    definition{id::run_unexpected, "run_unexpected", level::warning,
+               "A worker reports a run that has no valid order; it is stopped.",
+               "worker"},
+    definition{
+        id::worker_entry_outdated, "worker_entry_outdated", level::warning,
+        "The worker's entry is older than what is known of it.", "worker"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -13,6 +13,8 @@
 // Limit of open occurrences of one job; later ones wait until an earlier one
 // completes.
 constexpr std::size_t kMaxOpenOccurrences = 64;
+// The caller removes events after each call, so the limit bounds bursts only.
+constexpr std::size_t kMaxPendingEvents = 1000;
 
 unix_time from_unix(std::int64_t value) {
   return unix_time(milliseconds(value));
@@ -143,12 +145,16 @@
 void add_job_event(pool_state* pool, job_event_kind kind,
                    const std::string& job, const std::string& worker,
                    std::string detail, std::optional<milliseconds> after) {
-  // The caller removes events after each call, so the limit bounds bursts only.
-  constexpr std::size_t kMaxNotes = 1000;
-  if (pool->job_events.size() >= kMaxNotes) return;
+  if (pool->job_events.size() >= kMaxPendingEvents) return;
   pool->job_events.push_back({kind, job, worker, std::move(detail), after});
 }
 
+void add_worker_event(pool_state* pool, worker_event_kind kind,
+                      const std::string& worker, std::string detail) {
+  if (pool->worker_events.size() >= kMaxPendingEvents) return;
+  pool->worker_events.push_back({kind, worker, std::move(detail)});
+}
+
 std::string describe(const task_key& task, std::uint32_t run) {
   return "occurrence=" + std::to_string(task.occurrence) +
          " step=" + std::to_string(task.step) +
--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -94,7 +94,7 @@
                            steady_time now) {
   bool unresponsive = now - worker->last_reply > kUnresponsiveAfter;
   if (unresponsive && now > worker->lease_end && !worker->placements.empty()) {
-    drop_all(pool, worker);
+    drop_all(pool, worker, "lease_passed");
     return;
   }
   for (placement& placed : worker->placements) {
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -204,6 +204,19 @@
   std::optional<milliseconds> since_accepted;
 };
 
+// Kinds of events that are reported to operators for a worker.
+enum class worker_event_kind {
+  restarted,       // It began another incarnation.
+  run_unexpected,  // It reports a run without a valid order.
+  entry_outdated,  // Its entry is older than its known incarnation.
+};
+
+struct worker_event {
+  worker_event_kind kind = worker_event_kind::restarted;
+  std::string worker;
+  std::string detail;  // "key=value" pairs with inputs and outcome.
+};
+
 // Rate at which ended runs release CPU capacity of the pool.
 struct cpu_release_rate {
   std::int64_t cpu_milli_per_second = 0;  // Smoothed.
@@ -221,6 +234,8 @@
   // Runs whose worker restarted or became unresponsive.
   std::uint64_t lost_runs = 0;
   std::uint64_t refused_starts = 0;
+  std::uint64_t worker_restarts = 0;  // New incarnations under a known id.
+  std::uint64_t unexpected_runs = 0;  // Reported runs without a valid order.
 };
 
 // Runs that were placed and that no worker has confirmed.
@@ -265,7 +280,8 @@
   pool::cpu_release_rate cpu_release_rate;
   bool superseded = false;  // A worker has seen a newer owner.
   load_summary load;
-  std::vector<job_event> job_events;  // The caller removes them.
+  std::vector<job_event> job_events;        // The caller removes them.
+  std::vector<worker_event> worker_events;  // The caller removes them.
   pool::counters counters;
 };
 
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -29,6 +29,9 @@
                    const std::string& job, const std::string& worker,
                    std::string detail,
                    std::optional<milliseconds> after = std::nullopt);
+// Adds an event, unless too many are pending.
+void add_worker_event(pool_state* pool, worker_event_kind kind,
+                      const std::string& worker, std::string detail);
 std::string describe(const task_key& task, std::uint32_t run);
 
 // The policy in the manifest, or else the one at acceptance of the job.
@@ -67,8 +70,8 @@
 // current run.
 void drop_placement(pool_state* pool, worker* worker, const task_key& task,
                     std::uint32_t run);
-// Drops all placements of the worker.
-void drop_all(pool_state* pool, worker* worker);
+// Drops all placements of the worker. `reason` goes into the events.
+void drop_all(pool_state* pool, worker* worker, const std::string& reason);
 
 // Retries starts without a reply, sends due stops, and drops the runs of
 // workers whose lease has expired.
--- a/src/pool/simulated_cell.cpp
+++ b/src/pool/simulated_cell.cpp
@@ -145,6 +145,7 @@
   if (!owner->alive || owner->state.superseded) return;
   decisions result = decide(&owner->state, now_, wall_);
   owner->state.job_events.clear();
+  owner->state.worker_events.clear();
   for (const start_order& each : result.repeated_starts)
     send_start(owner, each);
   for (const stop_order& each : result.stops) send_stop(owner, each);
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -169,6 +169,27 @@
   advance_job(pool, job, wall);
 }
 
+void record_unexpected_run(pool_state* pool, const worker& worker,
+                           const reported_run& row) {
+  ++pool->counters.unexpected_runs;
+  task_ref ref = find_task(pool, row.task);
+  std::string placed_on = "none";
+  bool done = false;
+  if (ref.step != nullptr && row.task.index < ref.step->tasks.size()) {
+    const task& task = ref.step->tasks[row.task.index];
+    if (task.placed) {
+      placed_on = task.worker + "/" + std::to_string(task.last_run);
+    }
+    done = task.done;
+  }
+  add_worker_event(
+      pool, worker_event_kind::run_unexpected, worker.entry.id,
+      "job=" + row.task.job + " " + describe(row.task, row.run) +
+          " incarnation=" + std::to_string(worker.entry.incarnation_ms) +
+          " placed_on=" + placed_on +
+          " done=" + std::to_string(static_cast<int>(done)));
+}
+
 void apply_running(pool_state* pool, worker* worker, const reported_run& row,
                    steady_time now) {
   mark_started(pool, row.task.job);
@@ -187,6 +208,7 @@
     unexpected.phase_since = now;
     unexpected.last_progress = now;
     unexpected.stop_wanted = true;
+    record_unexpected_run(pool, *worker, row);
     add_placement(pool, worker, std::move(unexpected));
     return;
   }
@@ -245,7 +267,9 @@
 // fenced only after the new incarnation has replied to this owner's fencing
 // token, so unverified runs are kept until the next report.
 void begin_incarnation(pool_state* pool, worker* worker,
-                       std::int64_t incarnation_ms) {
+                       std::int64_t incarnation_ms, const std::string& source) {
+  std::int64_t previous = worker->entry.incarnation_ms;
+  std::uint64_t last_end = worker->last_end;
   worker->entry.incarnation_ms = incarnation_ms;
   worker->last_end = 0;
   worker->acked_end = 0;
@@ -270,6 +294,14 @@
         describe(each.first, each.second) + " reason=new_incarnation");
     drop_placement(pool, worker, each.first, each.second);
   }
+  ++pool->counters.worker_restarts;
+  add_worker_event(pool, worker_event_kind::restarted, worker->entry.id,
+                   "source=" + source +
+                       " incarnation=" + std::to_string(incarnation_ms) +
+                       " previous=" + std::to_string(previous) +
+                       " last_end=" + std::to_string(last_end) +
+                       " dropped=" + std::to_string(to_drop.size()) +
+                       " kept=" + std::to_string(worker->placements.size()));
 }
 
 }  // namespace
@@ -339,13 +371,13 @@
   update_waiting(pool, *job, *step);
 }
 
-void drop_all(pool_state* pool, worker* worker) {
+void drop_all(pool_state* pool, worker* worker, const std::string& reason) {
   while (!worker->placements.empty()) {
     placement last = worker->placements.back();
     ++pool->counters.lost_runs;
     add_job_event(pool, job_event_kind::run_lost, last.task.job,
                   worker->entry.id,
-                  describe(last.task, last.run) + " reason=lease_passed");
+                  describe(last.task, last.run) + " reason=" + reason);
     drop_placement(pool, worker, last.task, last.run);
   }
 }
@@ -375,7 +407,12 @@
   worker.entry.incarnation_ms = std::max(incarnation, entry.incarnation_ms);
   if (entry.incarnation_ms > incarnation) {
     worker.fenced = false;
-    begin_incarnation(pool, &worker, entry.incarnation_ms);
+    begin_incarnation(pool, &worker, entry.incarnation_ms, "entry");
+  } else {
+    add_worker_event(pool, worker_event_kind::entry_outdated, entry.id,
+                     "incarnation=" + std::to_string(entry.incarnation_ms) +
+                         " known=" + std::to_string(incarnation) +
+                         " address=" + entry.address);
   }
 }
 
@@ -408,7 +445,7 @@
   if (worker == nullptr) return;
   if (report.incarnation_ms < worker->entry.incarnation_ms) return;
   if (report.incarnation_ms > worker->entry.incarnation_ms) {
-    begin_incarnation(pool, worker, report.incarnation_ms);
+    begin_incarnation(pool, worker, report.incarnation_ms, "report");
   }
   worker->fenced = true;
   worker->last_reply = now;
@@ -433,7 +470,7 @@
   if (worker->entry.incarnation_ms != incarnation_ms) return;
   worker->listed = false;
   worker->fenced = false;
-  drop_all(pool, worker);
+  drop_all(pool, worker, "address_reused");
 }
 
 void observe_start(pool_state* pool, const start_order& order,
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -370,6 +370,12 @@
                "Runs that ended otherwise.", state.counters.ends_other);
   append_value(text, "ebonygrade_pool_runs_lost_total", "counter",
                "Runs lost with their worker.", state.counters.lost_runs);
+  append_value(text, "ebonygrade_pool_worker_restarts_total", "counter",
+               "Workers that began another incarnation under their id.",
+               state.counters.worker_restarts);
+  append_value(text, "ebonygrade_pool_unexpected_runs_total", "counter",
+               "Reported runs without a valid order.",
+               state.counters.unexpected_runs);
 }
 
 }  // namespace ebonygrade::poold
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -276,7 +276,9 @@
       return step_down();
     case platform::worker_poll_outcome::other_incarnation:
       events::emit(events::id::worker_rebooted, "hold", worker,
-                   "its address belongs to another worker");
+                   "its address belongs to another worker: address={} "
+                   "incarnation={}",
+                   links_.at(worker)->address(), incarnation_ms);
       pool::observe_worker_replaced(&pool_, worker, incarnation_ms);
       close_link(worker);
       break;
@@ -312,6 +314,7 @@
   pool_.advice_daemons = advice_dispatcher_.available_daemons();
   if (!releasing_) send_orders(pool::decide(&pool_, clock_.now(), wall_now()));
   emit_job_events();
+  emit_worker_events();
   measure_round(last_round_);
   emit_load(last_round_);
   schedule_flush();
@@ -391,6 +394,26 @@
   }
 }
 
+void owner::emit_worker_events() {
+  for (const pool::worker_event& each :
+       std::exchange(pool_.worker_events, {})) {
+    switch (each.kind) {
+      case pool::worker_event_kind::restarted:
+        events::emit(events::id::worker_restarted, "observe", each.worker, "{}",
+                     each.detail);
+        break;
+      case pool::worker_event_kind::run_unexpected:
+        events::emit(events::id::run_unexpected, "observe", each.worker, "{}",
+                     each.detail);
+        break;
+      case pool::worker_event_kind::entry_outdated:
+        events::emit(events::id::worker_entry_outdated, "observe", each.worker,
+                     "{}", each.detail);
+        break;
+    }
+  }
+}
+
 void owner::send_orders(const pool::decisions& orders) {
   for (const pool::start_order& each : orders.repeated_starts) {
     send_start(each);
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -103,6 +103,7 @@
   void emit_load(steady_time now);
   void record_latency(const pool::job_event& event);
   void emit_job_events();
+  void emit_worker_events();
   void send_orders(const pool::decisions& orders);
   void send_start(const pool::start_order& order);
   void send_stop(const pool::stop_order& order);
