Add failing tests: orders that reach a later incarnation of their worker

The platform lets a worker start again under its id, and orders name only the id.

Two tests of the pool show two of the ways alone: a run that the next incarnation confirmed before its first report is dropped and placed again while it runs, and a task is placed while an earlier run of it is reported.

--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -564,6 +564,36 @@
   CHECK(pool.round().empty());
 }
 
+// The reply to a start doesn't tell the incarnation that began the run.
+TEST_CASE("a run that the next incarnation has begun isn't placed again",
+          "[!shouldfail]") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  pool.confirm(starts);
+  pool.advance(milliseconds(100));
+  pool.report("w1", {{}, 2, {reported_run_of(starts[0])}, {}});
+  decisions orders;
+  CHECK(pool.round(&orders).empty());
+  CHECK(orders.stops.empty());
+}
+
+TEST_CASE("a task isn't placed while an earlier run of it is reported",
+          "[!shouldfail]") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  observe_start(&pool.state, starts[0], start_outcome::no_capacity, pool.now);
+  worker_report report;
+  report.running.push_back(reported_run_of(starts[0]));
+  pool.report("w1", report);
+  CHECK(pool.round().empty());
+}
+
 // The numbers of ends count anew in each incarnation.
 TEST_CASE("an end is acknowledged only to the incarnation that listed it") {
   test_pool pool;
--- a/src/pool/simulated_cell.cpp
+++ b/src/pool/simulated_cell.cpp
@@ -175,7 +175,8 @@
   });
 }
 
-void simulated_cell::deliver(std::function<void()> call,
+void simulated_cell::deliver(const std::string& worker,
+                             std::function<void()> call,
                              std::function<void()> answered,
                              std::function<void()> unanswered) {
   if (chance(options_.message_loss)) {
@@ -187,9 +188,14 @@
     at(kCallTimeout, std::move(unanswered));
     return;
   }
+  std::int64_t connected_to = workers_[worker]->incarnation_ms();
   at(random_delay(1, 40),
-     [this, call = std::move(call), answered = std::move(answered),
-      unanswered = std::move(unanswered)] {
+     [this, worker, connected_to, call = std::move(call),
+      answered = std::move(answered), unanswered = std::move(unanswered)] {
+       // A crash resets the connections.
+       if (workers_[worker]->incarnation_ms() != connected_to) {
+         return unanswered();
+       }
        call();
        if (chance(options_.reply_loss)) {
          at(kCallTimeout, unanswered);
@@ -207,13 +213,10 @@
   std::uint64_t acked = owner->state.workers[worker].acked_end;
   std::shared_ptr<worker_report> report = std::make_shared<worker_report>();
   std::shared_ptr<bool> accepted = std::make_shared<bool>(false);
-  std::int64_t expected = owner->state.workers[worker].entry.incarnation_ms;
   deliver(
-      [this, owner, worker, until, acked, report, accepted, expected] {
-        // A lease that was meant for another incarnation is not given.
-        bool same = workers_[worker]->incarnation_ms() == expected;
-        *accepted = workers_[worker]->poll(owner->epoch, same ? acked : 0,
-                                           same ? until : worker_time(0), now_,
+      worker,
+      [this, owner, worker, until, acked, report, accepted] {
+        *accepted = workers_[worker]->poll(owner->epoch, acked, until, now_,
                                            report.get());
       },
       [this, owner, worker, report, accepted, sent] {
@@ -233,15 +236,10 @@
                                 const start_order& order) {
   std::shared_ptr<start_outcome> answer =
       std::make_shared<start_outcome>(start_outcome::unknown);
-  std::int64_t meant_for =
-      owner->state.workers[order.worker].entry.incarnation_ms;
   deliver(
-      [this, owner, order, answer, meant_for] {
-        simulated_worker& worker = *workers_[order.worker];
-        // An order names the incarnation that it is for; others refuse it.
-        *answer = worker.incarnation_ms() == meant_for
-                      ? worker.start(order, owner->epoch, now_)
-                      : start_outcome::other_incarnation;
+      order.worker,
+      [this, owner, order, answer] {
+        *answer = workers_[order.worker]->start(order, owner->epoch, now_);
       },
       [this, owner, order, answer] {
         if (owner->alive) {
@@ -259,6 +257,7 @@
                                const stop_order& order) {
   std::shared_ptr<bool> done = std::make_shared<bool>(false);
   deliver(
+      order.worker,
       [this, owner, order, done] {
         *done = workers_[order.worker]->stop(order.task, order.run,
                                              owner->epoch, now_);
--- a/src/pool/simulated_cell.h
+++ b/src/pool/simulated_cell.h
@@ -69,8 +69,10 @@
   void send_start(std::shared_ptr<owner> owner, const start_order& order);
   void send_stop(std::shared_ptr<owner> owner, const stop_order& order);
   // Delivers `call` to a worker and its reply back, subject to the network
-  // faults.
-  void deliver(std::function<void()> call, std::function<void()> answered,
+  // faults. Calls name the worker's id, which all its incarnations share, so a
+  // call that is delivered late reaches the current one.
+  void deliver(const std::string& worker, std::function<void()> call,
+               std::function<void()> answered,
                std::function<void()> unanswered);
   void apply(const jobs::record& record);
 
