Send end numbers and leases only on a connection that has answered

Callers would see completed tasks start again: a worker crashes and starts again under its id. The owner doesn't know yet, and its next poll acknowledges the former incarnation's last end number. The new incarnation counts its ends from 1, so all its ends up to that number are forgotten unread; the owner sees runs vanish and places their tasks again. The poll also carries a lease for the former clock, which the new worker takes for the longest lease from now on.

Polls have a connection of their own now. While it stays open, the worker that answered the last poll gets the next one. The first poll on a new connection asks for the lists alone and without a wait; the next one follows at once with lease and end number. That is one poll more for each connection. A worker that closes the connection with each reply is polled as before, since its connections tell nothing.

Ruled out: to send no end number until the incarnation is known from the entry, which comes seconds later.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -99,6 +99,15 @@
   }
 
   const client_options& options() const { return options_; }
+  // The first free connection gets the next call.
+  bool has_idle_connection() const {
+    if (!queue_.empty()) return false;
+    for (const std::shared_ptr<connection>& each : connections_) {
+      if (each->free()) return each->is_open();
+    }
+    return false;
+  }
+
   std::size_t queued() const { return queue_.size(); }
   const client_traffic& traffic() const { return *traffic_; }
 
@@ -224,6 +233,10 @@
 
 void client::close() { implementation_->close(); }
 
+bool client::has_idle_connection() const {
+  return implementation_->has_idle_connection();
+}
+
 std::size_t client::queued() const { return implementation_->queued(); }
 
 const client_traffic& client::traffic() const {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -99,6 +99,8 @@
   // even if the client is destroyed before they run.
   void close();
 
+  // Whether a call that is made now would be sent on an open connection.
+  bool has_idle_connection() const;
   // Number of calls that wait for a connection.
   std::size_t queued() const;
   const client_traffic& traffic() const;
--- a/src/http/connection_pvt.h
+++ b/src/http/connection_pvt.h
@@ -50,6 +50,7 @@
              std::function<void()> on_free);
 
   bool free() const { return !call_.has_value(); }
+  bool is_open() const { return transport_ && transport_->connected; }
   // Connects if necessary, then sends. Requires free().
   void start(pending_call&& call);
   // Fails the current call and disconnects.
--- a/src/pool/simulated_cell.cpp
+++ b/src/pool/simulated_cell.cpp
@@ -209,8 +209,12 @@
                           const std::string& worker) {
   if (!owner->alive || owner->state.superseded) return;
   steady_time sent = now_;
-  worker_time until = grant_lease(&owner->state, worker, now_);
-  std::uint64_t acked = owner->state.workers[worker].acked_end;
+  std::int64_t incarnation = workers_[worker]->incarnation_ms();
+  std::int64_t& answered_by = owner->answered_by[worker];
+  bool connected = std::exchange(answered_by, 0) == incarnation;
+  worker_time until =
+      connected ? grant_lease(&owner->state, worker, now_) : worker_time(0);
+  std::uint64_t acked = connected ? owner->state.workers[worker].acked_end : 0;
   std::shared_ptr<worker_report> report = std::make_shared<worker_report>();
   std::shared_ptr<bool> accepted = std::make_shared<bool>(false);
   deliver(
@@ -219,7 +223,7 @@
         *accepted = workers_[worker]->poll(owner->epoch, acked, until, now_,
                                            report.get());
       },
-      [this, owner, worker, report, accepted, sent] {
+      [this, owner, worker, report, accepted, sent, incarnation, connected] {
         if (!owner->alive) return;
         if (!*accepted) {
           owner->state.superseded = true;
@@ -227,7 +231,9 @@
         }
         observe_worker_report(&owner->state, worker, *report, sent, now_,
                               wall_);
-        at(kPollEvery, [this, owner, worker] { poll(owner, worker); });
+        owner->answered_by[worker] = incarnation;
+        at(connected ? kPollEvery : milliseconds(0),
+           [this, owner, worker] { poll(owner, worker); });
       },
       [this, owner, worker] { poll(owner, worker); });
 }
--- a/src/pool/simulated_cell.h
+++ b/src/pool/simulated_cell.h
@@ -52,7 +52,8 @@
     std::uint64_t epoch = 0;
     bool alive = true;
     bool writing = false;
-    std::map<std::string, bool> polling;
+    // The incarnation of each worker that answered the last poll; 0: none did.
+    std::map<std::string, std::int64_t> answered_by;
   };
   using event = std::function<void()>;
 
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -227,17 +227,18 @@
   if (link && link->address() == address) return;
   if (link) link->stop();
   worker_link::handlers handlers;
-  handlers.prepare_poll = [this](const std::string& name) {
+  handlers.prepare_poll = [this](const std::string& name, bool connected) {
     platform::worker_poll_request poll_request;
     bool isolated =
         clock_.now() - last_write_ > pool::isolation_limit(pool_.limits);
-    if (!isolated) {
+    if (connected && !isolated) {
       poll_request.lease_until = pool::grant_lease(&pool_, name, clock_.now());
     }
     std::unordered_map<std::string, pool::worker>::const_iterator known =
         pool_.workers.find(name);
     if (known != pool_.workers.end()) {
-      poll_request.acked_end = known->second.acked_end;
+      // Another incarnation numbers its ends anew.
+      if (connected) poll_request.acked_end = known->second.acked_end;
       poll_request.incarnation_ms = known->second.entry.incarnation_ms;
     }
     return poll_request;
--- a/src/poold/worker_link.cpp
+++ b/src/poold/worker_link.cpp
@@ -20,12 +20,12 @@
 // lease is renewed also while the journal is unavailable.
 constexpr milliseconds kMaxEndRecordWait{700};
 constexpr milliseconds kCommandTimeout{600};
-// One connection for the poll, the others for start and stop orders.
-constexpr std::size_t kConnections = 4;
+constexpr std::size_t kPollConnections = 1;
+constexpr std::size_t kOrderConnections = 3;
 
-http::client_options link_options() {
+http::client_options link_options(std::size_t connections) {
   http::client_options options;
-  options.connections = kConnections;
+  options.connections = connections;
   options.call_timeout = kCommandTimeout;
   return options;
 }
@@ -41,7 +41,8 @@
       address_(address),
       fencing_token_(fencing_token),
       handlers_(std::move(handlers)),
-      client_(context, address, link_options()),
+      poll_client_(context, address, link_options(kPollConnections)),
+      order_client_(context, address, link_options(kOrderConnections)),
       timer_(context) {}
 
 void worker_link::start() { poll(); }
@@ -66,60 +67,65 @@
 
 void worker_link::poll() {
   awaits_end_records_ = false;
-  platform::worker_poll_request poll_request = handlers_.prepare_poll(worker_);
+  bool connected =
+      answered_ && (closed_by_reply_ || poll_client_.has_idle_connection());
+  platform::worker_poll_request poll_request =
+      handlers_.prepare_poll(worker_, connected);
   poll_request.worker = worker_;
   poll_request.fencing_token = fencing_token_;
   // The first poll returns the worker's state at once.
-  poll_request.wait = replied_once_ ? kPollWait : milliseconds(0);
+  poll_request.wait = connected ? kPollWait : milliseconds(0);
   steady_time sent = clock_.now();
-  client_.call(
+  poll_client_.call(
       "hold", platform::encode_worker_poll(poll_request),
       poll_request.wait + kReplyTimeoutMargin,
-      [self = shared_from_this(), sent,
+      [self = shared_from_this(), sent, connected,
        incarnation = poll_request.incarnation_ms](http::call_result&& result) {
         if (self->stopped_) return;
-        self->on_reply(std::move(result), sent, incarnation);
+        self->on_reply(std::move(result), sent, incarnation, connected);
       });
 }
 
 void worker_link::on_reply(http::call_result&& result, steady_time sent,
-                           std::int64_t incarnation_ms) {
+                           std::int64_t incarnation_ms, bool connected) {
+  answered_ = false;
   if (result.has_error()) {
     handlers_.on_poll_result(worker_, nullptr, sent, incarnation_ms);
     return poll_after(kPollRetryDelay);
   }
   platform::worker_poll_reply reply = platform::decode_worker_poll(*result);
-  bool answered = reply.outcome == platform::worker_poll_outcome::answered;
-  bool first = answered && !std::exchange(replied_once_, true);
+  answered_ = reply.outcome == platform::worker_poll_outcome::answered;
+  closed_by_reply_ = !result->keep_alive();
   handlers_.on_poll_result(worker_, &reply, sent, incarnation_ms);
   if (stopped_) return;
-  if (!answered) return poll_after(kPollRetryDelay);
+  if (!answered_) return poll_after(kPollRetryDelay);
   if (!reply.report.ended.empty()) {
     awaits_end_records_ = true;
     return poll_after(kMaxEndRecordWait);
   }
-  poll_after(first ? milliseconds(0) : kPollInterval);
+  poll_after(connected ? kPollInterval : milliseconds(0));
 }
 
 void worker_link::send_start(const pool::start_order& order,
                              std::function<void(pool::start_outcome)> handler) {
-  client_.call("start", platform::encode_start(order, fencing_token_),
-               [self = shared_from_this(),
-                handler = std::move(handler)](http::call_result&& result) {
-                 if (result.has_error()) {
-                   return handler(pool::start_outcome::unknown);
-                 }
-                 handler(platform::decode_start(*result));
-               });
+  order_client_.call("start", platform::encode_start(order, fencing_token_),
+                     [self = shared_from_this(), handler = std::move(handler)](
+                         http::call_result&& result) {
+                       if (result.has_error()) {
+                         return handler(pool::start_outcome::unknown);
+                       }
+                       handler(platform::decode_start(*result));
+                     });
 }
 
 void worker_link::send_stop(const pool::stop_order& order,
                             std::function<void(bool)> handler) {
-  client_.call("stop", platform::encode_stop(order, fencing_token_),
-               [self = shared_from_this(),
-                handler = std::move(handler)](http::call_result&& result) {
-                 handler(result.has_value() && platform::decode_stop(*result));
-               });
+  order_client_.call(
+      "stop", platform::encode_stop(order, fencing_token_),
+      [self = shared_from_this(),
+       handler = std::move(handler)](http::call_result&& result) {
+        handler(result.has_value() && platform::decode_stop(*result));
+      });
 }
 
 }  // namespace ebonygrade::poold
--- a/src/poold/worker_link.h
+++ b/src/poold/worker_link.h
@@ -22,8 +22,10 @@
  public:
   struct handlers {
     // Called before each poll. Supplies the lease to request and the number of
-    // the last recorded end.
-    std::function<platform::worker_poll_request(const std::string& worker)>
+    // the last recorded end. `connected`: the poll goes to the incarnation that
+    // answered the last one. Otherwise it may reach a later one.
+    std::function<platform::worker_poll_request(const std::string& worker,
+                                                bool connected)>
         prepare_poll;
     // Called after each poll. `reply` is null if the call failed.
     // `incarnation_ms` is the value from `prepare_poll`.
@@ -53,17 +55,21 @@
   void poll();
   void poll_after(milliseconds delay);
   void on_reply(http::call_result&& result, steady_time sent,
-                std::int64_t incarnation_ms);
+                std::int64_t incarnation_ms, bool connected);
 
   const clock::clock& clock_;
   std::string worker_;
   std::string address_;
   std::uint64_t fencing_token_;
   handlers handlers_;
-  http::client client_;
+  // Polls have a connection of their own, as its loss shows that the next poll
+  // may reach another incarnation.
+  http::client poll_client_;
+  http::client order_client_;
   boost::asio::steady_timer timer_;
   bool stopped_ = false;
-  bool replied_once_ = false;
+  bool answered_ = false;         // The last poll.
+  bool closed_by_reply_ = false;  // The worker closes after each reply.
   bool awaits_end_records_ = false;
 };
 
