Raise the fencing token with each incarnation of a worker

Callers would see completed tasks start again: a poll or a start gets no reply, its worker crashes and starts again under its id, and the order is carried out there seconds later. A late poll makes the new incarnation forget ends that nobody has read and renews its lease; a late start begins a run that was settled long ago. Orders name the id, which the new incarnation keeps, and a new incarnation has seen no token.

The token of an order was the owner's epoch. It is now the epoch and, below it, the number of incarnations of the worker that the owner has met. The owner starts nothing at a new incarnation until it has replied to the raised token, so nothing of what was sent to the former one acts on a run of the new one; the lease is counted from that reply. A refusal of a token that the owner itself has raised since is no sign of another owner. The count outlives the worker's entry: a worker that departs and returns would refuse lower tokens, and the owner would give up the pool.

Two tests of the token are new. The tests of a stopped and of an unreported run got a second worker, since the first one gets no starts before its next reply. Ruled out: a guard for each kind of order; the poll has none to offer.

--- a/bench/pool_bench.cpp
+++ b/bench/pool_bench.cpp
@@ -110,8 +110,9 @@
       report.running.push_back(each.second);
     }
     measure_cpu_time([&] {
-      pool::observe_worker_report(&state_, id, report, now_ - milliseconds(1),
-                                  now_, wall_);
+      pool::observe_worker_report(&state_, id, report,
+                                  pool::fencing_token(state_, id),
+                                  now_ - milliseconds(1), now_, wall_);
     });
   }
 
--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -28,6 +28,7 @@
   start_order order;
   order.worker = worker->entry.id;
   order.incarnation_ms = worker->entry.incarnation_ms;
+  order.fencing_token = fencing_token(*pool, order.worker);
   order.task = placed->task;
   order.run = placed->run;
   task_ref ref = find_task(pool, placed->task);
@@ -76,8 +77,8 @@
          placed.percent < kFullProgressPercent;
 }
 
-void send_stop_if_due(worker* worker, placement* placed, decisions* out,
-                      steady_time now) {
+void send_stop_if_due(const pool_state& pool, worker* worker, placement* placed,
+                      decisions* out, steady_time now) {
   if (placed->phase == phase::recording) return;
   bool unheeded = placed->stop_confirmed &&
                   now - placed->stop_confirmed_at > kConfirmedStopTimeout;
@@ -87,7 +88,8 @@
   if (waits) return;
   placed->stop_sent_at = now;
   out->stops.push_back({worker->entry.id, worker->entry.incarnation_ms,
-                        placed->task, placed->run});
+                        fencing_token(pool, worker->entry.id), placed->task,
+                        placed->run});
 }
 
 void process_worker_orders(pool_state* pool, worker* worker, decisions* out,
@@ -113,7 +115,7 @@
           describe(placed.task, placed.run) +
               " reason=no_progress at=" + std::to_string(placed.percent));
     }
-    if (placed.stop_wanted) send_stop_if_due(worker, &placed, out, now);
+    if (placed.stop_wanted) send_stop_if_due(*pool, worker, &placed, out, now);
   }
 }
 
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -5,7 +5,7 @@
 //
 //   pool::pool_state pool{limits};
 //   add_job(&pool, id, entry, now);
-//   observe_worker_report(&pool, worker, report, sent, now, wall);
+//   observe_worker_report(&pool, worker, report, token, sent, now, wall);
 //   pool::decisions orders = decide(&pool, now, wall);
 //   pool::journal_batch batch = take_batch(&pool, wall);
 //   ... append batch.records to the journal ...
@@ -98,7 +98,7 @@
 struct worker {
   worker_entry entry;
   bool listed = false;  // Present in service discovery.
-  bool fenced = false;  // Has replied to this owner's fencing token.
+  bool fenced = false;  // Has replied to the current fencing token.
   steady_time last_reply;
   worker_time clock{0};  // The worker's clock at clock_read_at.
   steady_time clock_read_at;
@@ -261,7 +261,11 @@
 
 struct pool_state {
   pool::limits limits;
+  std::uint64_t epoch = 0;  // Of the owner; rises with each owner.
   std::unordered_map<std::string, worker> workers;
+  // Incarnations that this owner has met of a worker after the first one. Kept
+  // when a worker departs, as it may return.
+  std::unordered_map<std::string, std::uint64_t> restarts;
   std::unordered_map<std::string, job> jobs;
   std::unordered_map<std::string, queue_policy> queues;
   std::set<queue_position> waiting_steps;
@@ -304,15 +308,25 @@
 // The worker is no longer in service discovery.
 void observe_worker_removed(pool_state* pool, const std::string& worker);
 
+// The token of orders to the worker. Workers refuse orders with a lower token
+// than they have seen. It rises with the epoch and with each incarnation of the
+// worker, so that orders to an earlier incarnation, which name the same id and
+// may be delivered late, are refused like those of an earlier owner.
+std::uint64_t fencing_token(const pool_state& pool, const std::string& worker);
+
 // Returns the end of the lease to send to the worker, and records the lease as
 // granted. Zero if the worker is unresponsive, so that its lease expires.
 worker_time grant_lease(pool_state* pool, const std::string& worker,
                         steady_time now);
 
-// Applies the report of a poll that was sent at `sent`.
+// Applies the report of a poll that was sent at `sent` with fencing token
+// `token`.
 void observe_worker_report(pool_state* pool, const std::string& worker,
-                           const worker_report& report, steady_time sent,
-                           steady_time now, unix_time wall);
+                           const worker_report& report, std::uint64_t token,
+                           steady_time sent, steady_time now, unix_time wall);
+// The worker refused a poll with fencing token `token`.
+void observe_poll_fenced(pool_state* pool, const std::string& worker,
+                         std::uint64_t token);
 // Another worker id has the worker's address. `incarnation_ms` is the
 // incarnation that the call was addressed to; that incarnation has ended.
 void observe_worker_replaced(pool_state* pool, const std::string& worker,
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -572,6 +572,7 @@
   std::vector<start_order> starts = pool.round();
   REQUIRE(starts.size() == 1);
   pool.confirm(starts);
+  pool.add_worker("w2");
   pool.advance(milliseconds(100));
   pool.report("w1", {{}, 2, {reported_run_of(starts[0])}, {}});
   decisions orders;
@@ -587,12 +588,62 @@
   std::vector<start_order> starts = pool.round();
   REQUIRE(starts.size() == 1);
   observe_start(&pool.state, starts[0], start_outcome::no_capacity, pool.now);
+  pool.add_worker("w2");
   worker_report report;
   report.running.push_back(reported_run_of(starts[0]));
   pool.report("w1", report);
   CHECK(pool.round().empty());
 }
 
+// Orders name the worker's id, which its next incarnation keeps.
+TEST_CASE("the fencing token refuses orders to an earlier incarnation") {
+  test_pool pool;
+  pool.state.epoch = 7;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  std::uint64_t earlier = starts[0].fencing_token;
+  pool.advance(milliseconds(100));
+  worker_report restarted;
+  restarted.incarnation_ms = 2;
+  pool.report("w1", restarted);
+  std::uint64_t token = fencing_token(pool.state, "w1");
+  CHECK(token > earlier);
+  // Nothing is started before the worker has seen the new token.
+  pool.submit("00000000000000bb", {test_pool::step(1, 1000)});
+  CHECK(pool.round().empty());
+  pool.advance(milliseconds(100));
+  pool.report("w1", restarted);
+  starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].fencing_token == token);
+  pool_state next;
+  next.epoch = 8;
+  CHECK(fencing_token(next, "w1") > token);
+}
+
+// A worker that departs and returns has seen its former tokens.
+TEST_CASE("a refusal of an outdated token of its own doesn't depose an owner") {
+  test_pool pool;
+  pool.state.epoch = 7;
+  pool.add_worker("w1");
+  std::uint64_t earlier = fencing_token(pool.state, "w1");
+  worker_report restarted;
+  restarted.incarnation_ms = 2;
+  pool.report("w1", restarted);
+  std::uint64_t token = fencing_token(pool.state, "w1");
+  observe_poll_fenced(&pool.state, "w1", earlier);
+  CHECK_FALSE(pool.state.superseded);
+  observe_worker_removed(&pool.state, "w1");
+  pool.advance(milliseconds(10000));
+  pool.round();
+  REQUIRE(pool.state.workers.count("w1") == 0);
+  CHECK(fencing_token(pool.state, "w1") == token);
+  observe_poll_fenced(&pool.state, "w1", token);
+  CHECK(pool.state.superseded);
+}
+
 // The numbers of ends count anew in each incarnation.
 TEST_CASE("an end is acknowledged only to the incarnation that listed it") {
   test_pool pool;
--- a/src/pool/simulated_cell.cpp
+++ b/src/pool/simulated_cell.cpp
@@ -127,6 +127,7 @@
   if (owner_ && !chance(options_.surviving_owner)) owner_->alive = false;
   std::shared_ptr<owner> result = std::make_shared<owner>();
   result->epoch = ++epoch_;
+  result->state.epoch = result->epoch;
   result->state.limits.lease = kLease;
   set_queues(&result->state, queues_);
   for (const std::pair<const std::string, jobs::entry>& each : table_.jobs) {
@@ -217,19 +218,22 @@
   std::uint64_t acked = connected ? owner->state.workers[worker].acked_end : 0;
   std::shared_ptr<worker_report> report = std::make_shared<worker_report>();
   std::shared_ptr<bool> accepted = std::make_shared<bool>(false);
+  std::uint64_t token = fencing_token(owner->state, worker);
   deliver(
       worker,
-      [this, owner, worker, until, acked, report, accepted] {
-        *accepted = workers_[worker]->poll(owner->epoch, acked, until, now_,
-                                           report.get());
+      [this, worker, token, until, acked, report, accepted] {
+        *accepted =
+            workers_[worker]->poll(token, acked, until, now_, report.get());
       },
-      [this, owner, worker, report, accepted, sent, incarnation, connected] {
+      [this, owner, worker, token, report, accepted, sent, incarnation,
+       connected] {
         if (!owner->alive) return;
         if (!*accepted) {
-          owner->state.superseded = true;
+          observe_poll_fenced(&owner->state, worker, token);
+          at(kPollEvery, [this, owner, worker] { poll(owner, worker); });
           return;
         }
-        observe_worker_report(&owner->state, worker, *report, sent, now_,
+        observe_worker_report(&owner->state, worker, *report, token, sent, now_,
                               wall_);
         owner->answered_by[worker] = incarnation;
         at(connected ? kPollEvery : milliseconds(0),
@@ -244,8 +248,9 @@
       std::make_shared<start_outcome>(start_outcome::unknown);
   deliver(
       order.worker,
-      [this, owner, order, answer] {
-        *answer = workers_[order.worker]->start(order, owner->epoch, now_);
+      [this, order, answer] {
+        *answer =
+            workers_[order.worker]->start(order, order.fencing_token, now_);
       },
       [this, owner, order, answer] {
         if (owner->alive) {
@@ -264,9 +269,9 @@
   std::shared_ptr<bool> done = std::make_shared<bool>(false);
   deliver(
       order.worker,
-      [this, owner, order, done] {
+      [this, order, done] {
         *done = workers_[order.worker]->stop(order.task, order.run,
-                                             owner->epoch, now_);
+                                             order.fencing_token, now_);
       },
       [this, owner, order, done] {
         if (owner->alive) observe_stop(&owner->state, order, *done, now_);
--- a/src/pool/test_pool.h
+++ b/src/pool/test_pool.h
@@ -75,7 +75,8 @@
     report.clock = worker_time(now.time_since_epoch() / milliseconds(1));
     if (report.incarnation_ms == 0) report.incarnation_ms = 1;
     steady_time sent = now - milliseconds(1);
-    observe_worker_report(&state, id, report, sent, now, wall);
+    std::uint64_t token = fencing_token(state, id);
+    observe_worker_report(&state, id, report, token, sent, now, wall);
   }
 
   // Runs one scheduling round and writes its records to the journal.
--- a/src/pool/types.h
+++ b/src/pool/types.h
@@ -82,6 +82,7 @@
 struct start_order {
   std::string worker;
   std::int64_t incarnation_ms = 0;  // Of the worker, when the order was made.
+  std::uint64_t fencing_token = 0;
   task_key task;
   std::uint32_t run = 0;
   std::shared_ptr<const wire::job_submission> job;
@@ -93,6 +94,7 @@
 struct stop_order {
   std::string worker;
   std::int64_t incarnation_ms = 0;  // Of the worker, when the order was made.
+  std::uint64_t fencing_token = 0;
   task_key task;
   std::uint32_t run = 0;
 };
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -18,6 +18,9 @@
 constexpr std::uint32_t kMinFailuresToAvoid = 3;
 constexpr milliseconds kAvoidTime{2000};
 constexpr std::uint32_t kMaxAvoidDoublings = 2;
+// Fencing tokens of an epoch. JSON readers may hold numbers as doubles, which
+// leaves 43 bits for the epoch.
+constexpr std::uint64_t kTokensPerEpoch = 1024;
 // For a worker that replies that it is unhealthy.
 constexpr milliseconds kUnhealthyAvoidTime{1000};
 
@@ -26,6 +29,11 @@
   return task.placed && task.worker == worker && task.last_run == placed.run;
 }
 
+milliseconds with_clock_drift(milliseconds lease) {
+  return milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(lease.count()) * kClockDrift));
+}
+
 void record_failure(worker* worker, steady_time now) {
   ++worker->consecutive_failures;
   if (worker->consecutive_failures < kMinFailuresToAvoid) return;
@@ -274,6 +282,8 @@
   std::int64_t previous = worker->entry.incarnation_ms;
   std::uint64_t last_end = worker->last_end;
   worker->entry.incarnation_ms = incarnation_ms;
+  ++pool->restarts[worker->entry.id];
+  worker->fenced = false;
   worker->last_end = 0;
   worker->acked_end = 0;
   worker->consecutive_failures = 0;
@@ -410,7 +420,6 @@
   // The entry may be older than the worker's last report.
   worker.entry.incarnation_ms = std::max(incarnation, entry.incarnation_ms);
   if (entry.incarnation_ms > incarnation) {
-    worker.fenced = false;
     begin_incarnation(pool, &worker, entry.incarnation_ms, "entry");
   } else {
     add_worker_event(pool, worker_event_kind::entry_outdated, entry.id,
@@ -425,6 +434,13 @@
   if (worker != nullptr) worker->listed = false;
 }
 
+std::uint64_t fencing_token(const pool_state& pool, const std::string& worker) {
+  std::unordered_map<std::string, std::uint64_t>::const_iterator found =
+      pool.restarts.find(worker);
+  std::uint64_t restarts = found == pool.restarts.end() ? 0 : found->second;
+  return pool.epoch * kTokensPerEpoch + std::min(restarts, kTokensPerEpoch - 1);
+}
+
 worker_time grant_lease(pool_state* pool, const std::string& id,
                         steady_time now) {
   worker* worker = find_worker(pool, id);
@@ -434,24 +450,27 @@
       std::chrono::duration_cast<milliseconds>(now - worker->clock_read_at);
   worker_time until =
       worker->clock + since_read + pool->limits.lease - kLeaseMargin;
-  milliseconds left = until - worker->clock;
-  milliseconds longest(static_cast<std::int64_t>(
-      static_cast<double>(left.count()) * kClockDrift));
   worker->lease_end =
-      std::max(worker->lease_end, worker->clock_read_at + longest);
+      std::max(worker->lease_end,
+               worker->clock_read_at + with_clock_drift(until - worker->clock));
   return until;
 }
 
 void observe_worker_report(pool_state* pool, const std::string& id,
-                           const worker_report& report, steady_time sent,
-                           steady_time now, unix_time wall) {
+                           const worker_report& report, std::uint64_t token,
+                           steady_time sent, steady_time now, unix_time wall) {
   worker* worker = find_worker(pool, id);
   if (worker == nullptr) return;
   if (report.incarnation_ms < worker->entry.incarnation_ms) return;
   if (report.incarnation_ms > worker->entry.incarnation_ms) {
     begin_incarnation(pool, worker, report.incarnation_ms, "report");
   }
-  worker->fenced = true;
+  if (!worker->fenced && token == fencing_token(*pool, id)) {
+    worker->fenced = true;
+    // A late order may have renewed the lease until this reply.
+    worker->lease_end =
+        std::max(worker->lease_end, now + with_clock_drift(pool->limits.lease));
+  }
   worker->last_reply = now;
   worker->clock = report.clock;
   worker->clock_read_at = now;
@@ -466,6 +485,12 @@
   drop_unreported(pool, worker, report, sent);
 }
 
+void observe_poll_fenced(pool_state* pool, const std::string& id,
+                         std::uint64_t token) {
+  // The owner's own higher token may have overtaken the poll.
+  if (token == fencing_token(*pool, id)) pool->superseded = true;
+}
+
 void observe_worker_replaced(pool_state* pool, const std::string& id,
                              std::int64_t incarnation_ms) {
   worker* worker = find_worker(pool, id);
@@ -494,8 +519,11 @@
       placed->last_progress = now;
       return;
     case start_outcome::fenced:
-      pool->superseded = true;
-      return;
+      if (order.fencing_token == fencing_token(*pool, order.worker)) {
+        pool->superseded = true;
+        return;
+      }
+      break;
     case start_outcome::other_incarnation:
       if (worker->entry.incarnation_ms == order.incarnation_ms) {
         observe_worker_replaced(pool, order.worker, order.incarnation_ms);
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -71,6 +71,7 @@
       round_timer_(context),
       flush_timer_(context) {
   pool_.limits = make_limits(settings);
+  pool_.epoch = epoch;
 }
 
 pool::unix_time owner::wall_now() const {
@@ -229,6 +230,7 @@
   worker_link::handlers handlers;
   handlers.prepare_poll = [this](const std::string& name, bool connected) {
     platform::worker_poll_request poll_request;
+    poll_request.fencing_token = pool::fencing_token(pool_, name);
     bool isolated =
         clock_.now() - last_write_ > pool::isolation_limit(pool_.limits);
     if (connected && !isolated) {
@@ -243,13 +245,13 @@
     }
     return poll_request;
   };
-  handlers.on_poll_result =
-      [this](const std::string& name, const platform::worker_poll_reply* reply,
-             steady_time sent, std::int64_t incarnation_ms) {
-        on_worker_poll(name, reply, sent, incarnation_ms);
-      };
+  handlers.on_poll_result = [this](const platform::worker_poll_request& request,
+                                   const platform::worker_poll_reply* reply,
+                                   steady_time sent) {
+    on_worker_poll(request, reply, sent);
+  };
   link = std::make_shared<worker_link>(context_, clock_, worker, address,
-                                       epoch_, std::move(handlers));
+                                       std::move(handlers));
   link->start();
 }
 
@@ -261,17 +263,21 @@
   links_.erase(found);
 }
 
-void owner::on_worker_poll(const std::string& worker,
+void owner::on_worker_poll(const platform::worker_poll_request& request,
                            const platform::worker_poll_reply* reply,
-                           steady_time sent, std::int64_t incarnation_ms) {
+                           steady_time sent) {
   if (stopped_) return;
   if (reply == nullptr) return;
+  const std::string& worker = request.worker;
   switch (reply->outcome) {
     case platform::worker_poll_outcome::answered:
-      pool::observe_worker_report(&pool_, worker, reply->report, sent,
-                                  clock_.now(), wall_now());
+      pool::observe_worker_report(&pool_, worker, reply->report,
+                                  request.fencing_token, sent, clock_.now(),
+                                  wall_now());
       break;
     case platform::worker_poll_outcome::fenced:
+      pool::observe_poll_fenced(&pool_, worker, request.fencing_token);
+      if (!pool_.superseded) break;
       events::emit(events::id::worker_superseded, "hold", worker,
                    "epoch={} has been superseded", epoch_);
       return step_down();
@@ -279,8 +285,8 @@
       events::emit(events::id::worker_rebooted, "hold", worker,
                    "its address belongs to another worker: address={} "
                    "incarnation={}",
-                   links_.at(worker)->address(), incarnation_ms);
-      pool::observe_worker_replaced(&pool_, worker, incarnation_ms);
+                   links_.at(worker)->address(), request.incarnation_ms);
+      pool::observe_worker_replaced(&pool_, worker, request.incarnation_ms);
       close_link(worker);
       break;
     case platform::worker_poll_outcome::unhealthy:
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -91,9 +91,9 @@
   void on_discovery_record(const jobs::record& record);
   void open_link(const std::string& worker, const std::string& address);
   void close_link(const std::string& worker);
-  void on_worker_poll(const std::string& worker,
+  void on_worker_poll(const platform::worker_poll_request& request,
                       const platform::worker_poll_reply* reply,
-                      steady_time sent, std::int64_t incarnation_ms);
+                      steady_time sent);
   void schedule_round();
   void schedule_round_at(steady_time when);
   void run_round();
--- a/src/poold/worker_link.cpp
+++ b/src/poold/worker_link.cpp
@@ -34,12 +34,10 @@
 
 worker_link::worker_link(boost::asio::io_context& context,
                          const clock::clock& clock, std::string worker,
-                         const std::string& address,
-                         std::uint64_t fencing_token, handlers handlers)
+                         const std::string& address, handlers handlers)
     : clock_(clock),
       worker_(std::move(worker)),
       address_(address),
-      fencing_token_(fencing_token),
       handlers_(std::move(handlers)),
       poll_client_(context, address, link_options(kPollConnections)),
       order_client_(context, address, link_options(kOrderConnections)),
@@ -69,34 +67,34 @@
   awaits_end_records_ = false;
   bool connected =
       answered_ && (closed_by_reply_ || poll_client_.has_idle_connection());
-  platform::worker_poll_request poll_request =
+  platform::worker_poll_request request =
       handlers_.prepare_poll(worker_, connected);
-  poll_request.worker = worker_;
-  poll_request.fencing_token = fencing_token_;
+  request.worker = worker_;
   // The first poll returns the worker's state at once.
-  poll_request.wait = connected ? kPollWait : milliseconds(0);
+  request.wait = connected ? kPollWait : milliseconds(0);
   steady_time sent = clock_.now();
-  poll_client_.call(
-      "hold", platform::encode_worker_poll(poll_request),
-      poll_request.wait + kReplyTimeoutMargin,
-      [self = shared_from_this(), sent, connected,
-       incarnation = poll_request.incarnation_ms](http::call_result&& result) {
-        if (self->stopped_) return;
-        self->on_reply(std::move(result), sent, incarnation, connected);
-      });
+  poll_client_.call("hold", platform::encode_worker_poll(request),
+                    request.wait + kReplyTimeoutMargin,
+                    [self = shared_from_this(), request, sent,
+                     connected](http::call_result&& result) {
+                      if (self->stopped_) return;
+                      self->on_reply(std::move(result), request, sent,
+                                     connected);
+                    });
 }
 
-void worker_link::on_reply(http::call_result&& result, steady_time sent,
-                           std::int64_t incarnation_ms, bool connected) {
+void worker_link::on_reply(http::call_result&& result,
+                           const platform::worker_poll_request& request,
+                           steady_time sent, bool connected) {
   answered_ = false;
   if (result.has_error()) {
-    handlers_.on_poll_result(worker_, nullptr, sent, incarnation_ms);
+    handlers_.on_poll_result(request, nullptr, sent);
     return poll_after(kPollRetryDelay);
   }
   platform::worker_poll_reply reply = platform::decode_worker_poll(*result);
   answered_ = reply.outcome == platform::worker_poll_outcome::answered;
   closed_by_reply_ = !result->keep_alive();
-  handlers_.on_poll_result(worker_, &reply, sent, incarnation_ms);
+  handlers_.on_poll_result(request, &reply, sent);
   if (stopped_) return;
   if (!answered_) return poll_after(kPollRetryDelay);
   if (!reply.report.ended.empty()) {
@@ -108,7 +106,7 @@
 
 void worker_link::send_start(const pool::start_order& order,
                              std::function<void(pool::start_outcome)> handler) {
-  order_client_.call("start", platform::encode_start(order, fencing_token_),
+  order_client_.call("start", platform::encode_start(order),
                      [self = shared_from_this(), handler = std::move(handler)](
                          http::call_result&& result) {
                        if (result.has_error()) {
@@ -121,7 +119,7 @@
 void worker_link::send_stop(const pool::stop_order& order,
                             std::function<void(bool)> handler) {
   order_client_.call(
-      "stop", platform::encode_stop(order, fencing_token_),
+      "stop", platform::encode_stop(order),
       [self = shared_from_this(),
        handler = std::move(handler)](http::call_result&& result) {
         handler(result.has_value() && platform::decode_stop(*result));
--- a/src/poold/worker_link.h
+++ b/src/poold/worker_link.h
@@ -21,23 +21,24 @@
 class worker_link : public std::enable_shared_from_this<worker_link> {
  public:
   struct handlers {
-    // Called before each poll. Supplies the lease to request and the number of
-    // the last recorded end. `connected`: the poll goes to the incarnation that
-    // answered the last one. Otherwise it may reach a later one.
+    // Called before each poll. Supplies the fencing token, the lease to request
+    // and the number of the last recorded end. `connected`: the poll goes to
+    // the incarnation that answered the last one. Otherwise it may reach a
+    // later one.
     std::function<platform::worker_poll_request(const std::string& worker,
                                                 bool connected)>
         prepare_poll;
-    // Called after each poll. `reply` is null if the call failed.
-    // `incarnation_ms` is the value from `prepare_poll`.
-    std::function<void(const std::string& worker,
+    // Called after each poll. `reply` is null if the call failed. `request` is
+    // the value from `prepare_poll`.
+    std::function<void(const platform::worker_poll_request& request,
                        const platform::worker_poll_reply* reply,
-                       steady_time sent, std::int64_t incarnation_ms)>
+                       steady_time sent)>
         on_poll_result;
   };
 
   worker_link(boost::asio::io_context& context, const clock::clock& clock,
               std::string worker, const std::string& address,
-              std::uint64_t fencing_token, handlers handlers);
+              handlers handlers);
 
   void start();
   // Ends the polls. Orders that were sent still get their outcome.
@@ -54,13 +55,13 @@
  private:
   void poll();
   void poll_after(milliseconds delay);
-  void on_reply(http::call_result&& result, steady_time sent,
-                std::int64_t incarnation_ms, bool connected);
+  void on_reply(http::call_result&& result,
+                const platform::worker_poll_request& request, steady_time sent,
+                bool connected);
 
   const clock::clock& clock_;
   std::string worker_;
   std::string address_;
-  std::uint64_t fencing_token_;
   handlers handlers_;
   // Polls have a connection of their own, as its loss shows that the next poll
   // may reach another incarnation.
--- a/src/poold/worker_link_test.cpp
+++ b/src/poold/worker_link_test.cpp
@@ -22,7 +22,7 @@
       context, http::parse_address("127.0.0.1:0").value());
   std::shared_ptr<worker_link> link = std::make_shared<worker_link>(
       context, clock, "w1",
-      "127.0.0.1:" + std::to_string(silent.local_endpoint().port()), 1,
+      "127.0.0.1:" + std::to_string(silent.local_endpoint().port()),
       worker_link::handlers{});
   pool::start_order start;
   start.job = std::make_shared<wire::job_submission>();
