Keep a task from being placed while a worker reports a run of it

Callers would see two runs of a task at the same time: a worker reports a run that the owner had settled, as when a refused start was carried out by a copy or a late start began in a new incarnation. The owner stopped the unexpected run, but took its task for free and placed it in the same round, a reply and the time of a stop too early.

An unexpected run now holds its task as any placement does; the task is free when the stopped run has ended. The run that holds a task is kept apart from the last run number, since an earlier run may turn up.

The test 'a task isn't placed while an earlier run of it is reported' failed before (the second start left in the same round).

--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -84,6 +84,7 @@
   task& task = candidate.step->tasks[index];
   task.last_run = run;
   task.placed = true;
+  task.placed_run = run;
   task.worker = at->worker->entry.id;
   task.incarnation_ms = at->worker->entry.incarnation_ms;
   placement placed;
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -52,6 +52,7 @@
   task.checkpoint = saved.checkpoint();
   if (saved.worker().empty()) return;
   task.placed = true;
+  task.placed_run = saved.last_run();
   task.worker = saved.worker();
   task.incarnation_ms = saved.incarnation_ms();
   worker& worker = pool->workers[saved.worker()];
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -122,6 +122,7 @@
   bool placed = false;
   std::string checkpoint;
   std::string worker;  // While placed.
+  std::uint32_t placed_run = 0;
   std::int64_t incarnation_ms = 0;
   std::string last_failed_worker;
 };
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -580,8 +580,7 @@
   CHECK(orders.stops.empty());
 }
 
-TEST_CASE("a task isn't placed while an earlier run of it is reported",
-          "[!shouldfail]") {
+TEST_CASE("a task isn't placed while an earlier run of it is reported") {
   test_pool pool;
   pool.add_worker("w1");
   pool.submit(kJob, {test_pool::step(1, 1000)});
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -26,7 +26,7 @@
 
 bool is_current_run(const task& task, const placement& placed,
                     const std::string& worker) {
-  return task.placed && task.worker == worker && task.last_run == placed.run;
+  return task.placed && task.worker == worker && task.placed_run == placed.run;
 }
 
 milliseconds with_clock_drift(milliseconds lease) {
@@ -186,7 +186,7 @@
   if (ref.step != nullptr && row.task.index < ref.step->tasks.size()) {
     const task& task = ref.step->tasks[row.task.index];
     if (task.placed) {
-      placed_on = task.worker + "/" + std::to_string(task.last_run);
+      placed_on = task.worker + "/" + std::to_string(task.placed_run);
     }
     done = task.done;
   }
@@ -198,6 +198,23 @@
           " done=" + std::to_string(static_cast<int>(done)));
 }
 
+// Keeps the task of an unexpected run from being placed until the run has
+// ended.
+void hold_task(pool_state* pool, const worker& worker,
+               const reported_run& row) {
+  task_ref ref = find_task(pool, row.task);
+  if (ref.step == nullptr || row.task.index >= ref.step->tasks.size()) return;
+  task& task = ref.step->tasks[row.task.index];
+  if (task.done || task.placed) return;
+  task.last_run = std::max(task.last_run, row.run);
+  task.placed = true;
+  task.placed_run = row.run;
+  task.worker = worker.entry.id;
+  task.incarnation_ms = worker.entry.incarnation_ms;
+  pool->changed_jobs.insert(row.task.job);
+  update_waiting(pool, *ref.job, *ref.step);
+}
+
 void apply_running(pool_state* pool, worker* worker, const reported_run& row,
                    steady_time now) {
   mark_started(pool, row.task.job);
@@ -219,6 +236,7 @@
     unexpected.stop_wanted = true;
     record_unexpected_run(pool, *worker, row);
     add_placement(pool, worker, std::move(unexpected));
+    hold_task(pool, *worker, row);
     return;
   }
   if (placed->phase == phase::recording) return;
@@ -479,10 +497,10 @@
     worker->last_end = end.number;
     apply_end(pool, worker, end, now, wall);
   }
+  drop_unreported(pool, worker, report, sent);
   for (const reported_run& row : report.running) {
     apply_running(pool, worker, row, now);
   }
-  drop_unreported(pool, worker, report, sent);
 }
 
 void observe_poll_fenced(pool_state* pool, const std::string& id,
