Let a simulated worker never list ends that a poll took as read

The platform forgets ends up to the number that a poll names. The stand-in applied this only to ends that it already had, so a poll that named a number from a former incarnation did no harm: the new incarnation still listed all its ends.

The worker now keeps the highest number of its incarnation. An end up to it is never listed and counts as acknowledged in the ledger when it occurs.

--- a/src/pool/simulated_worker.cpp
+++ b/src/pool/simulated_worker.cpp
@@ -196,6 +196,10 @@
   closed_runs_[task] = std::max(closed_runs_[task], ended.run);
   ends_.push_back({next_end_++, task, ended.run, kind, {}});
   ledger_->record_end(id_, task, ended.run, kind);
+  if (ends_.back().number <= acked_end_) {
+    ledger_->record_acknowledged(ends_.back());
+    ends_.pop_back();
+  }
   if (!ended.gang) return;
   gangs_->leave(this, task, ended.run);
   end_kind for_others =
@@ -260,6 +264,7 @@
   closed_runs_.clear();
   ends_.clear();
   next_end_ = 1;
+  acked_end_ = 0;
   fence_ = 0;
   lease_ = worker_time(0);
   born_ = now;
@@ -346,13 +351,12 @@
   tick(now);
   if (!accept_fence(fence)) return false;
   extend_lease(until, now);
-  for (const reported_end& end : ends_) {
-    if (end.number <= acked) ledger_->record_acknowledged(end);
-  }
-  ends_.erase(std::remove_if(
-                  ends_.begin(), ends_.end(),
-                  [&](const reported_end& end) { return end.number <= acked; }),
-              ends_.end());
+  acked_end_ = std::max(acked_end_, acked);
+  std::erase_if(ends_, [&](const reported_end& end) {
+    if (end.number > acked_end_) return false;
+    ledger_->record_acknowledged(end);
+    return true;
+  });
   out->clock = clock(now);
   out->incarnation_ms = incarnation_ms_;
   for (const std::pair<const task_key, active_run>& each : runs_) {
--- a/src/pool/simulated_worker.h
+++ b/src/pool/simulated_worker.h
@@ -162,6 +162,8 @@
   std::map<task_key, std::uint32_t> closed_runs_;
   std::vector<reported_end> ends_;
   std::uint64_t next_end_ = 1;
+  // Ends up to this number are not listed, later ones included.
+  std::uint64_t acked_end_ = 0;
 };
 
 }  // namespace ebonygrade::pool
