Let the worker stand-in crash and start again under its id and address

drop_calls() keeps calls from a worker, and keep_next_call() leaves one without a reply and carries it out when the test says so, in whatever incarnation.

--- a/standin/pool/worker_host.cpp
+++ b/standin/pool/worker_host.cpp
@@ -1,9 +1,11 @@
 #include "standin/pool/worker_host.h"
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <utility>
 
+#include "http/address.h"
 #include "platform/json.h"
 #include "platform/workers.h"
 
@@ -18,9 +20,9 @@
 constexpr std::chrono::milliseconds kTickInterval{20};
 constexpr pool::resources kCapacity{4000, 4000, 0};
 
-pool::simulated_worker::behaviour behaviour() {
+pool::simulated_worker::behaviour behaviour(pool::milliseconds task_time) {
   pool::simulated_worker::behaviour result;
-  result.task_time = std::chrono::milliseconds(100);
+  result.task_time = task_time;
   return result;
 }
 
@@ -57,25 +59,51 @@
 
 worker_host::worker_host(boost::asio::io_context& context, std::string id,
                          std::string service, pool::ledger* ledger,
-                         pool::gang_registry* gangs, keyed_store* store)
-    : id_(id),
+                         pool::gang_registry* gangs, keyed_store* store,
+                         pool::milliseconds task_time)
+    : context_(context),
+      id_(id),
       service_(std::move(service)),
       store_(store),
-      worker_(std::move(id), kCapacity, behaviour(), ledger, gangs, 1),
-      server_(context, {},
-              [this](http::request&& request, http::responder answer) {
-                handle(std::move(request), std::move(answer));
-              }),
+      worker_(std::move(id), kCapacity, behaviour(task_time), ledger, gangs, 1),
+      reserved_port_(context),
       timer_(context) {
-  server_.listen("127.0.0.1:0").value();
+  listen();
   announce("ready");
   tick();
 }
 
+void worker_host::listen() {
+  server_.emplace(context_, http::server_options(),
+                  [this](http::request&& request, http::responder answer) {
+                    handle(std::move(request), std::move(answer));
+                  });
+  server_->listen(address_).value();
+  address_ = "127.0.0.1:" + std::to_string(server_->port());
+}
+
+void worker_host::crash() {
+  worker_.crash(std::chrono::steady_clock::now());
+  server_.reset();
+  if (kept_answer_) kept_answer_->drop();
+  kept_answer_.reset();
+  replies_.clear();
+  boost::asio::ip::tcp::endpoint endpoint =
+      http::parse_address(address_).value();
+  reserved_port_.open(endpoint.protocol());
+  reserved_port_.set_option(boost::asio::socket_base::reuse_address(true));
+  reserved_port_.bind(endpoint);
+}
+
+void worker_host::restart() {
+  listen();
+  reserved_port_.close();
+}
+
 void worker_host::announce(const std::string& state) {
   json::object entry;
   entry["service"] = service_;
-  entry["addr"] = "127.0.0.1:" + std::to_string(server_.port());
+  entry["addr"] = address_;
   entry["zone"] = "zone-a";
   entry["state"] = state;
   entry["capacity"] = {{"cpu", kCapacity.cpu_milli},
@@ -99,10 +127,35 @@
     reply.result(421);
     return answer(std::move(reply));
   }
-  if (request.target() == "/run-start") return answer(handle_start(request));
-  if (request.target() == "/run-stop") return answer(handle_stop(request));
-  if (request.target() == "/hold") return answer(handle_poll(request));
-  answer(http::error_response(http::status::not_found, "no such call"));
+  std::string target(request.target());
+  if (dropped_.count(target) > 0) return answer.drop();
+  if (target == target_to_keep_) {
+    target_to_keep_.clear();
+    kept_call_ = std::move(request);
+    kept_answer_ = std::move(answer);
+    return;
+  }
+  std::optional<http::response> reply = carry_out(request);
+  if (!reply) {
+    return answer(
+        http::error_response(http::status::not_found, "no such call"));
+  }
+  ++replies_[target];
+  answer(std::move(*reply));
+}
+
+std::optional<http::response> worker_host::carry_out(
+    const http::request& request) {
+  if (request.target() == kStart) return handle_start(request);
+  if (request.target() == kStop) return handle_stop(request);
+  if (request.target() == kPoll) return handle_poll(request);
+  return std::nullopt;
+}
+
+void worker_host::carry_out_kept_call() {
+  carry_out(*std::exchange(kept_call_, std::nullopt));
+  if (kept_answer_) kept_answer_->drop();
+  kept_answer_.reset();
 }
 
 http::response worker_host::handle_start(const http::request& request) {
