Test that the ends of a restarted worker are all read

Callers would see tasks run again after they have completed (TWICE): a worker crashes after 30 ends and starts again under its id and address, and the daemon's first poll of it still names end 30 as read. The new incarnation never lists its own ends up to 30, so the daemon takes those runs as lost and starts their tasks again.

The daemon learns of the new incarnation only from the reply to that poll, so the number that it sends can't depend on it.

--- /dev/null
+++ b/src/poold/restart_test.cpp
@@ -0,0 +1,113 @@
+// A worker crashes and starts again under its id and address, over loopback.
+// The ledger of the workers' runs judges the daemon. The tests don't depend on
+// timing, except for the limit after which a condition counts as failed; calls
+// that arrive earlier or later than intended only make a fault harder to see.
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+
+#include "poold/test_cell.h"
+
+namespace ebonygrade::poold {
+
+namespace {
+
+using standin::worker_host;
+
+constexpr char kFormerJob[] = "00000000000000ab";
+constexpr std::uint32_t kFormerTasks = 30;
+constexpr std::uint32_t kTasks = 6;
+constexpr milliseconds kLongTask{2000};
+
+struct restart_cell : cell {
+  explicit restart_cell(milliseconds task_time = worker_host::kShortTask) {
+    store.put("keyed.op", "config", kManifest);
+    add_worker("w1", task_time);
+  }
+
+  worker_host& w1() { return *workers.front(); }
+
+  void add_owner() {
+    add_node("n1");
+    REQUIRE(wait_until([&] { return nodes[0]->owns_pool(); }));
+  }
+
+  // Submits a job with one step of plain tasks.
+  void submit(const std::string& id, std::uint32_t tasks) {
+    wire::job_submission job;
+    job.add_steps()->set_count(tasks);
+    ledger.add_job(id, job, 2);
+    submitted_tasks += tasks;
+    std::string body = R"({"spec":"s","steps":[{"count":)" +
+                       std::to_string(tasks) +
+                       R"(,"cpu":100,"memMb":1,"estMs":100}]})";
+    REQUIRE(call(0, http::verb::post, "/q/" + id, body).first == 200);
+  }
+
+  bool completes(const std::string& id) {
+    return wait_until([&] {
+      return call(0, http::verb::get, "/q/" + id).second ==
+             R"({"state":"complete"})";
+    });
+  }
+
+  // Completes a job at the first incarnation, whose ends are then recorded.
+  void complete_former_job(std::uint32_t tasks) {
+    submit(kFormerJob, tasks);
+    REQUIRE(completes(kFormerJob));
+    REQUIRE(wait_until([&] { return ledger.job_acknowledged(kFormerJob); }));
+  }
+
+  bool polled(const worker_host& worker, std::uint64_t more = 1) {
+    std::uint64_t before = worker.replies(worker_host::kPoll);
+    return wait_until(
+        [&] { return worker.replies(worker_host::kPoll) >= before + more; });
+  }
+
+  // Starts the next incarnation, which gets no polls yet.
+  void restart_without_polls() {
+    w1().crash();
+    w1().drop_calls({worker_host::kPoll});
+    w1().restart();
+  }
+
+  // The daemon reads the entry of the new incarnation, then polls it.
+  void meet_by_entry() {
+    // The second read shows that the daemon has applied the first.
+    for (int i = 0; i < 2; ++i) {
+      std::uint64_t before = store.reads_with_records("keyed.servers");
+      w1().announce("ready");
+      REQUIRE(wait_until(
+          [&] { return store.reads_with_records("keyed.servers") > before; }));
+    }
+    w1().drop_calls({});
+    REQUIRE(polled(w1()));
+  }
+
+  // Checks that every task ran once.
+  void check_runs() {
+    for (const std::string& each : ledger.violations()) UNSCOPED_INFO(each);
+    CHECK(ledger.violations().empty());
+    CHECK(ledger.starts() == submitted_tasks);
+  }
+
+  std::uint64_t submitted_tasks = 0;
+};
+
+// A first poll with the former incarnation's end number takes that many ends of
+// the new one as read.
+TEST_CASE("the ends of a worker's new incarnation are all read",
+          "[!shouldfail]") {
+  restart_cell cell;
+  cell.add_owner();
+  cell.complete_former_job(kFormerTasks);
+  cell.w1().crash();
+  cell.w1().restart();
+  cell.submit(kJob, kTasks);
+  CHECK(cell.completes(kJob));
+  cell.check_runs();
+}
+
+}  // namespace
+
+}  // namespace ebonygrade::poold
