Test that a confirmed run survives the entry of a new incarnation

Callers would see a task run on two workers at once (TWICE): a start reaches a worker that has just started again under its id, and is confirmed before the daemon knows of the restart. The entry of the new incarnation then comes before any report, and begin_incarnation() drops all confirmed runs, this one included.

The worker refuses polls until the other one has replied to five, so the daemon has time to place the task there; a later poll shows the run.

--- a/src/poold/restart_test.cpp
+++ b/src/poold/restart_test.cpp
@@ -108,6 +108,24 @@
   cell.check_runs();
 }
 
+TEST_CASE("a run that a new incarnation confirmed before its entry is kept",
+          "[!shouldfail]") {
+  restart_cell cell(kLongTask);
+  cell.add_owner();
+  REQUIRE(cell.polled(cell.w1(), 2));
+  cell.restart_without_polls();
+  cell.submit(kJob, 1);
+  REQUIRE(cell.wait_until(
+      [&] { return cell.w1().replies(worker_host::kStart) > 0; }));
+  cell.add_worker("w2", kLongTask);
+  cell.w1().announce("ready");
+  // By then, the daemon could have placed the task on the other worker.
+  REQUIRE(cell.polled(*cell.workers[1], 5));
+  cell.w1().drop_calls({});
+  CHECK(cell.completes(kJob));
+  cell.check_runs();
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
