Test that a confirmed run survives the first report of a new incarnation

Callers would see a run stopped and its task started again for no reason, or run twice on a platform that takes the second start: a start reaches a worker that has just started again under its id and is confirmed, and the next poll's reply tells of the new incarnation. begin_incarnation() drops the run, the same report lists it as unexpected, and its task is placed on the worker again.

Only the order of the calls differs from the test of the entry, so both paths need the same rule.

--- a/src/poold/restart_test.cpp
+++ b/src/poold/restart_test.cpp
@@ -126,6 +126,20 @@
   cell.check_runs();
 }
 
+TEST_CASE("a run that a new incarnation confirmed before its report is kept",
+          "[!shouldfail]") {
+  restart_cell cell(kLongTask);
+  cell.add_owner();
+  REQUIRE(cell.polled(cell.w1(), 2));
+  cell.restart_without_polls();
+  cell.submit(kJob, 1);
+  REQUIRE(cell.wait_until(
+      [&] { return cell.w1().replies(worker_host::kStart) > 0; }));
+  cell.w1().drop_calls({});
+  CHECK(cell.completes(kJob));
+  cell.check_runs();
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
