Test that a late poll hides no ends of a new incarnation

Callers would see tasks run again after they have completed (TWICE): a poll that a worker left without a reply is carried out after the worker has started again under its id. It carries the token that the daemon uses for the new incarnation too, so it counts, and its end number 30 hides the new incarnation's ends 1 to 30.

The daemon has read the entry before it polls, so its own first poll names no end and the late one is the only cause.

--- a/src/poold/restart_test.cpp
+++ b/src/poold/restart_test.cpp
@@ -140,6 +140,22 @@
   cell.check_runs();
 }
 
+// The late poll arrives after the daemon's first poll of the new incarnation.
+TEST_CASE("a late poll of the former incarnation makes no ends unread",
+          "[!shouldfail]") {
+  restart_cell cell;
+  cell.add_owner();
+  cell.complete_former_job(kFormerTasks);
+  cell.w1().keep_next_call(worker_host::kPoll);
+  REQUIRE(cell.wait_until([&] { return cell.w1().keeps_call(); }));
+  cell.restart_without_polls();
+  cell.meet_by_entry();
+  cell.w1().carry_out_kept_call();
+  cell.submit(kJob, kTasks);
+  CHECK(cell.completes(kJob));
+  cell.check_runs();
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
