Test that a late poll extends no lease of a new incarnation

Callers would see a task run on two workers at once (TWICE): a worker can't be reached, and a poll meant for its former incarnation is carried out there. Its lease ends on the former clock, which is far ahead, so the worker cuts it to the longest lease from the arrival. The owner counts only the leases of its own polls, takes them as over and places the task elsewhere while it runs.

--- a/src/poold/restart_test.cpp
+++ b/src/poold/restart_test.cpp
@@ -156,6 +156,36 @@
   cell.check_runs();
 }
 
+// The daemon counts the leases of the new incarnation from its own polls.
+TEST_CASE("a late poll of the former incarnation extends no lease",
+          "[!shouldfail]") {
+  // The task outlasts every lease.
+  constexpr milliseconds kEndless{600000};
+  restart_cell cell(kEndless);
+  cell.add_owner();
+  REQUIRE(cell.polled(cell.w1(), 2));
+  cell.w1().keep_next_call(worker_host::kPoll);
+  REQUIRE(cell.wait_until([&] { return cell.w1().keeps_call(); }));
+  cell.restart_without_polls();
+  cell.meet_by_entry();
+  cell.submit(kJob, 1);
+  REQUIRE(cell.wait_until(
+      [&] { return cell.w1().replies(worker_host::kStart) > 0; }));
+  REQUIRE(cell.polled(cell.w1()));
+  cell.add_worker("w2", kEndless);
+  REQUIRE(cell.polled(*cell.workers[1], 2));
+  // No other call reaches the worker any more. The late one comes after the
+  // daemon's last grant and before the end of the lease.
+  cell.w1().drop_calls(
+      {worker_host::kPoll, worker_host::kStart, worker_host::kStop});
+  cell.context.run_for(std::chrono::seconds(4));
+  cell.w1().carry_out_kept_call();
+  CHECK(cell.wait_until(
+      [&] { return cell.workers[1]->replies(worker_host::kStart) > 0; }));
+  for (const std::string& each : cell.ledger.violations()) UNSCOPED_INFO(each);
+  CHECK(cell.ledger.violations().empty());
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
