Test that a late start runs no completed task after a restart

Callers would see a task start after it has completed (TWICE): a start gets no reply, its second copy runs and completes, the worker starts again under its id, and the first copy is carried out then. The new incarnation knows no ended runs, and the daemon's token is the same as before.

The daemon has polled the new incarnation before, so a token that rises with each incarnation would refuse the copy.

--- a/src/poold/restart_test.cpp
+++ b/src/poold/restart_test.cpp
@@ -186,6 +186,24 @@
   CHECK(cell.ledger.violations().empty());
 }
 
+// The former incarnation carried out another copy of the start. This one
+// arrives after the daemon's first poll of the new incarnation.
+TEST_CASE("a late start doesn't run a completed task in a new incarnation",
+          "[!shouldfail]") {
+  restart_cell cell;
+  cell.add_owner();
+  REQUIRE(cell.polled(cell.w1(), 2));
+  cell.w1().keep_next_call(worker_host::kStart);
+  cell.complete_former_job(1);
+  REQUIRE(cell.w1().keeps_call());
+  cell.restart_without_polls();
+  cell.meet_by_entry();
+  cell.w1().carry_out_kept_call();
+  cell.submit(kJob, kTasks);
+  CHECK(cell.completes(kJob));
+  cell.check_runs();
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
