Test a late poll that comes before the first poll of a new incarnation

Callers would see tasks run again after they have completed (TWICE), as with a late poll after the daemon's first one. Here the late poll is the first call that the new incarnation gets. It has seen no token, so it refuses none, and its end number hides ends 1 to 30 from then on.

It rests on the unkind reading of the platform's page, that ends which occur later are hidden too; a rising token doesn't close it.

--- a/src/poold/restart_test.cpp
+++ b/src/poold/restart_test.cpp
@@ -204,6 +204,22 @@
   cell.check_runs();
 }
 
+// Before the daemon's first poll no fencing token refuses the late call.
+TEST_CASE("a late poll before the first poll makes no ends unread",
+          "[!shouldfail]") {
+  restart_cell cell;
+  cell.add_owner();
+  cell.complete_former_job(kFormerTasks);
+  cell.w1().keep_next_call(worker_host::kPoll);
+  REQUIRE(cell.wait_until([&] { return cell.w1().keeps_call(); }));
+  cell.restart_without_polls();
+  cell.w1().carry_out_kept_call();
+  cell.meet_by_entry();
+  cell.submit(kJob, kTasks);
+  CHECK(cell.completes(kJob));
+  cell.check_runs();
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
