Test a late start that comes before the first poll of a new incarnation

Callers would see a task start after it has completed (TWICE): a copy of a start that got no reply is the first call that a worker gets after it has started again under its id. It has seen no token and knows no ended runs, so it runs the task.

A rising token doesn't close this path; what would help is an end that isn't acknowledged while a copy of its start may be under way, which is not tried.

--- a/src/poold/restart_test.cpp
+++ b/src/poold/restart_test.cpp
@@ -220,6 +220,22 @@
   cell.check_runs();
 }
 
+TEST_CASE("a late start before the first poll runs no completed task",
+          "[!shouldfail]") {
+  restart_cell cell;
+  cell.add_owner();
+  REQUIRE(cell.polled(cell.w1(), 2));
+  cell.w1().keep_next_call(worker_host::kStart);
+  cell.complete_former_job(1);
+  REQUIRE(cell.w1().keeps_call());
+  cell.restart_without_polls();
+  cell.w1().carry_out_kept_call();
+  cell.meet_by_entry();
+  cell.submit(kJob, kTasks);
+  CHECK(cell.completes(kJob));
+  cell.check_runs();
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
