--- a/src/pool/simulated_worker.cpp
+++ b/src/pool/simulated_worker.cpp
@@ -196,6 +196,10 @@
   closed_runs_[task] = std::max(closed_runs_[task], ended.run);
   ends_.push_back({next_end_++, task, ended.run, kind, {}});
   ledger_->record_end(id_, task, ended.run, kind);
+  if (ends_.back().number <= acked_end_) {
+    ledger_->record_acknowledged(ends_.back());
+    ends_.pop_back();
+  }
   if (!ended.gang) return;
   gangs_->leave(this, task, ended.run);
   end_kind for_others =
