--- a/src/jobs/job_table_test.cpp
+++ b/src/jobs/job_table_test.cpp
@@ -55,6 +55,38 @@
   CHECK(not_started(table, "q") == 0);
 }
 
+// Guards against a takeover from an old copy: a load of the journal in pages
+// brought back the progress from before the owner's last append, and a task
+// that had ended as done was started again.
+TEST_CASE("an older record doesn't replace newer progress", "[!shouldfail]") {
+  table table;
+  record older = progress_record(wire::OPEN);
+  older.offset = 3;
+  wire::job_progress progress;
+  progress.set_started(true);
+  progress.add_steps()->add_done(0);
+  record newer{progress_key(kJob), progress.SerializeAsString(), 5};
+  apply(&table, submission_record());
+  apply(&table, newer);
+  CHECK(apply(&table, older).kind == change_kind::none);
+  REQUIRE(find(table, kJob)->progress.steps_size() == 1);
+  CHECK(find(table, kJob)->progress.steps(0).done_size() == 1);
+  apply(&table, {progress_key(kJob), "", 4});
+  CHECK(find(table, kJob)->progress.steps_size() == 1);
+}
+
+// An end that a peer reported has no offset.
+TEST_CASE("an end without an offset replaces newer progress") {
+  table table;
+  record progress = progress_record(wire::OPEN);
+  progress.offset = 5;
+  apply(&table, submission_record());
+  apply(&table, progress);
+  CHECK(apply(&table, progress_record(wire::COMPLETE)).kind ==
+        change_kind::progressed);
+  CHECK(state_of(*find(table, kJob)) == state::complete);
+}
+
 TEST_CASE("an ended job is known by its progress record alone") {
   table table;
   apply(&table, submission_record());
