--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -555,6 +555,26 @@
   CHECK(cell.ledger.violations().empty());
 }
 
+// Guards against a takeover from an old copy: a job that ended and was deleted
+// while a daemon missed more records than the store keeps stayed open there.
+TEST_CASE("a daemon that missed trimmed records forgets deleted jobs",
+          "[!shouldfail]") {
+  cell cell;
+  cell.store.put("keyed.op", "config", kManifest);
+  REQUIRE(cell.start_owner_and_standby());
+  std::size_t owner = cell.nodes[0]->owns_pool() ? 0 : 1;
+  std::size_t standby = 1 - owner;
+  std::string path = "/q/" + std::string(kJob);
+  REQUIRE(cell.call(owner, http::verb::post, path, kBody).first == 200);
+  REQUIRE(cell.reaches_state(standby, "pending"));
+  cell.store.block_reads("keyed.journal");
+  cell.store.put("keyed.journal", jobs::submission_key(kJob), "");
+  cell.store.compact("keyed.journal");
+  cell.store.block_reads("");
+  CHECK(cell.wait_until(
+      [&] { return cell.call(standby, http::verb::get, path).first == 410; }));
+}
+
 // A cell that is too large for a copy of the journal in every daemon.
 struct large_cell : cell {
   static constexpr std::size_t kDaemons = 12;
