--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -5,7 +5,7 @@
 //
 //   pool::pool_state pool{limits};
 //   add_job(&pool, id, entry, now);
-//   observe_worker_report(&pool, worker, report, sent, now, wall);
+//   observe_worker_report(&pool, worker, report, token, sent, now, wall);
 //   pool::decisions orders = decide(&pool, now, wall);
 //   pool::journal_batch batch = take_batch(&pool, wall);
 //   ... append batch.records to the journal ...
@@ -82,6 +82,7 @@
   steady_time last_progress;  // When `percent` last changed.
   bool resumed = false;       // Started from a checkpoint.
   bool overdue = false;       // Counted as slow before it ended.
+  bool reported = false;      // By the worker's current incarnation.
   bool stop_wanted = false;
   bool stop_confirmed = false;
   steady_time stop_sent_at;  // Default value: not sent.
@@ -98,7 +99,8 @@
 struct worker {
   worker_entry entry;
   bool listed = false;  // Present in service discovery.
-  bool fenced = false;  // Has replied to this owner's fencing token.
+  bool fenced = false;  // This incarnation has replied to this owner's token.
+  bool knows_token = false;  // Has replied to the current fencing token.
   steady_time last_reply;
   worker_time clock{0};  // The worker's clock at clock_read_at.
   steady_time clock_read_at;
@@ -122,6 +124,7 @@
   bool placed = false;
   std::string checkpoint;
   std::string worker;  // While placed.
+  std::uint32_t placed_run = 0;
   std::int64_t incarnation_ms = 0;
   std::string last_failed_worker;
 };
@@ -261,7 +264,11 @@
 
 struct pool_state {
   pool::limits limits;
+  std::uint64_t epoch = 0;  // Of the owner; rises with each owner.
   std::unordered_map<std::string, worker> workers;
+  // How often this owner has raised the fencing token of a worker. Kept when a
+  // worker departs, as it may return.
+  std::unordered_map<std::string, std::uint64_t> raised_tokens;
   std::unordered_map<std::string, job> jobs;
   std::unordered_map<std::string, queue_policy> queues;
   std::set<queue_position> waiting_steps;
@@ -306,6 +313,17 @@
 // The worker is no longer in service discovery.
 void observe_worker_removed(pool_state* pool, const std::string& worker);
 
+// The token of orders to the worker. Workers refuse orders with a lower token
+// than they have seen. It rises with the epoch and whenever the next call may
+// reach another incarnation of the worker, so that orders to an earlier one,
+// which name the same id and may be delivered late, are refused like those of
+// an earlier owner.
+std::uint64_t fencing_token(const pool_state& pool, const std::string& worker);
+
+// The connection to the worker is lost: the next call may reach another
+// incarnation.
+void observe_connection_lost(pool_state* pool, const std::string& worker);
+
 // The journal confirmed an append of this owner that was first sent at `sent`.
 void observe_journal_write(pool_state* pool, steady_time sent);
 // Whether another owner may exist for so long that leases of this one would
@@ -318,10 +336,14 @@
 worker_time grant_lease(pool_state* pool, const std::string& worker,
                         steady_time now);
 
-// Applies the report of a poll that was sent at `sent`.
+// Applies the report of a poll that was sent at `sent` with fencing token
+// `token`.
 void observe_worker_report(pool_state* pool, const std::string& worker,
-                           const worker_report& report, steady_time sent,
-                           steady_time now, unix_time wall);
+                           const worker_report& report, std::uint64_t token,
+                           steady_time sent, steady_time now, unix_time wall);
+// The worker refused a poll with fencing token `token`.
+void observe_poll_fenced(pool_state* pool, const std::string& worker,
+                         std::uint64_t token);
 // Another worker id has the worker's address. `incarnation_ms` is the
 // incarnation that the call was addressed to; that incarnation has ended.
 void observe_worker_replaced(pool_state* pool, const std::string& worker,
--- a/src/pool/simulated_cell.h
+++ b/src/pool/simulated_cell.h
@@ -21,9 +21,12 @@
   std::uint64_t seed = 1;
   std::size_t workers = 4;
   std::size_t jobs = 12;
-  double message_loss = 0;         // Share of calls to workers that are lost.
-  double reply_loss = 0;           // Share of calls whose reply is lost.
-  double late_delivery = 0;        // Share of calls delivered 2 to 12 s late.
+  double message_loss = 0;   // Share of calls to workers that are lost.
+  double reply_loss = 0;     // Share of calls whose reply is lost.
+  double late_delivery = 0;  // Share of calls delivered 2 to 12 s late.
+  // Whether a late call reaches a new incarnation before the owner's first
+  // poll.
+  bool late_first_calls = false;
   double failure_rate = 0;         // Share of runs that fail.
   milliseconds takeover_every{0};  // Interval of new owners; 0: none.
   double surviving_owner = 0;   // Share of takeovers whose old owner continues.
@@ -52,7 +55,8 @@
     std::uint64_t epoch = 0;
     bool alive = true;
     bool writing = false;
-    std::map<std::string, bool> polling;
+    // The incarnation of each worker that answered the last poll; 0: none did.
+    std::map<std::string, std::int64_t> answered_by;
   };
   using event = std::function<void()>;
 
@@ -69,8 +73,10 @@
   void send_start(std::shared_ptr<owner> owner, const start_order& order);
   void send_stop(std::shared_ptr<owner> owner, const stop_order& order);
   // Delivers `call` to a worker and its reply back, subject to the network
-  // faults.
-  void deliver(std::function<void()> call, std::function<void()> answered,
+  // faults. Calls name the worker's id, which all its incarnations share, so a
+  // call that is delivered late reaches the current one.
+  void deliver(const std::string& worker, std::uint64_t token,
+               std::function<void()> call, std::function<void()> answered,
                std::function<void()> unanswered);
   void apply(const jobs::record& record);
 
