--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "wire/journal.pb.h"
 
@@ -30,7 +31,9 @@
   // Null until read, and for jobs that have ended.
   std::shared_ptr<const wire::job_submission> submission;
   wire::job_progress progress;
-  bool cancelled = false;  // A caller requested the cancellation.
+  std::uint64_t progress_offset = 0;  // Of the newest record of the progress.
+  std::uint64_t newest_offset = 0;    // Of all records of the job.
+  bool cancelled = false;             // A caller requested the cancellation.
 };
 
 // State of a job as reported to callers.
@@ -61,10 +64,16 @@
 };
 
 // Applies one record. Records of the keyed topic may be applied repeatedly, or
-// the newest of each key first; older records then change nothing. A job that
-// has ended never becomes open again.
+// the newest of each key first; progress and owners that are older than the
+// known ones then change nothing. A job that has ended never becomes open
+// again. An end may come without an offset.
 change apply(table* table, const record& record);
 
+// Removes the jobs that have no record in `newest`, the newest record of every
+// key in a journal that ended at `end` or later. Jobs with later records stay.
+void remove_missing(table* table, const std::vector<record>& newest,
+                    std::uint64_t end);
+
 // Takes the owner from a source other than the journal. An older owner than the
 // known one is ignored.
 void observe_owner(table* table, const wire::ownership_record& owner);
--- a/src/poold/node_ownership.cpp
+++ b/src/poold/node_ownership.cpp
@@ -58,6 +58,8 @@
 void node::consider_claim(steady_time now) {
   if (owner_ || draining_ || claiming_) return;
   if (!manifest_ || !has_journal()) return;
+  // check_claim() takes over after the next read.
+  if (has_claim() && !has_read_to_owner()) return;
   const wire::ownership_record& last = table_.owner.record;
   bool unowned =
       last.epoch() == 0 || last.released() || last.daemon() == settings_.id;
@@ -92,6 +94,7 @@
 
 void node::send_claim() {
   claiming_ = true;
+  claim_sent_ = clock_.now();
   std::uint64_t offset = journal_->next();
   // Epochs increase with the journal's offset. The store treats an append with
   // the producer, epoch and sequence number of an earlier append as its retry,
@@ -122,10 +125,15 @@
                 });
 }
 
+bool node::has_claim() const {
+  const wire::ownership_record& last = table_.owner.record;
+  return claimed_epoch_ != 0 && last.daemon() == settings_.id &&
+         last.epoch() == claimed_epoch_;
+}
+
 void node::check_claim() {
   const wire::ownership_record& last = table_.owner.record;
-  if (owner_ || draining_ || claimed_epoch_ == 0) return;
-  if (last.daemon() != settings_.id || last.epoch() != claimed_epoch_) return;
+  if (owner_ || draining_ || !has_claim() || !has_read_to_owner()) return;
   claimed_epoch_ = 0;
   if (last.released()) return;
   events::emit(events::id::claim_won, "claim", "", "epoch={} offset={}",
@@ -143,7 +151,7 @@
       [this](std::uint64_t from, std::uint64_t to, steady_time sent) {
         journal_->skip(from, to, sent);
       });
-  owner_->start(table_, *manifest_);
+  owner_->start(table_, *manifest_, claim_sent_);
   for (const std::pair<const std::uint64_t, pool::maintenance_wave>& each :
        waves_) {
     owner_->on_wave(each.second, table_);
