Show that an old entry of a worker replaces what is known of it

After a worker has started again under its id, an entry of its earlier incarnation that is read late replaces its address, service, state and capacity, and the owner then polls it at its old address. That may be another worker's by now; its reply 421 takes the worker out of use and frees its runs, so that their tasks run twice.

--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -583,6 +583,35 @@
   CHECK(pool.state.workers["w1"].acked_end == 1);
 }
 
+// An entry that is read late names the address, service and state of before.
+TEST_CASE("an entry of an earlier incarnation changes nothing",
+          "[!shouldfail]") {
+  test_pool pool;
+  pool.add_worker("w1");
+  worker_report restarted;
+  restarted.incarnation_ms = 2;
+  pool.report("w1", restarted);
+  pool.state.worker_events.clear();
+  const worker& known = pool.state.workers["w1"];
+  worker_entry outdated = known.entry;
+  outdated.incarnation_ms = 1;
+  outdated.service = "service-b";
+  outdated.address = "127.0.0.1:2";
+  outdated.draining = true;
+  outdated.capacity = {1, 1, 0};
+  observe_worker_entry(&pool.state, outdated, pool.now);
+  CHECK(known.entry.service == kService);
+  CHECK(known.entry.address == "127.0.0.1:1");
+  CHECK_FALSE(known.entry.draining);
+  CHECK(known.entry.capacity.cpu_milli == 4000);
+  CHECK(known.entry.incarnation_ms == 2);
+  REQUIRE(pool.state.worker_events.size() == 1);
+  CHECK(pool.state.worker_events[0].kind == worker_event_kind::entry_outdated);
+  observe_worker_removed(&pool.state, "w1");
+  observe_worker_entry(&pool.state, outdated, pool.now);
+  CHECK_FALSE(known.listed);
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -665,6 +665,39 @@
   CHECK(cell.settles());
 }
 
+// The address of an earlier incarnation may belong to another worker by now,
+// whose reply 421 then took the worker out of use and freed its runs.
+TEST_CASE("an entry of an earlier incarnation moves no link", "[!shouldfail]") {
+  cell cell;
+  cell.store.put("keyed.op", "config", kManifest);
+  for (const char* id : {"w1", "w2"}) cell.add_worker(id);
+  cell.workers[1]->announce("draining");
+  cell.add_node("n1");
+  constexpr char kSecondJob[] = "00000000000000ab";
+  std::function<bool(const std::string&)> completes =
+      [&](const std::string& id) {
+        cell.ledger.add_job(id, submission(), 2);
+        std::string path = "/q/" + id;
+        return cell.wait_until([&] {
+          return cell.call(0, http::verb::post, path, kBody).first == 200;
+        }) && cell.wait_until([&] {
+          return cell.call(0, http::verb::get, path).second ==
+                 R"({"state":"complete"})";
+        });
+      };
+  REQUIRE(completes(kJob));
+  std::string entry = cell.store.records("keyed.servers").back().value;
+  std::size_t born = entry.find(R"("born":1)");
+  REQUIRE(born != std::string::npos);
+  entry.replace(born, 8, R"("born":0)");
+  std::uint64_t reads = cell.store.reads_with_records("keyed.servers");
+  cell.store.put("keyed.servers", "w1", entry);
+  REQUIRE(cell.wait_until(
+      [&] { return cell.store.reads_with_records("keyed.servers") > reads; }));
+  CHECK(completes(kSecondJob));
+  CHECK(cell.ledger.violations().empty());
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
