Show that a reply 421 from any address frees all runs of a worker

A reply 421 tells that another worker has the address of a call. The pool takes it as proof that the worker has ended, whatever the address was, and starts its tasks elsewhere at once. Two tests show it: an entry names a wrong address for a worker that has replied at another, and a start is refused at an address from which the worker has moved. Two more tests, which pass, hold what must stay: after a crash with reuse of the address, tasks restart at once, told by a poll or by a start, and a reply to an earlier incarnation's call frees nothing.

--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -27,6 +27,7 @@
                        steady_time now) {
   start_order order;
   order.worker = worker->entry.id;
+  order.address = worker->entry.address;
   order.incarnation_ms = worker->entry.incarnation_ms;
   order.task = placed->task;
   order.run = placed->run;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -314,10 +314,11 @@
 void observe_worker_report(pool_state* pool, const std::string& worker,
                            const worker_report& report, steady_time sent,
                            steady_time now, unix_time wall);
-// Another worker id has the worker's address. `incarnation_ms` is the
-// incarnation that the call was addressed to; that incarnation has ended.
+// Another worker id has the address that a call went to. `incarnation_ms` is
+// the incarnation that the call was addressed to; that incarnation has ended.
 void observe_worker_replaced(pool_state* pool, const std::string& worker,
-                             std::int64_t incarnation_ms);
+                             std::int64_t incarnation_ms,
+                             const std::string& address);
 void observe_start(pool_state* pool, const start_order& order,
                    start_outcome outcome, steady_time now);
 void observe_stop(pool_state* pool, const stop_order& order, bool confirmed,
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -611,6 +611,98 @@
   CHECK_FALSE(known.listed);
 }
 
+// Another writer's entry may name a wrong address for a worker that lives.
+TEST_CASE("a worker at a wrong address frees no runs", "[!shouldfail]") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  pool.confirm(pool.round());
+  worker_entry wrong = pool.state.workers["w1"].entry;
+  wrong.address = "127.0.0.1:2";
+  observe_worker_entry(&pool.state, wrong, pool.now);
+  observe_worker_replaced(&pool.state, "w1", 1, wrong.address);
+  pool.submit("00000000000000ab", {test_pool::step(1, 1000)});
+  CHECK(pool.round().empty());
+  pool.add_worker("w2");
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].task.job != kJob);
+  pool.confirm(starts);
+  // The run ends with its lease, also while the entry is repeated.
+  const worker& lost = pool.state.workers["w1"];
+  while (pool.now <= lost.lease_end) {
+    pool.report("w2", {{}, 1, {reported_run_of(starts[0])}, {}});
+    observe_worker_entry(&pool.state, wrong, pool.now);
+    observe_worker_replaced(&pool.state, "w1", 1, wrong.address);
+    REQUIRE(pool.round().empty());
+    pool.advance(milliseconds(500));
+  }
+  pool.round();
+  CHECK(lost.placements.empty());
+  starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].task.job == kJob);
+  CHECK(starts[0].worker == "w2");
+}
+
+TEST_CASE("a refused start at a former address frees no other runs",
+          "[!shouldfail]") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(2, 1000)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 2);
+  pool.confirm({starts[0]});
+  worker_entry moved = pool.state.workers["w1"].entry;
+  moved.address = "127.0.0.1:2";
+  observe_worker_entry(&pool.state, moved, pool.now);
+  pool.report("w1", {{}, 1, {reported_run_of(starts[0])}, {}});
+  observe_start(&pool.state, starts[1], start_outcome::other_incarnation,
+                pool.now);
+  std::vector<start_order> again = pool.round();
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].task == starts[1].task);
+  CHECK(again[0].worker == "w1");
+}
+
+TEST_CASE("tasks restart at once when another worker has the address") {
+  for (bool told_by_start : {false, true}) {
+    CAPTURE(told_by_start);
+    test_pool pool;
+    pool.add_worker("w1");
+    pool.submit(kJob, {test_pool::step(2, 1000)});
+    std::vector<start_order> starts = pool.round();
+    REQUIRE(starts.size() == 2);
+    pool.confirm({starts[0]});
+    pool.add_worker("w2");
+    if (told_by_start) {
+      observe_start(&pool.state, starts[1], start_outcome::other_incarnation,
+                    pool.now);
+    } else {
+      observe_worker_replaced(&pool.state, "w1", 1, "127.0.0.1:1");
+    }
+    starts = pool.round();
+    REQUIRE(starts.size() == 2);
+    CHECK(starts[0].worker == "w2");
+    CHECK(starts[1].worker == "w2");
+  }
+}
+
+TEST_CASE("a reply to an earlier incarnation's call frees no runs") {
+  test_pool pool;
+  pool.add_worker("w1");
+  worker_report restarted;
+  restarted.incarnation_ms = 2;
+  pool.report("w1", restarted);
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  pool.confirm(pool.round());
+  pool.add_worker("w2");
+  observe_worker_replaced(&pool.state, "w1", 1, "127.0.0.1:1");
+  CHECK(pool.round().empty());
+  observe_worker_replaced(&pool.state, "w1", 2, "127.0.0.1:1");
+  CHECK(pool.round().size() == 1);
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
--- a/src/pool/types.h
+++ b/src/pool/types.h
@@ -81,6 +81,7 @@
 
 struct start_order {
   std::string worker;
+  std::string address;              // Of the worker, when the order was made.
   std::int64_t incarnation_ms = 0;  // Of the worker, when the order was made.
   task_key task;
   std::uint32_t run = 0;
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -465,7 +465,8 @@
 }
 
 void observe_worker_replaced(pool_state* pool, const std::string& id,
-                             std::int64_t incarnation_ms) {
+                             std::int64_t incarnation_ms,
+                             const std::string& /*address*/) {
   worker* worker = find_worker(pool, id);
   if (worker == nullptr) return;
   // Runs of a later incarnation are not affected.
@@ -496,7 +497,8 @@
       return;
     case start_outcome::other_incarnation:
       if (worker->entry.incarnation_ms == order.incarnation_ms) {
-        observe_worker_replaced(pool, order.worker, order.incarnation_ms);
+        observe_worker_replaced(pool, order.worker, order.incarnation_ms,
+                                order.address);
         return;
       }
       break;
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -280,7 +280,8 @@
                    "its address belongs to another worker: address={} "
                    "incarnation={}",
                    links_.at(worker)->address(), incarnation_ms);
-      pool::observe_worker_replaced(&pool_, worker, incarnation_ms);
+      pool::observe_worker_replaced(&pool_, worker, incarnation_ms,
+                                    links_.at(worker)->address());
       close_link(worker);
       break;
     case platform::worker_poll_outcome::unhealthy:
