--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -701,6 +701,31 @@
   CHECK(pool.round().size() == 1);
 }
 
+// A start that may still arrive keeps its run, although the worker has begun
+// another incarnation since, so the journal may have runs of both.
+TEST_CASE("a later owner knows the newest incarnation in the journal",
+          "[!shouldfail]") {
+  test_pool pool;
+  pool.add_worker("w1", 1000);
+  pool.submit(kJob, {test_pool::step(2, 1000)});
+  REQUIRE(pool.round().size() == 1);
+  worker_entry first = pool.state.workers["w1"].entry;
+  worker_entry second = first;
+  second.incarnation_ms = 2;
+  second.address = "127.0.0.1:2";
+  second.capacity.cpu_milli = 4000;
+  observe_worker_entry(&pool.state, second, pool.now);
+  worker_report restarted;
+  restarted.incarnation_ms = 2;
+  pool.report("w1", restarted);
+  REQUIRE(pool.round().size() == 1);
+  pool.take_over();
+  CHECK(pool.state.workers["w1"].placements.size() == 2);
+  CHECK(pool.state.workers["w1"].entry.incarnation_ms == 2);
+  CHECK_FALSE(observe_worker_entry(&pool.state, first, pool.now));
+  CHECK(observe_worker_entry(&pool.state, second, pool.now));
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
