--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -698,6 +698,35 @@
   CHECK(cell.ledger.violations().empty());
 }
 
+TEST_CASE("a worker that has left is no longer polled", "[!shouldfail]") {
+  cell cell;
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.add_worker("w1");
+  std::size_t polls = 0;
+  clock::steady_time last_poll = cell.clock.now();
+  http::server host(cell.context, {},
+                    [&](http::request&&, http::responder answer) {
+                      ++polls;
+                      last_poll = cell.clock.now();
+                      http::response reply;
+                      reply.result(http::status::service_unavailable);
+                      answer(std::move(reply));
+                    });
+  host.listen("127.0.0.1:0").value();
+  std::string entry = cell.store.records("keyed.servers").back().value;
+  std::size_t address = entry.find("127.0.0.1:");
+  std::size_t end = entry.find('"', address);
+  REQUIRE(end != std::string::npos);
+  entry.replace(address, end - address,
+                "127.0.0.1:" + std::to_string(host.port()));
+  cell.store.put("keyed.servers", "w2", entry);
+  cell.add_node("n1");
+  REQUIRE(cell.wait_until([&] { return polls > 0; }));
+  cell.store.put("keyed.servers", "w2", "");
+  CHECK(cell.wait_until(
+      [&] { return cell.clock.now() - last_poll > std::chrono::seconds(2); }));
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
