--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -5,7 +5,7 @@
 //
 //   pool::pool_state pool{limits};
 //   add_job(&pool, id, entry, now);
-//   observe_worker_report(&pool, worker, report, sent, now, wall);
+//   observe_worker_report(&pool, worker, report, token, sent, now, wall);
 //   pool::decisions orders = decide(&pool, now, wall);
 //   pool::journal_batch batch = take_batch(&pool, wall);
 //   ... append batch.records to the journal ...
@@ -82,6 +82,7 @@
   steady_time last_progress;  // When `percent` last changed.
   bool resumed = false;       // Started from a checkpoint.
   bool overdue = false;       // Counted as slow before it ended.
+  bool reported = false;      // By the worker's current incarnation.
   bool stop_wanted = false;
   bool stop_confirmed = false;
   steady_time stop_sent_at;  // Default value: not sent.
@@ -98,7 +99,7 @@
 struct worker {
   worker_entry entry;
   bool listed = false;  // Present in service discovery.
-  bool fenced = false;  // Has replied to this owner's fencing token.
+  bool fenced = false;  // Has replied to the current fencing token.
   // Where the current incarnation has replied. Empty before its first reply.
   std::string replied_at;
   steady_time last_reply;
@@ -124,6 +125,7 @@
   bool placed = false;
   std::string checkpoint;
   std::string worker;  // While placed.
+  std::uint32_t placed_run = 0;
   std::int64_t incarnation_ms = 0;
   std::string last_failed_worker;
 };
@@ -263,7 +265,11 @@
 
 struct pool_state {
   pool::limits limits;
+  std::uint64_t epoch = 0;  // Of the owner; rises with each owner.
   std::unordered_map<std::string, worker> workers;
+  // Incarnations that this owner has met of a worker after the first one. Kept
+  // when a worker departs, as it may return.
+  std::unordered_map<std::string, std::uint64_t> restarts;
   std::unordered_map<std::string, job> jobs;
   std::unordered_map<std::string, queue_policy> queues;
   std::set<queue_position> waiting_steps;
@@ -308,15 +314,25 @@
 // The worker is no longer in service discovery.
 void observe_worker_removed(pool_state* pool, const std::string& worker);
 
+// The token of orders to the worker. Workers refuse orders with a lower token
+// than they have seen. It rises with the epoch and with each incarnation of the
+// worker, so that orders to an earlier incarnation, which name the same id and
+// may be delivered late, are refused like those of an earlier owner.
+std::uint64_t fencing_token(const pool_state& pool, const std::string& worker);
+
 // Returns the end of the lease to send to the worker, and records the lease as
 // granted. Zero if the worker is unresponsive, so that its lease expires.
 worker_time grant_lease(pool_state* pool, const std::string& worker,
                         steady_time now);
 
-// Applies the report of a poll that was sent at `sent`.
+// Applies the report of a poll that was sent at `sent` with fencing token
+// `token`.
 void observe_worker_report(pool_state* pool, const std::string& worker,
-                           const worker_report& report, steady_time sent,
-                           steady_time now, unix_time wall);
+                           const worker_report& report, std::uint64_t token,
+                           steady_time sent, steady_time now, unix_time wall);
+// The worker refused a poll with fencing token `token`.
+void observe_poll_fenced(pool_state* pool, const std::string& worker,
+                         std::uint64_t token);
 // Another worker id has the address that a call went to. `incarnation_ms` is
 // the incarnation that the call was addressed to. That incarnation has ended if
 // the address was its own. Otherwise it may live elsewhere, and its runs are
--- a/src/pool/simulated_cell.cpp
+++ b/src/pool/simulated_cell.cpp
@@ -127,6 +127,7 @@
   if (owner_ && !chance(options_.surviving_owner)) owner_->alive = false;
   std::shared_ptr<owner> result = std::make_shared<owner>();
   result->epoch = ++epoch_;
+  result->state.epoch = result->epoch;
   result->state.limits.lease = kLease;
   set_queues(&result->state, queues_);
   for (const std::pair<const std::string, jobs::entry>& each : table_.jobs) {
@@ -175,7 +176,8 @@
   });
 }
 
-void simulated_cell::deliver(std::function<void()> call,
+void simulated_cell::deliver(const std::string& worker,
+                             std::function<void()> call,
                              std::function<void()> answered,
                              std::function<void()> unanswered) {
   if (chance(options_.message_loss)) {
@@ -187,9 +189,14 @@
     at(kCallTimeout, std::move(unanswered));
     return;
   }
+  std::int64_t connected_to = workers_[worker]->incarnation_ms();
   at(random_delay(1, 40),
-     [this, call = std::move(call), answered = std::move(answered),
-      unanswered = std::move(unanswered)] {
+     [this, worker, connected_to, call = std::move(call),
+      answered = std::move(answered), unanswered = std::move(unanswered)] {
+       // A crash resets the connections.
+       if (workers_[worker]->incarnation_ms() != connected_to) {
+         return unanswered();
+       }
        call();
        if (chance(options_.reply_loss)) {
          at(kCallTimeout, unanswered);
@@ -203,28 +210,34 @@
                           const std::string& worker) {
   if (!owner->alive || owner->state.superseded) return;
   steady_time sent = now_;
-  worker_time until = grant_lease(&owner->state, worker, now_);
-  std::uint64_t acked = owner->state.workers[worker].acked_end;
+  std::int64_t incarnation = workers_[worker]->incarnation_ms();
+  std::int64_t& answered_by = owner->answered_by[worker];
+  bool connected = std::exchange(answered_by, 0) == incarnation;
+  worker_time until =
+      connected ? grant_lease(&owner->state, worker, now_) : worker_time(0);
+  std::uint64_t acked = connected ? owner->state.workers[worker].acked_end : 0;
   std::shared_ptr<worker_report> report = std::make_shared<worker_report>();
   std::shared_ptr<bool> accepted = std::make_shared<bool>(false);
-  std::int64_t expected = owner->state.workers[worker].entry.incarnation_ms;
+  std::uint64_t token = fencing_token(owner->state, worker);
   deliver(
-      [this, owner, worker, until, acked, report, accepted, expected] {
-        // A lease that was meant for another incarnation is not given.
-        bool same = workers_[worker]->incarnation_ms() == expected;
-        *accepted = workers_[worker]->poll(owner->epoch, same ? acked : 0,
-                                           same ? until : worker_time(0), now_,
-                                           report.get());
+      worker,
+      [this, worker, token, until, acked, report, accepted] {
+        *accepted =
+            workers_[worker]->poll(token, acked, until, now_, report.get());
       },
-      [this, owner, worker, report, accepted, sent] {
+      [this, owner, worker, token, report, accepted, sent, incarnation,
+       connected] {
         if (!owner->alive) return;
         if (!*accepted) {
-          owner->state.superseded = true;
+          observe_poll_fenced(&owner->state, worker, token);
+          at(kPollEvery, [this, owner, worker] { poll(owner, worker); });
           return;
         }
-        observe_worker_report(&owner->state, worker, *report, sent, now_,
+        observe_worker_report(&owner->state, worker, *report, token, sent, now_,
                               wall_);
-        at(kPollEvery, [this, owner, worker] { poll(owner, worker); });
+        owner->answered_by[worker] = incarnation;
+        at(connected ? kPollEvery : milliseconds(0),
+           [this, owner, worker] { poll(owner, worker); });
       },
       [this, owner, worker] { poll(owner, worker); });
 }
@@ -233,15 +246,11 @@
                                 const start_order& order) {
   std::shared_ptr<start_outcome> answer =
       std::make_shared<start_outcome>(start_outcome::unknown);
-  std::int64_t meant_for =
-      owner->state.workers[order.worker].entry.incarnation_ms;
   deliver(
-      [this, owner, order, answer, meant_for] {
-        simulated_worker& worker = *workers_[order.worker];
-        // An order names the incarnation that it is for; others refuse it.
-        *answer = worker.incarnation_ms() == meant_for
-                      ? worker.start(order, owner->epoch, now_)
-                      : start_outcome::other_incarnation;
+      order.worker,
+      [this, order, answer] {
+        *answer =
+            workers_[order.worker]->start(order, order.fencing_token, now_);
       },
       [this, owner, order, answer] {
         if (owner->alive) {
@@ -259,9 +268,10 @@
                                const stop_order& order) {
   std::shared_ptr<bool> done = std::make_shared<bool>(false);
   deliver(
-      [this, owner, order, done] {
+      order.worker,
+      [this, order, done] {
         *done = workers_[order.worker]->stop(order.task, order.run,
-                                             owner->epoch, now_);
+                                             order.fencing_token, now_);
       },
       [this, owner, order, done] {
         if (owner->alive) observe_stop(&owner->state, order, *done, now_);
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -18,12 +18,20 @@
 constexpr std::uint32_t kMinFailuresToAvoid = 3;
 constexpr milliseconds kAvoidTime{2000};
 constexpr std::uint32_t kMaxAvoidDoublings = 2;
+// Fencing tokens of an epoch. JSON readers may hold numbers as doubles, which
+// leaves 43 bits for the epoch.
+constexpr std::uint64_t kTokensPerEpoch = 1024;
 // For a worker that replies that it is unhealthy.
 constexpr milliseconds kUnhealthyAvoidTime{1000};
 
 bool is_current_run(const task& task, const placement& placed,
                     const std::string& worker) {
-  return task.placed && task.worker == worker && task.last_run == placed.run;
+  return task.placed && task.worker == worker && task.placed_run == placed.run;
+}
+
+milliseconds with_clock_drift(milliseconds lease) {
+  return milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(lease.count()) * kClockDrift));
 }
 
 void record_failure(worker* worker, steady_time now) {
@@ -178,7 +186,7 @@
   if (ref.step != nullptr && row.task.index < ref.step->tasks.size()) {
     const task& task = ref.step->tasks[row.task.index];
     if (task.placed) {
-      placed_on = task.worker + "/" + std::to_string(task.last_run);
+      placed_on = task.worker + "/" + std::to_string(task.placed_run);
     }
     done = task.done;
   }
@@ -190,6 +198,23 @@
           " done=" + std::to_string(static_cast<int>(done)));
 }
 
+// Keeps the task of an unexpected run from being placed until the run has
+// ended.
+void hold_task(pool_state* pool, const worker& worker,
+               const reported_run& row) {
+  task_ref ref = find_task(pool, row.task);
+  if (ref.step == nullptr || row.task.index >= ref.step->tasks.size()) return;
+  task& task = ref.step->tasks[row.task.index];
+  if (task.done || task.placed) return;
+  task.last_run = std::max(task.last_run, row.run);
+  task.placed = true;
+  task.placed_run = row.run;
+  task.worker = worker.entry.id;
+  task.incarnation_ms = worker.entry.incarnation_ms;
+  pool->changed_jobs.insert(row.task.job);
+  update_waiting(pool, *ref.job, *ref.step);
+}
+
 void apply_running(pool_state* pool, worker* worker, const reported_run& row,
                    steady_time now) {
   mark_started(pool, row.task.job);
@@ -207,12 +232,15 @@
     unexpected.phase = phase::running;
     unexpected.phase_since = now;
     unexpected.last_progress = now;
+    unexpected.reported = true;
     unexpected.stop_wanted = true;
     record_unexpected_run(pool, *worker, row);
     add_placement(pool, worker, std::move(unexpected));
+    hold_task(pool, *worker, row);
     return;
   }
   if (placed->phase == phase::recording) return;
+  placed->reported = true;
   if (placed->phase != phase::running) {
     placed->phase = phase::running;
     placed->phase_since = now;
@@ -262,15 +290,18 @@
   }
 }
 
-// A crash ends all runs of the worker. Unconfirmed starts may still arrive at
-// the new incarnation and must be stopped there. Starts of an earlier owner are
-// fenced only after the new incarnation has replied to this owner's fencing
-// token, so unverified runs are kept until the next report.
+// A crash ends all runs that the worker has reported. Unconfirmed starts may
+// still arrive at the new incarnation and must be stopped there. A confirmed
+// start may have been confirmed by either incarnation, and starts of an earlier
+// owner are fenced only after the new incarnation has replied to this owner's
+// fencing token, so these runs are kept until the next report.
 void begin_incarnation(pool_state* pool, worker* worker,
                        std::int64_t incarnation_ms, const std::string& source) {
   std::int64_t previous = worker->entry.incarnation_ms;
   std::uint64_t last_end = worker->last_end;
   worker->entry.incarnation_ms = incarnation_ms;
+  ++pool->restarts[worker->entry.id];
+  worker->fenced = false;
   worker->last_end = 0;
   worker->acked_end = 0;
   worker->consecutive_failures = 0;
@@ -283,9 +314,10 @@
       placed.stop_wanted = true;
       placed.stop_confirmed = false;
       placed.stop_sent_at = {};
-    } else if (placed.phase == phase::running) {
+    } else if (placed.phase == phase::running && placed.reported) {
       to_drop.emplace_back(placed.task, placed.run);
     }
+    placed.reported = false;
   }
   for (const std::pair<task_key, std::uint32_t>& each : to_drop) {
     ++pool->counters.lost_runs;
@@ -410,7 +442,6 @@
   if (!worker.listed) worker.last_reply = now;
   worker.listed = true;
   if (!is_new && entry.incarnation_ms > incarnation) {
-    worker.fenced = false;
     worker.replied_at.clear();
     // It takes the former incarnation from the entry.
     worker.entry.incarnation_ms = incarnation;
@@ -424,6 +455,13 @@
   if (worker != nullptr) worker->listed = false;
 }
 
+std::uint64_t fencing_token(const pool_state& pool, const std::string& worker) {
+  std::unordered_map<std::string, std::uint64_t>::const_iterator found =
+      pool.restarts.find(worker);
+  std::uint64_t restarts = found == pool.restarts.end() ? 0 : found->second;
+  return pool.epoch * kTokensPerEpoch + std::min(restarts, kTokensPerEpoch - 1);
+}
+
 worker_time grant_lease(pool_state* pool, const std::string& id,
                         steady_time now) {
   worker* worker = find_worker(pool, id);
@@ -433,24 +471,27 @@
       std::chrono::duration_cast<milliseconds>(now - worker->clock_read_at);
   worker_time until =
       worker->clock + since_read + pool->limits.lease - kLeaseMargin;
-  milliseconds left = until - worker->clock;
-  milliseconds longest(static_cast<std::int64_t>(
-      static_cast<double>(left.count()) * kClockDrift));
   worker->lease_end =
-      std::max(worker->lease_end, worker->clock_read_at + longest);
+      std::max(worker->lease_end,
+               worker->clock_read_at + with_clock_drift(until - worker->clock));
   return until;
 }
 
 void observe_worker_report(pool_state* pool, const std::string& id,
-                           const worker_report& report, steady_time sent,
-                           steady_time now, unix_time wall) {
+                           const worker_report& report, std::uint64_t token,
+                           steady_time sent, steady_time now, unix_time wall) {
   worker* worker = find_worker(pool, id);
   if (worker == nullptr) return;
   if (report.incarnation_ms < worker->entry.incarnation_ms) return;
   if (report.incarnation_ms > worker->entry.incarnation_ms) {
     begin_incarnation(pool, worker, report.incarnation_ms, "report");
   }
-  worker->fenced = true;
+  if (!worker->fenced && token == fencing_token(*pool, id)) {
+    worker->fenced = true;
+    // A late order may have renewed the lease until this reply.
+    worker->lease_end =
+        std::max(worker->lease_end, now + with_clock_drift(pool->limits.lease));
+  }
   worker->replied_at = worker->entry.address;
   worker->last_reply = now;
   worker->clock = report.clock;
@@ -460,10 +501,16 @@
     worker->last_end = end.number;
     apply_end(pool, worker, end, now, wall);
   }
+  drop_unreported(pool, worker, report, sent);
   for (const reported_run& row : report.running) {
     apply_running(pool, worker, row, now);
   }
-  drop_unreported(pool, worker, report, sent);
+}
+
+void observe_poll_fenced(pool_state* pool, const std::string& id,
+                         std::uint64_t token) {
+  // The owner's own higher token may have overtaken the poll.
+  if (token == fencing_token(*pool, id)) pool->superseded = true;
 }
 
 bool observe_worker_replaced(pool_state* pool, const std::string& id,
@@ -502,8 +549,11 @@
       placed->last_progress = now;
       return;
     case start_outcome::fenced:
-      pool->superseded = true;
-      return;
+      if (order.fencing_token == fencing_token(*pool, order.worker)) {
+        pool->superseded = true;
+        return;
+      }
+      break;
     case start_outcome::other_incarnation:
       if (worker->entry.incarnation_ms == order.incarnation_ms) {
         observe_worker_replaced(pool, order.worker, order.incarnation_ms,
