Merge entries and replies that don't prove the end of a worker

Hypothesis 2: an entry of an earlier incarnation or without the time of its start changes nothing, and a reply 421 frees runs only if it came from the address of the incarnation that the owner knows.

--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -20,6 +20,7 @@
 // - the worker reported the end of the run or refused the start;
 // - the worker confirmed a stop and no longer reports the run;
 // - the worker began another incarnation;
+// - another worker has the address that the worker's incarnation had;
 // - every lease that the worker may have has expired.
 #pragma once
 
@@ -101,6 +102,8 @@
   bool listed = false;  // Present in service discovery.
   bool fenced = false;  // This incarnation has replied to this owner's token.
   bool knows_token = false;  // Has replied to the current fencing token.
+  // Where the current incarnation has replied. Empty before its first reply.
+  std::string replied_at;
   steady_time last_reply;
   worker_time clock{0};  // The worker's clock at clock_read_at.
   steady_time clock_read_at;
@@ -308,7 +311,9 @@
 
 // ---- Worker updates -------------------------------------------------------
 
-void observe_worker_entry(pool_state* pool, const worker_entry& entry,
+// Returns false, and changes nothing, if the entry is of an earlier incarnation
+// than the known one, which a report or the journal may have told first.
+bool observe_worker_entry(pool_state* pool, const worker_entry& entry,
                           steady_time now);
 // The worker is no longer in service discovery.
 void observe_worker_removed(pool_state* pool, const std::string& worker);
@@ -344,10 +349,14 @@
 // The worker refused a poll with fencing token `token`.
 void observe_poll_fenced(pool_state* pool, const std::string& worker,
                          std::uint64_t token);
-// Another worker id has the worker's address. `incarnation_ms` is the
-// incarnation that the call was addressed to; that incarnation has ended.
-void observe_worker_replaced(pool_state* pool, const std::string& worker,
-                             std::int64_t incarnation_ms);
+// Another worker id has the address that a call went to. `incarnation_ms` is
+// the incarnation that the call was addressed to. That incarnation has ended if
+// the address was its own. Otherwise it may live elsewhere, and its runs are
+// kept until their lease has expired. Returns false if the worker is known to
+// have begun a later incarnation or to have moved since the call.
+bool observe_worker_replaced(pool_state* pool, const std::string& worker,
+                             std::int64_t incarnation_ms,
+                             const std::string& address);
 void observe_start(pool_state* pool, const start_order& order,
                    start_outcome outcome, steady_time now);
 void observe_stop(pool_state* pool, const stop_order& order, bool confirmed,
@@ -364,6 +373,8 @@
   std::vector<start_order> repeated_starts;  // Sent before, without a reply.
   std::vector<stop_order> stops;
   std::vector<advice_request> advice;
+  // Workers that are forgotten, since they have left and no longer reply.
+  std::vector<std::string> departed;
 };
 
 decisions decide(pool_state* pool, steady_time now, unix_time wall);
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -682,6 +682,152 @@
   CHECK(pool.state.workers["w1"].acked_end == 1);
 }
 
+// An entry that is read late names the address, service and state of before.
+TEST_CASE("an entry of an earlier incarnation changes nothing") {
+  test_pool pool;
+  pool.add_worker("w1");
+  worker_report restarted;
+  restarted.incarnation_ms = 2;
+  pool.report("w1", restarted);
+  pool.state.worker_events.clear();
+  const worker& known = pool.state.workers["w1"];
+  worker_entry outdated = known.entry;
+  outdated.incarnation_ms = 1;
+  outdated.service = "service-b";
+  outdated.address = "127.0.0.1:2";
+  outdated.draining = true;
+  outdated.capacity = {1, 1, 0};
+  observe_worker_entry(&pool.state, outdated, pool.now);
+  CHECK(known.entry.service == kService);
+  CHECK(known.entry.address == "127.0.0.1:1");
+  CHECK_FALSE(known.entry.draining);
+  CHECK(known.entry.capacity.cpu_milli == 4000);
+  CHECK(known.entry.incarnation_ms == 2);
+  REQUIRE(pool.state.worker_events.size() == 1);
+  CHECK(pool.state.worker_events[0].kind == worker_event_kind::entry_outdated);
+  observe_worker_removed(&pool.state, "w1");
+  observe_worker_entry(&pool.state, outdated, pool.now);
+  CHECK_FALSE(known.listed);
+}
+
+// Another writer's entry may name a wrong address for a worker that lives.
+TEST_CASE("a worker at a wrong address frees no runs") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  pool.confirm(pool.round());
+  worker_entry wrong = pool.state.workers["w1"].entry;
+  wrong.address = "127.0.0.1:2";
+  observe_worker_entry(&pool.state, wrong, pool.now);
+  observe_worker_replaced(&pool.state, "w1", 1, wrong.address);
+  pool.submit("00000000000000ab", {test_pool::step(1, 1000)});
+  CHECK(pool.round().empty());
+  pool.add_worker("w2");
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].task.job != kJob);
+  pool.confirm(starts);
+  // The run ends with its lease, also while the entry is repeated.
+  const worker& lost = pool.state.workers["w1"];
+  for (std::uint32_t percent = 1; pool.now <= lost.lease_end; ++percent) {
+    pool.report("w2", {{}, 1, {reported_run_of(starts[0], percent)}, {}});
+    observe_worker_entry(&pool.state, wrong, pool.now);
+    observe_worker_replaced(&pool.state, "w1", 1, wrong.address);
+    REQUIRE(pool.round().empty());
+    pool.advance(milliseconds(500));
+  }
+  starts = pool.round();
+  CHECK(lost.placements.empty());
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].task.job == kJob);
+  CHECK(starts[0].worker == "w2");
+}
+
+TEST_CASE("a refused start at a former address frees no other runs") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(2, 1000)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 2);
+  pool.confirm({starts[0]});
+  worker_entry moved = pool.state.workers["w1"].entry;
+  moved.address = "127.0.0.1:2";
+  observe_worker_entry(&pool.state, moved, pool.now);
+  pool.report("w1", {{}, 1, {reported_run_of(starts[0])}, {}});
+  observe_start(&pool.state, starts[1], start_outcome::other_incarnation,
+                pool.now);
+  std::vector<start_order> again = pool.round();
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].task == starts[1].task);
+  CHECK(again[0].worker == "w1");
+}
+
+TEST_CASE("tasks restart at once when another worker has the address") {
+  for (bool told_by_start : {false, true}) {
+    CAPTURE(told_by_start);
+    test_pool pool;
+    pool.add_worker("w1");
+    pool.submit(kJob, {test_pool::step(2, 1000)});
+    std::vector<start_order> starts = pool.round();
+    REQUIRE(starts.size() == 2);
+    pool.confirm({starts[0]});
+    pool.add_worker("w2");
+    if (told_by_start) {
+      observe_start(&pool.state, starts[1], start_outcome::other_incarnation,
+                    pool.now);
+    } else {
+      observe_worker_replaced(&pool.state, "w1", 1, "127.0.0.1:1");
+    }
+    starts = pool.round();
+    REQUIRE(starts.size() == 2);
+    CHECK(starts[0].worker == "w2");
+    CHECK(starts[1].worker == "w2");
+  }
+}
+
+TEST_CASE("a reply to an earlier incarnation's call frees no runs") {
+  test_pool pool;
+  pool.add_worker("w1");
+  worker_report restarted;
+  restarted.incarnation_ms = 2;
+  pool.report("w1", restarted);
+  // The first report raised the fencing token.
+  pool.report("w1", restarted);
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  pool.confirm(starts);
+  pool.add_worker("w2");
+  observe_worker_replaced(&pool.state, "w1", 1, "127.0.0.1:1");
+  CHECK(pool.round().empty());
+  observe_worker_replaced(&pool.state, "w1", 2, "127.0.0.1:1");
+  CHECK(pool.round().size() == 1);
+}
+
+// A start that may still arrive keeps its run, although the worker has begun
+// another incarnation since, so the journal may have runs of both.
+TEST_CASE("a later owner knows the newest incarnation in the journal") {
+  test_pool pool;
+  pool.add_worker("w1", 1000);
+  pool.submit(kJob, {test_pool::step(2, 1000)});
+  REQUIRE(pool.round().size() == 1);
+  worker_entry first = pool.state.workers["w1"].entry;
+  worker_entry second = first;
+  second.incarnation_ms = 2;
+  second.address = "127.0.0.1:2";
+  second.capacity.cpu_milli = 4000;
+  observe_worker_entry(&pool.state, second, pool.now);
+  worker_report restarted;
+  restarted.incarnation_ms = 2;
+  pool.report("w1", restarted);
+  REQUIRE(pool.round().size() == 1);
+  pool.take_over();
+  CHECK(pool.state.workers["w1"].placements.size() == 2);
+  CHECK(pool.state.workers["w1"].entry.incarnation_ms == 2);
+  CHECK_FALSE(observe_worker_entry(&pool.state, first, pool.now));
+  CHECK(observe_worker_entry(&pool.state, second, pool.now));
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
--- a/src/pool/types.h
+++ b/src/pool/types.h
@@ -81,6 +81,7 @@
 
 struct start_order {
   std::string worker;
+  std::string address;              // Of the worker, when the order was made.
   std::int64_t incarnation_ms = 0;  // Of the worker, when the order was made.
   std::uint64_t fencing_token = 0;
   task_key task;
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -427,25 +427,28 @@
   });
 }
 
-void observe_worker_entry(pool_state* pool, const worker_entry& entry,
+bool observe_worker_entry(pool_state* pool, const worker_entry& entry,
                           steady_time now) {
   worker& worker = pool->workers[entry.id];
   bool is_new = worker.entry.id.empty();
   std::int64_t incarnation = worker.entry.incarnation_ms;
-  worker.entry = entry;
-  if (!worker.listed) worker.last_reply = now;
-  worker.listed = true;
-  if (is_new || incarnation == entry.incarnation_ms) return;
-  // The entry may be older than the worker's last report.
-  worker.entry.incarnation_ms = std::max(incarnation, entry.incarnation_ms);
-  if (entry.incarnation_ms > incarnation) {
-    begin_incarnation(pool, &worker, entry.incarnation_ms, "entry");
-  } else {
+  if (!is_new && entry.incarnation_ms < incarnation) {
     add_worker_event(pool, worker_event_kind::entry_outdated, entry.id,
                      "incarnation=" + std::to_string(entry.incarnation_ms) +
                          " known=" + std::to_string(incarnation) +
                          " address=" + entry.address);
+    return false;
+  }
+  worker.entry = entry;
+  if (!worker.listed) worker.last_reply = now;
+  worker.listed = true;
+  if (!is_new && entry.incarnation_ms > incarnation) {
+    worker.replied_at.clear();
+    // It takes the former incarnation from the entry.
+    worker.entry.incarnation_ms = incarnation;
+    begin_incarnation(pool, &worker, entry.incarnation_ms, "entry");
   }
+  return true;
 }
 
 void observe_worker_removed(pool_state* pool, const std::string& id) {
@@ -501,6 +504,7 @@
                                    now + with_clock_drift(pool->limits.lease));
     }
   }
+  worker->replied_at = worker->entry.address;
   worker->last_reply = now;
   worker->clock = report.clock;
   worker->clock_read_at = now;
@@ -521,15 +525,23 @@
   if (token == fencing_token(*pool, id)) pool->superseded = true;
 }
 
-void observe_worker_replaced(pool_state* pool, const std::string& id,
-                             std::int64_t incarnation_ms) {
+bool observe_worker_replaced(pool_state* pool, const std::string& id,
+                             std::int64_t incarnation_ms,
+                             const std::string& address) {
   worker* worker = find_worker(pool, id);
-  if (worker == nullptr) return;
+  if (worker == nullptr) return true;
   // Runs of a later incarnation are not affected.
-  if (worker->entry.incarnation_ms != incarnation_ms) return;
-  worker->listed = false;
+  if (worker->entry.incarnation_ms != incarnation_ms) return false;
+  if (worker->entry.address != address) return false;
+  // No starts and no leases until it replies. It stays listed, as each new
+  // listing would put off the time when it counts as unresponsive.
   worker->fenced = false;
+  bool had_address =
+      worker->replied_at.empty() || worker->replied_at == address;
+  if (!had_address) return true;
+  worker->listed = false;
   drop_all(pool, worker, "address_reused");
+  return true;
 }
 
 void observe_start(pool_state* pool, const start_order& order,
@@ -556,8 +568,10 @@
       break;
     case start_outcome::other_incarnation:
       if (worker->entry.incarnation_ms == order.incarnation_ms) {
-        observe_worker_replaced(pool, order.worker, order.incarnation_ms);
-        return;
+        observe_worker_replaced(pool, order.worker, order.incarnation_ms,
+                                order.address);
+        placed = find_placement(worker, order.task, order.run);
+        if (placed == nullptr) return;
       }
       break;
     case start_outcome::unknown:
--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -527,6 +527,68 @@
   CHECK(cell.settles());
 }
 
+// The address of an earlier incarnation may belong to another worker by now,
+// whose reply 421 then took the worker out of use and freed its runs.
+TEST_CASE("an entry of an earlier incarnation moves no link") {
+  cell cell;
+  cell.store.put("keyed.op", "config", kManifest);
+  for (const char* id : {"w1", "w2"}) cell.add_worker(id);
+  cell.workers[1]->announce("draining");
+  cell.add_node("n1");
+  constexpr char kSecondJob[] = "00000000000000ab";
+  std::function<bool(const std::string&)> completes =
+      [&](const std::string& id) {
+        cell.ledger.add_job(id, submission(), 2);
+        std::string path = "/q/" + id;
+        return cell.wait_until([&] {
+          return cell.call(0, http::verb::post, path, kBody).first == 200;
+        }) && cell.wait_until([&] {
+          return cell.call(0, http::verb::get, path).second ==
+                 R"({"state":"complete"})";
+        });
+      };
+  REQUIRE(completes(kJob));
+  std::string entry = cell.store.records("keyed.servers").back().value;
+  std::size_t born = entry.find(R"("born":1)");
+  REQUIRE(born != std::string::npos);
+  entry.replace(born, 8, R"("born":0)");
+  std::uint64_t reads = cell.store.reads_with_records("keyed.servers");
+  cell.store.put("keyed.servers", "w1", entry);
+  REQUIRE(cell.wait_until(
+      [&] { return cell.store.reads_with_records("keyed.servers") > reads; }));
+  CHECK(completes(kSecondJob));
+  CHECK(cell.ledger.violations().empty());
+}
+
+TEST_CASE("a worker that has left is no longer polled") {
+  cell cell;
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.add_worker("w1");
+  std::size_t polls = 0;
+  clock::steady_time last_poll = cell.clock.now();
+  http::server host(cell.context, {},
+                    [&](http::request&&, http::responder answer) {
+                      ++polls;
+                      last_poll = cell.clock.now();
+                      http::response reply;
+                      reply.result(http::status::service_unavailable);
+                      answer(std::move(reply));
+                    });
+  host.listen("127.0.0.1:0").value();
+  std::string entry = cell.store.records("keyed.servers").back().value;
+  std::size_t address = entry.find("127.0.0.1:");
+  std::size_t end = entry.find('"', address);
+  REQUIRE(end != std::string::npos);
+  entry.replace(address, end - address,
+                "127.0.0.1:" + std::to_string(host.port()));
+  cell.store.put("keyed.servers", "w2", entry);
+  cell.add_node("n1");
+  REQUIRE(cell.wait_until([&] { return polls > 0; }));
+  cell.store.put("keyed.servers", "w2", "");
+  CHECK(cell.wait_until(
+      [&] { return cell.clock.now() - last_poll > std::chrono::seconds(2); }));
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -221,8 +221,9 @@
     pool::observe_worker_removed(&pool_, record.key);
     return;
   }
-  pool::observe_worker_entry(&pool_, *entry, clock_.now());
-  open_link(entry->id, entry->address);
+  if (pool::observe_worker_entry(&pool_, *entry, clock_.now())) {
+    open_link(entry->id, entry->address);
+  }
 }
 
 void owner::open_link(const std::string& worker, const std::string& address) {
@@ -282,14 +283,20 @@
       events::emit(events::id::worker_superseded, "hold", worker,
                    "epoch={} has been superseded", epoch_);
       return step_down();
-    case platform::worker_poll_outcome::other_incarnation:
+    case platform::worker_poll_outcome::other_incarnation: {
+      std::uint64_t lost_before = pool_.counters.lost_runs;
+      std::string address = links_.at(worker)->address();
+      bool replaced = pool::observe_worker_replaced(
+          &pool_, worker, request.incarnation_ms, address);
       events::emit(events::id::worker_rebooted, "hold", worker,
                    "its address belongs to another worker: address={} "
-                   "incarnation={}",
-                   links_.at(worker)->address(), request.incarnation_ms);
-      pool::observe_worker_replaced(&pool_, worker, request.incarnation_ms);
-      close_link(worker);
+                   "incarnation={} dropped={}",
+                   address, request.incarnation_ms,
+                   pool_.counters.lost_runs - lost_before);
+      // The next entry of the worker opens it again.
+      if (replaced) close_link(worker);
       break;
+    }
     case platform::worker_poll_outcome::unhealthy:
     case platform::worker_poll_outcome::unreadable:
       break;
@@ -428,6 +435,7 @@
   }
   for (const pool::stop_order& each : orders.stops) send_stop(each);
   for (const pool::advice_request& each : orders.advice) request_advice(each);
+  for (const std::string& each : orders.departed) close_link(each);
 }
 
 void owner::send_start(const pool::start_order& order) {
