Add failing tests of tickets of an earlier worker incarnation

A ticket is valid during one life of a worker only, but the scheduler caches tickets by worker id. After a restart under the same id the next start carries the ticket of the former life, and the worker refuses it; so does the start after a reply to a request from before the restart. Both tests place a task with the old ticket today.

--- /dev/null
+++ b/src/pool/incarnation_test.cpp
@@ -0,0 +1,71 @@
+// Tests that what is known of one incarnation of a worker isn't used for the
+// next one under the same id.
+#include <catch2/catch.hpp>
+
+#include "pool/pool_pvt.h"
+#include "pool/test_pool.h"
+
+namespace ebonygrade::pool {
+
+namespace {
+
+constexpr char kJob[] = "00000000000000aa";
+constexpr milliseconds kTicketValidity{2000};
+
+worker_report report_of(std::int64_t incarnation_ms) {
+  worker_report report;
+  report.incarnation_ms = incarnation_ms;
+  return report;
+}
+
+// Starts that carry a ticket of an earlier incarnation are refused, and the
+// task waits for another round and another request.
+struct advised_pool : test_pool {
+  advised_pool() {
+    policy.needs_advice = true;
+    policy.advice_validity = kTicketValidity;
+    set_queues(&state, {{kQueue, policy}});
+    add_worker("w1");
+    submit(kJob, {step(1, 1000)});
+  }
+
+  advice_request request() {
+    decisions out;
+    CHECK(round(&out).empty());
+    REQUIRE(out.advice.size() == 1);
+    CHECK(out.advice[0].workers == std::vector<std::string>{"w1"});
+    return out.advice[0];
+  }
+  void grant(const advice_request& request, const std::string& value) {
+    observe_advice(&state, request, true, {{"w1", value}},
+                   now + kTicketValidity, now);
+  }
+};
+
+TEST_CASE("a ticket of an earlier incarnation isn't used", "[!shouldfail]") {
+  advised_pool pool;
+  pool.grant(pool.request(), "t1");
+  pool.advance(milliseconds(100));
+  pool.report("w1", report_of(2));
+  // The worker may still run the step, which needs a new ticket.
+  pool.grant(pool.request(), "t2");
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].ticket == "t2");
+}
+
+TEST_CASE("a ticket that was requested for an earlier incarnation isn't used",
+          "[!shouldfail]") {
+  advised_pool pool;
+  advice_request first = pool.request();
+  pool.report("w1", report_of(2));
+  pool.grant(first, "t1");
+  pool.grant(pool.request(), "t2");
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].ticket == "t2");
+}
+
+}  // namespace
+
+}  // namespace ebonygrade::pool
