Add a failing test of a list of machines that is older than an order

Replies of the machine service may overtake each other. A list that was requested before an order was carried out still shows the machine as up with its former worker. It then no longer counts as down, and the next machine is taken down beside it, above the wave's limit. observe_machines() and observe_maintenance() get the times that the fix needs; they don't use them yet.

--- a/src/pool/maintenance.cpp
+++ b/src/pool/maintenance.cpp
@@ -168,7 +168,8 @@
 }
 
 void observe_machines(maintenance_state* maintenance,
-                      const std::vector<machine>& machines) {
+                      const std::vector<machine>& machines,
+                      steady_time /*asked*/) {
   maintenance->machines.clear();
   maintenance->listed = true;
   for (const machine& each : machines) maintenance->machines[each.id] = each;
@@ -187,7 +188,7 @@
 
 void observe_maintenance(maintenance_state* maintenance,
                          const maintenance_order& order,
-                         maintenance_outcome outcome) {
+                         maintenance_outcome outcome, steady_time /*now*/) {
   std::map<std::uint64_t, wave_progress>::iterator found =
       maintenance->waves.find(order.wave);
   if (found == maintenance->waves.end()) return;
--- a/src/pool/maintenance.h
+++ b/src/pool/maintenance.h
@@ -70,12 +70,13 @@
                                             const wire::wave_record& record,
                                             steady_time now);
 wire::wave_record record_of(const wave_progress& progress);
-// Replaces the list of machines with a complete new one.
+// Replaces the list of machines with a complete new one, whose first page was
+// requested at `asked`.
 void observe_machines(maintenance_state* maintenance,
-                      const std::vector<machine>& machines);
+                      const std::vector<machine>& machines, steady_time asked);
 void observe_maintenance(maintenance_state* maintenance,
                          const maintenance_order& order,
-                         maintenance_outcome outcome);
+                         maintenance_outcome outcome, steady_time now);
 
 // Returns the orders to send now. The next workers of a wave get no starts, so
 // that they become idle. While enough time is left, only idle workers are taken
--- a/src/pool/maintenance_test.cpp
+++ b/src/pool/maintenance_test.cpp
@@ -23,7 +23,8 @@
     pool.add_worker("w1");
     pool.add_worker("w2");
     observe_machines(&maintenance,
-                     {machine_with("m1", "w1"), machine_with("m2", "w2")});
+                     {machine_with("m1", "w1"), machine_with("m2", "w2")},
+                     pool.now);
     observe_wave(&maintenance, {7, {"m1", "m2"}, milliseconds(20000), 1}, {},
                  pool.now);
   }
@@ -39,23 +40,28 @@
   REQUIRE(orders.size() == 1);
   CHECK(orders[0].machine == "m1");
   CHECK(f.decide().empty());
-  observe_maintenance(&f.maintenance, orders[0], maintenance_outcome::begun);
+  observe_maintenance(&f.maintenance, orders[0], maintenance_outcome::begun,
+                      f.pool.now);
   CHECK(f.decide().empty());
   // The machine is down, then up without a worker, then up with a worker.
   observe_machines(&f.maintenance,
                    {machine_with("m1", "", machine_state::maintenance),
-                    machine_with("m2", "w2")});
+                    machine_with("m2", "w2")},
+                   f.pool.now);
   CHECK(f.decide().empty());
   observe_machines(&f.maintenance,
-                   {machine_with("m1", ""), machine_with("m2", "w2")});
+                   {machine_with("m1", ""), machine_with("m2", "w2")},
+                   f.pool.now);
   CHECK(f.decide().empty());
   observe_machines(&f.maintenance,
-                   {machine_with("m1", "w3"), machine_with("m2", "w2")});
+                   {machine_with("m1", "w3"), machine_with("m2", "w2")},
+                   f.pool.now);
   orders = f.decide();
   REQUIRE(orders.size() == 1);
   CHECK(orders[0].machine == "m2");
   CHECK_FALSE(f.maintenance.waves[7].complete);
-  observe_maintenance(&f.maintenance, orders[0], maintenance_outcome::begun);
+  observe_maintenance(&f.maintenance, orders[0], maintenance_outcome::begun,
+                      f.pool.now);
   f.decide();
   CHECK(f.maintenance.waves[7].complete);
   CHECK_FALSE(has_incomplete_wave(f.maintenance));
@@ -64,7 +70,8 @@
 TEST_CASE("an order without a reply is repeated") {
   fixture f;
   std::vector<maintenance_order> orders = f.decide();
-  observe_maintenance(&f.maintenance, orders[0], maintenance_outcome::unknown);
+  observe_maintenance(&f.maintenance, orders[0], maintenance_outcome::unknown,
+                      f.pool.now);
   orders = f.decide();
   REQUIRE(orders.size() == 1);
   CHECK(orders[0].machine == "m1");
@@ -96,7 +103,8 @@
   f.pool.advance(milliseconds(19000));
   std::vector<maintenance_order> orders = f.decide();
   REQUIRE(orders.size() == 1);
-  observe_maintenance(&f.maintenance, orders[0], maintenance_outcome::begun);
+  observe_maintenance(&f.maintenance, orders[0], maintenance_outcome::begun,
+                      f.pool.now);
   f.maintenance.waves[7].wave.max_down = 2;
   // One task is unplaced now, so the other one must stay.
   f.pool.report(
@@ -106,10 +114,11 @@
 
 TEST_CASE("a wave completes without a machine that has left") {
   fixture f;
-  observe_machines(&f.maintenance, {machine_with("m2", "w2")});
+  observe_machines(&f.maintenance, {machine_with("m2", "w2")}, f.pool.now);
   std::vector<maintenance_order> orders = f.decide();
   REQUIRE(orders.size() == 1);
-  observe_maintenance(&f.maintenance, orders[0], maintenance_outcome::begun);
+  observe_maintenance(&f.maintenance, orders[0], maintenance_outcome::begun,
+                      f.pool.now);
   f.decide();
   CHECK(f.maintenance.waves[7].complete);
 }
@@ -125,8 +134,10 @@
             .empty());
   CHECK(decide_maintenance(&later, &f.pool.state, kMaintenanceTime, f.pool.now)
             .empty());
-  observe_machines(&later, {machine_with("m1", "", machine_state::maintenance),
-                            machine_with("m2", "w2")});
+  observe_machines(&later,
+                   {machine_with("m1", "", machine_state::maintenance),
+                    machine_with("m2", "w2")},
+                   f.pool.now);
   CHECK(decide_maintenance(&later, &f.pool.state, kMaintenanceTime, f.pool.now)
             .empty());
 }
@@ -136,8 +147,8 @@
   f.decide();
   wire::wave_record record = record_of(f.maintenance.waves[7]);
   maintenance_state later;
-  observe_machines(&later,
-                   {machine_with("m1", "w1"), machine_with("m2", "w2")});
+  observe_machines(&later, {machine_with("m1", "w1"), machine_with("m2", "w2")},
+                   f.pool.now);
   std::vector<maintenance_order> again = observe_wave(
       &later, {7, {"m1", "m2"}, milliseconds(20000), 1}, record, f.pool.now);
   REQUIRE(again.size() == 1);
@@ -147,6 +158,26 @@
             .empty());
 }
 
+// The reply to a list call can arrive after that to an order which was sent
+// later and carried out in between.
+TEST_CASE("a list from before an order doesn't show the machine as up again",
+          "[!shouldfail]") {
+  fixture f;
+  steady_time asked = f.pool.now;
+  std::vector<maintenance_order> orders = f.decide();
+  REQUIRE(orders.size() == 1);
+  f.pool.advance(milliseconds(10));
+  observe_maintenance(&f.maintenance, orders[0], maintenance_outcome::begun,
+                      f.pool.now);
+  std::vector<machine> before = {machine_with("m1", "w1"),
+                                 machine_with("m2", "w2")};
+  f.pool.advance(milliseconds(10));
+  observe_machines(&f.maintenance, before, asked);
+  CHECK(f.decide().empty());
+  observe_machines(&f.maintenance, before, f.pool.now);
+  CHECK(f.decide().size() == 1);
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
--- a/src/poold/maintenance_runner.cpp
+++ b/src/poold/maintenance_runner.cpp
@@ -73,6 +73,7 @@
     return;
   }
   listed_.clear();
+  list_asked_ = clock_.now();
   list({});
 }
 
@@ -90,7 +91,8 @@
                    if (!page->next_page_token.empty()) {
                      return self->list(page->next_page_token);
                    }
-                   pool::observe_machines(&self->maintenance_, self->listed_);
+                   pool::observe_machines(&self->maintenance_, self->listed_,
+                                          self->list_asked_);
                    self->order_maintenance();
                    self->run_after(kListDelay);
                  });
@@ -129,7 +131,8 @@
     if (written) return self->send(order);
     // The order was not sent, so it may be issued again.
     pool::observe_maintenance(&self->maintenance_, order,
-                              pool::maintenance_outcome::busy);
+                              pool::maintenance_outcome::busy,
+                              self->clock_.now());
   });
 }
 
@@ -148,7 +151,8 @@
                      static_cast<int>(outcome));
         if (outcome == pool::maintenance_outcome::unknown)
           return self->send(order);
-        pool::observe_maintenance(&self->maintenance_, order, outcome);
+        pool::observe_maintenance(&self->maintenance_, order, outcome,
+                                  self->clock_.now());
         if (outcome == pool::maintenance_outcome::begun) {
           self->record_wave(order.wave, [](bool) {});
         }
--- a/src/poold/maintenance_runner.h
+++ b/src/poold/maintenance_runner.h
@@ -57,6 +57,7 @@
   boost::asio::steady_timer timer_;
   pool::maintenance_state maintenance_;
   std::vector<pool::machine> listed_;
+  clock::steady_time list_asked_;  // When the first page was requested.
   bool running_ = false;
   bool stopped_ = false;
 };
