Add failing tests of a maintenance order that is in doubt

If the platform carries out a maintenance order without a reply and turns its repetition away (429, 503 or 409 busy), the machine counts as not ordered. The owner then takes another machine down beside it, above the wave's limit. So does a later owner that repeats an order of an earlier one.

--- a/src/pool/maintenance_test.cpp
+++ b/src/pool/maintenance_test.cpp
@@ -177,6 +177,57 @@
   CHECK(f.decide().size() == 1);
 }
 
+// The platform is overloaded: the order is carried out without a reply, and its
+// repetition is turned away.
+TEST_CASE("a machine counts as down while its order is in doubt",
+          "[!shouldfail]") {
+  fixture f;
+  std::vector<maintenance_order> orders = f.decide();
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].machine == "m1");
+  for (int i = 0; i < 2; ++i) {
+    observe_maintenance(&f.maintenance, orders[0], maintenance_outcome::unknown,
+                        f.pool.now);
+    f.pool.advance(milliseconds(500));
+    observe_machines(&f.maintenance,
+                     {machine_with("m1", "", machine_state::maintenance),
+                      machine_with("m2", "w2")},
+                     f.pool.now);
+    orders = f.decide();
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].machine == "m1");
+    observe_maintenance(&f.maintenance, orders[0], maintenance_outcome::busy,
+                        f.pool.now);
+    orders = f.decide();
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].machine == "m1");
+  }
+  observe_maintenance(&f.maintenance, orders[0], maintenance_outcome::begun,
+                      f.pool.now);
+  CHECK(f.decide().empty());
+}
+
+// As above, with the order of an earlier owner.
+TEST_CASE("a machine counts as down while an earlier owner's order is in doubt",
+          "[!shouldfail]") {
+  fixture f;
+  f.decide();
+  wire::wave_record record = record_of(f.maintenance.waves[7]);
+  maintenance_state later;
+  std::vector<machine> machines = {
+      machine_with("m1", "", machine_state::maintenance),
+      machine_with("m2", "w2")};
+  observe_machines(&later, machines, f.pool.now);
+  std::vector<maintenance_order> again = observe_wave(
+      &later, {7, {"m1", "m2"}, milliseconds(20000), 1}, record, f.pool.now);
+  REQUIRE(again.size() == 1);
+  observe_maintenance(&later, again[0], maintenance_outcome::busy, f.pool.now);
+  std::vector<maintenance_order> orders =
+      decide_maintenance(&later, &f.pool.state, kMaintenanceTime, f.pool.now);
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].machine == "m1");
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -538,6 +538,64 @@
         R"({"wave":1,"state":"running"})");
 }
 
+// A machine service that carries out its first order without a reply and turns
+// the next ones away.
+struct overloaded_machine_service {
+  explicit overloaded_machine_service(boost::asio::io_context& context)
+      : server(context, {},
+               [this](http::request&& request, http::responder answer) {
+                 if (request.method() == http::verb::post) {
+                   return take(request.body(), std::move(answer));
+                 }
+                 answer(http::json_response(
+                     http::status::ok,
+                     R"({"machines":[)" + row("m1") + "," + row("m2") + "]}"));
+               }) {
+    server.listen("127.0.0.1:0").value();
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(server.port());
+  }
+  std::string row(const std::string& machine) const {
+    bool is_down = ordered.count(machine) > 0;
+    return R"({"machine":")" + machine + R"(","pool":"pool-a","state":")" +
+           (is_down ? "upkeep" : "up") + R"(","id":")" +
+           (is_down ? "" : "w-" + machine) + R"("})";
+  }
+  void take(const std::string& body, http::responder answer) {
+    ++orders;
+    std::string machine =
+        body.find(R"("m1")") == std::string::npos ? "m2" : "m1";
+    if (ordered.empty()) {
+      ordered.insert(machine);
+      unanswered.push_back(std::move(answer));
+      return;
+    }
+    other_machines += ordered.count(machine) > 0 ? 0 : 1;
+    answer(http::error_response(http::status::service_unavailable, "busy"));
+  }
+
+  std::set<std::string> ordered;
+  int orders = 0;
+  int other_machines = 0;  // Orders for a machine beside the first one.
+  std::vector<http::responder> unanswered;
+  http::server server;
+};
+
+TEST_CASE("no machine is taken down beside one whose order is in doubt",
+          "[!shouldfail]") {
+  cell cell;
+  overloaded_machine_service machines(cell.context);
+  cell.machines_address = machines.address();
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.store.put(
+      "keyed.op", "wave/1",
+      R"({"wave":1,"machines":["m1","m2"],"deadlineS":60,"maxCount":1})");
+  cell.add_node("n1");
+  REQUIRE(cell.wait_until([&] { return machines.orders >= 4; }));
+  CHECK(machines.other_machines == 0);
+}
+
 TEST_CASE("a daemon that missed trimmed records loads the journal again") {
   cell cell;
   cell.ledger.add_job(kJob, submission(), 2);
