--- a/src/pool/incarnation_test.cpp
+++ b/src/pool/incarnation_test.cpp
@@ -65,6 +65,25 @@
   CHECK(starts[0].ticket == "t2");
 }
 
+// The new incarnation may lack the label or the room for which the worker was
+// chosen, and its tickets are others.
+TEST_CASE("a start isn't sent if its worker restarts before the journal write",
+          "[!shouldfail]") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  decide(&pool.state, pool.now, pool.wall);
+  journal_batch batch = take_batch(&pool.state, pool.wall);
+  REQUIRE(batch.starts.size() == 1);
+  pool.report("w1", report_of(2));
+  CHECK(observe_batch_written(&pool.state, batch, pool.now).empty());
+  pool.advance(milliseconds(10));
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].incarnation_ms == 2);
+  CHECK(starts[0].run == 2);
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
