Add a failing test of starts by the label and room of an earlier incarnation

A new life of a worker may be of another kind. Its first report can come before its entry in discovery; until then the scheduler places tasks by the label, the service and the capacity of the former life. An entry that is read late has the same effect.

--- a/src/pool/incarnation_test.cpp
+++ b/src/pool/incarnation_test.cpp
@@ -18,6 +18,15 @@
   return report;
 }
 
+// The worker restarts; its entry follows its first report.
+void restart(test_pool* pool, const std::string& id,
+             std::int64_t incarnation_ms) {
+  pool->report(id, report_of(incarnation_ms));
+  worker_entry entry = pool->state.workers.at(id).entry;
+  entry.incarnation_ms = incarnation_ms;
+  observe_worker_entry(&pool->state, entry, pool->now);
+}
+
 // Starts that carry a ticket of an earlier incarnation are refused, and the
 // task waits for another round and another request.
 struct advised_pool : test_pool {
@@ -46,7 +55,7 @@
   advised_pool pool;
   pool.grant(pool.request(), "t1");
   pool.advance(milliseconds(100));
-  pool.report("w1", report_of(2));
+  restart(&pool, "w1", 2);
   // The worker may still run the step, which needs a new ticket.
   pool.grant(pool.request(), "t2");
   std::vector<start_order> starts = pool.round();
@@ -57,7 +66,7 @@
 TEST_CASE("a ticket that was requested for an earlier incarnation isn't used") {
   advised_pool pool;
   advice_request first = pool.request();
-  pool.report("w1", report_of(2));
+  restart(&pool, "w1", 2);
   pool.grant(first, "t1");
   pool.grant(pool.request(), "t2");
   std::vector<start_order> starts = pool.round();
@@ -75,7 +84,7 @@
   decide(&pool.state, pool.now, pool.wall);
   journal_batch batch = take_batch(&pool.state, pool.wall);
   REQUIRE(batch.starts.size() == 1);
-  pool.report("w1", report_of(2));
+  restart(&pool, "w1", 2);
   CHECK(observe_batch_written(&pool.state, batch, pool.now).empty());
   pool.advance(milliseconds(10));
   std::vector<start_order> starts = pool.round();
@@ -84,6 +93,36 @@
   CHECK(starts[0].run == 2);
 }
 
+// A start on a worker without the label, or without the room, breaks the step's
+// constraints.
+TEST_CASE("a restarted worker gets no starts by its former label or room",
+          "[!shouldfail]") {
+  test_pool pool;
+  pool.add_worker("w1");
+  worker_entry former = pool.state.workers.at("w1").entry;
+  former.kind = "large";
+  observe_worker_entry(&pool.state, former, pool.now);
+  wire::step_definition step = test_pool::step(1, 1000);
+  step.set_required_label("large");
+  pool.report("w1", report_of(2));
+  pool.submit(kJob, {step});
+  CHECK(pool.round().empty());
+  // An entry that is read late doesn't describe the new incarnation either.
+  observe_worker_entry(&pool.state, former, pool.now);
+  CHECK(pool.round().empty());
+  worker_entry current = former;
+  current.incarnation_ms = 2;
+  SECTION("of another kind") {
+    current.kind = "small";
+    observe_worker_entry(&pool.state, current, pool.now);
+    CHECK(pool.round().empty());
+  }
+  SECTION("of the same kind") {
+    observe_worker_entry(&pool.state, current, pool.now);
+    CHECK(pool.round().size() == 1);
+  }
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
