--- /dev/null
+++ b/src/pool/incarnation_test.cpp
@@ -0,0 +1,130 @@
+// Tests that what is known of one incarnation of a worker isn't used for the
+// next one under the same id.
+#include <catch2/catch.hpp>
+
+#include "pool/pool_pvt.h"
+#include "pool/test_pool.h"
+
+namespace ebonygrade::pool {
+
+namespace {
+
+constexpr char kJob[] = "00000000000000aa";
+constexpr milliseconds kTicketValidity{2000};
+
+worker_report report_of(std::int64_t incarnation_ms) {
+  worker_report report;
+  report.incarnation_ms = incarnation_ms;
+  return report;
+}
+
+// The worker restarts. Its entry follows its first report, and it replies to a
+// poll that was sent after that.
+void restart(test_pool* pool, const std::string& id,
+             std::int64_t incarnation_ms) {
+  pool->report(id, report_of(incarnation_ms));
+  worker_entry entry = pool->state.workers.at(id).entry;
+  entry.incarnation_ms = incarnation_ms;
+  observe_worker_entry(&pool->state, entry, pool->now);
+  pool->report(id, report_of(incarnation_ms));
+}
+
+// Starts that carry a ticket of an earlier incarnation are refused, and the
+// task waits for another round and another request.
+struct advised_pool : test_pool {
+  advised_pool() {
+    policy.needs_advice = true;
+    policy.advice_validity = kTicketValidity;
+    set_queues(&state, {{kQueue, policy}});
+    add_worker("w1");
+    submit(kJob, {step(1, 1000)});
+  }
+
+  advice_request request() {
+    decisions out;
+    CHECK(round(&out).empty());
+    REQUIRE(out.advice.size() == 1);
+    CHECK(out.advice[0].workers == std::vector<std::string>{"w1"});
+    return out.advice[0];
+  }
+  void grant(const advice_request& request, const std::string& value) {
+    observe_advice(&state, request, true, {{"w1", value}},
+                   now + kTicketValidity, now);
+  }
+};
+
+TEST_CASE("a ticket of an earlier incarnation isn't used") {
+  advised_pool pool;
+  pool.grant(pool.request(), "t1");
+  pool.advance(milliseconds(100));
+  restart(&pool, "w1", 2);
+  // The worker may still run the step, which needs a new ticket.
+  pool.grant(pool.request(), "t2");
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].ticket == "t2");
+}
+
+TEST_CASE("a ticket that was requested for an earlier incarnation isn't used") {
+  advised_pool pool;
+  advice_request first = pool.request();
+  restart(&pool, "w1", 2);
+  pool.grant(first, "t1");
+  pool.grant(pool.request(), "t2");
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].ticket == "t2");
+}
+
+// The new incarnation may lack the label or the room for which the worker was
+// chosen, and its tickets are others.
+TEST_CASE(
+    "a start isn't sent if its worker restarts before the journal write") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  decide(&pool.state, pool.now, pool.wall);
+  journal_batch batch = take_batch(&pool.state, pool.wall);
+  REQUIRE(batch.starts.size() == 1);
+  restart(&pool, "w1", 2);
+  CHECK(observe_batch_written(&pool.state, batch, pool.now).empty());
+  pool.advance(milliseconds(10));
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].incarnation_ms == 2);
+  CHECK(starts[0].run == 2);
+}
+
+// A start on a worker without the label, or without the room, breaks the step's
+// constraints.
+TEST_CASE("a restarted worker gets no starts by its former label or room") {
+  test_pool pool;
+  pool.add_worker("w1");
+  worker_entry former = pool.state.workers.at("w1").entry;
+  former.kind = "large";
+  observe_worker_entry(&pool.state, former, pool.now);
+  wire::step_definition step = test_pool::step(1, 1000);
+  step.set_required_label("large");
+  pool.report("w1", report_of(2));
+  pool.report("w1", report_of(2));
+  pool.submit(kJob, {step});
+  CHECK(pool.round().empty());
+  // An entry that is read late doesn't describe the new incarnation either.
+  observe_worker_entry(&pool.state, former, pool.now);
+  CHECK(pool.round().empty());
+  worker_entry current = former;
+  current.incarnation_ms = 2;
+  SECTION("of another kind") {
+    current.kind = "small";
+    observe_worker_entry(&pool.state, current, pool.now);
+    CHECK(pool.round().empty());
+  }
+  SECTION("of the same kind") {
+    observe_worker_entry(&pool.state, current, pool.now);
+    CHECK(pool.round().size() == 1);
+  }
+}
+
+}  // namespace
+
+}  // namespace ebonygrade::pool
--- a/src/pool/maintenance.cpp
+++ b/src/pool/maintenance.cpp
@@ -64,7 +64,7 @@
     std::map<std::string, machine>::const_iterator found_machine =
         maintenance.machines.find(id);
     if (found_machine == maintenance.machines.end()) continue;
-    if (progress.begun.count(id) > 0 || progress.awaiting_reply.count(id) > 0)
+    if (progress.begun.count(id) > 0 || progress.ordered.count(id) > 0)
       continue;
     if (found_machine->second.state != machine_state::up) continue;
     const worker* target_worker = worker_of(pool, found_machine->second);
@@ -92,13 +92,35 @@
   return now + needed >= progress.due;
 }
 
+void avoid(worker* worker, steady_time now) {
+  worker->avoid_until = std::max(worker->avoid_until, now + kAvoidTime);
+}
+
+// Repeats orders that may not have been applied, and keeps the workers of all
+// ordered machines idle.
+void repeat_orders(const maintenance_state& maintenance, pool_state* pool,
+                   wave_progress* progress, steady_time now,
+                   std::vector<maintenance_order>* out) {
+  for (std::pair<const std::string, pending_order>& each : progress->ordered) {
+    std::map<std::string, machine>::const_iterator target =
+        maintenance.machines.find(each.first);
+    worker* target_worker = target == maintenance.machines.end()
+                                ? nullptr
+                                : find_worker(pool, target->second.worker);
+    if (target_worker != nullptr) avoid(target_worker, now);
+    if (each.second.awaiting_reply) continue;
+    each.second.awaiting_reply = true;
+    out->push_back({each.first, progress->wave.number});
+  }
+}
+
 void advance_wave(maintenance_state* maintenance, pool_state* pool,
                   wave_progress* progress, milliseconds maintenance_time,
                   steady_time now, std::vector<maintenance_order>* out) {
+  repeat_orders(*maintenance, pool, progress, now, out);
   std::vector<candidate> next = candidates(*maintenance, *pool, *progress);
   bool urgent = is_urgent(*progress, next.size(), maintenance_time, now);
-  std::size_t down =
-      progress->in_maintenance.size() + progress->awaiting_reply.size();
+  std::size_t down = progress->in_maintenance.size() + progress->ordered.size();
   std::size_t remaining =
       progress->wave.max_down > down ? progress->wave.max_down - down : 0;
   std::size_t avoided_workers = 0;
@@ -107,14 +129,13 @@
     worker* target_worker = find_worker(pool, each.target->worker);
     if (target_worker != nullptr) {
       if (would_exceed_may_miss(pool, *target_worker)) continue;
-      target_worker->avoid_until =
-          std::max(target_worker->avoid_until, now + kAvoidTime);
+      avoid(target_worker, now);
     }
     ++avoided_workers;
     bool empty = target_worker == nullptr || target_worker->placements.empty();
     if (remaining == 0 || (!empty && !urgent)) continue;
     --remaining;
-    progress->awaiting_reply.insert(each.target->id);
+    progress->ordered[each.target->id] = {true, false};
     out->push_back({each.target->id, progress->wave.number});
   }
 }
@@ -122,6 +143,8 @@
 void update_complete(const maintenance_state& maintenance,
                      wave_progress* progress) {
   if (progress->complete || !maintenance.listed) return;
+  // An older list lacks machines that have joined since.
+  if (maintenance.listed_at < progress->read_at) return;
   bool all =
       std::all_of(progress->wave.machines.begin(),
                   progress->wave.machines.end(), [&](const std::string& id) {
@@ -143,16 +166,17 @@
   bool is_new = progress.wave.number == 0;
   progress.wave = wave;
   if (!is_new) return again;
+  progress.read_at = now;
   progress.due = now + wave.deadline;
   progress.complete = record.complete();
   for (const std::string& id : record.begun()) {
     progress.begun.insert(id);
     // The machine may still be down.
-    progress.in_maintenance.insert(id);
+    progress.in_maintenance[id] = now;
   }
   for (const std::string& id : record.ordered()) {
     if (progress.begun.count(id) > 0 || progress.complete) continue;
-    progress.awaiting_reply.insert(id);
+    progress.ordered[id] = {true, true};
     again.push_back({id, wave.number});
   }
   return again;
@@ -162,54 +186,66 @@
   wire::wave_record record;
   for (const std::string& id : progress.begun) record.add_begun(id);
   for (const std::string& id : progress.begun) record.add_ordered(id);
-  for (const std::string& id : progress.awaiting_reply) record.add_ordered(id);
+  for (const std::pair<const std::string, pending_order>& each :
+       progress.ordered) {
+    record.add_ordered(each.first);
+  }
   record.set_complete(progress.complete);
   return record;
 }
 
 void observe_machines(maintenance_state* maintenance,
-                      const std::vector<machine>& machines) {
+                      const std::vector<machine>& machines, steady_time asked) {
   maintenance->machines.clear();
   maintenance->listed = true;
+  maintenance->listed_at = asked;
   for (const machine& each : machines) maintenance->machines[each.id] = each;
   for (std::pair<const std::uint64_t, wave_progress>& each :
        maintenance->waves) {
-    std::erase_if(each.second.in_maintenance, [&](const std::string& id) {
-      std::map<std::string, machine>::const_iterator found_machine =
-          maintenance->machines.find(id);
-      // The machine has left, or is up again with a worker.
-      return found_machine == maintenance->machines.end() ||
-             (found_machine->second.state == machine_state::up &&
-              !found_machine->second.worker.empty());
-    });
+    std::erase_if(
+        each.second.in_maintenance,
+        [&](const std::pair<const std::string, steady_time>& down) {
+          if (asked < down.second) return false;
+          std::map<std::string, machine>::const_iterator found_machine =
+              maintenance->machines.find(down.first);
+          // The machine has left, or is up again with a worker.
+          return found_machine == maintenance->machines.end() ||
+                 (found_machine->second.state == machine_state::up &&
+                  !found_machine->second.worker.empty());
+        });
   }
 }
 
 void observe_maintenance(maintenance_state* maintenance,
                          const maintenance_order& order,
-                         maintenance_outcome outcome) {
+                         maintenance_outcome outcome, steady_time now) {
   std::map<std::uint64_t, wave_progress>::iterator found =
       maintenance->waves.find(order.wave);
   if (found == maintenance->waves.end()) return;
   wave_progress& progress = found->second;
   switch (outcome) {
     case maintenance_outcome::begun:
-    case maintenance_outcome::unknown:
-      // Without a reply, the machine may be down. The order is repeated, and
-      // the platform treats the repeated order as the same maintenance.
-      progress.awaiting_reply.erase(order.machine);
-      if (outcome == maintenance_outcome::unknown) return;
+      progress.ordered.erase(order.machine);
       progress.begun.insert(order.machine);
-      progress.in_maintenance.insert(order.machine);
+      progress.in_maintenance[order.machine] = now;
       // The entry in the list is older than the outcome.
       if (maintenance->machines.count(order.machine) > 0) {
         maintenance->machines[order.machine].state = machine_state::maintenance;
       }
       return;
+    case maintenance_outcome::unknown:
+      progress.ordered[order.machine] = {false, true};
+      return;
     case maintenance_outcome::busy:
+    case maintenance_outcome::fenced: {
+      // Says nothing about earlier copies of the order.
+      pending_order& pending = progress.ordered[order.machine];
+      pending.awaiting_reply = false;
+      if (!pending.maybe_applied) progress.ordered.erase(order.machine);
+      return;
+    }
     case maintenance_outcome::refused:
-    case maintenance_outcome::fenced:
-      progress.awaiting_reply.erase(order.machine);
+      progress.ordered.erase(order.machine);
       return;
   }
 }
--- a/src/pool/maintenance.h
+++ b/src/pool/maintenance.h
@@ -33,20 +33,30 @@
   std::string worker;  // Empty while it has none.
 };
 
+// An order whose outcome is not known. Its machine counts as down.
+struct pending_order {
+  bool awaiting_reply = false;
+  // An earlier copy of the order got no reply and may have been applied.
+  bool maybe_applied = false;
+};
+
 // Progress of one wave.
 struct wave_progress {
   maintenance_wave wave;
+  steady_time read_at;
   steady_time due;
   std::set<std::string> begun;  // Machines whose maintenance has begun.
-  std::set<std::string> in_maintenance;  // Subset that is not up again.
-  std::set<std::string> awaiting_reply;  // Ordered, without a reply.
+  // Subset that is not up again, with the time at which that was known.
+  std::map<std::string, steady_time> in_maintenance;
+  std::map<std::string, pending_order> ordered;  // By machine.
   bool complete = false;
 };
 
 struct maintenance_state {
   std::map<std::uint64_t, wave_progress> waves;
   std::map<std::string, machine> machines;
-  bool listed = false;  // The list of machines has been read.
+  bool listed = false;    // The list of machines has been read.
+  steady_time listed_at;  // When that list was requested.
 };
 
 struct maintenance_order {
@@ -70,14 +80,16 @@
                                             const wire::wave_record& record,
                                             steady_time now);
 wire::wave_record record_of(const wave_progress& progress);
-// Replaces the list of machines with a complete new one.
+// Replaces the list of machines with a complete new one, whose first page was
+// requested at `asked`. Maintenance that began later doesn't show in it.
 void observe_machines(maintenance_state* maintenance,
-                      const std::vector<machine>& machines);
+                      const std::vector<machine>& machines, steady_time asked);
 void observe_maintenance(maintenance_state* maintenance,
                          const maintenance_order& order,
-                         maintenance_outcome outcome);
+                         maintenance_outcome outcome, steady_time now);
 
-// Returns the orders to send now. The next workers of a wave get no starts, so
+// Returns the orders to send now, including repetitions of those in doubt. The
+// next workers of a wave get no starts, so
 // that they become idle. While enough time is left, only idle workers are taken
 // down.
 std::vector<maintenance_order> decide_maintenance(
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -99,6 +99,9 @@
 
 struct worker {
   worker_entry entry;
+  // The incarnation that `entry` describes, except for its incarnation_ms,
+  // which is the newest that is known.
+  std::int64_t described_incarnation_ms = 0;
   bool listed = false;  // Present in service discovery.
   bool fenced = false;  // This incarnation has replied to this owner's token.
   bool knows_token = false;  // Has replied to the current fencing token.
@@ -134,6 +137,7 @@
 
 struct cached_ticket {
   std::string value;
+  std::int64_t incarnation_ms = 0;  // Of the worker; valid for no other.
   steady_time expires;
 };
 
@@ -188,6 +192,7 @@
 
 struct placement_key {
   std::string worker;
+  std::int64_t incarnation_ms = 0;  // Of the worker that was chosen.
   task_key task;
   std::uint32_t run = 0;
 };
@@ -362,7 +367,8 @@
 void observe_stop(pool_state* pool, const stop_order& order, bool confirmed,
                   steady_time now);
 // The tickets expire at `valid_until`; `replied` is false if the request got
-// no reply.
+// no reply. Tickets of workers that have restarted since the request are not
+// kept, but count as granted.
 void observe_advice(pool_state* pool, const advice_request& order, bool replied,
                     const std::vector<ticket>& tickets, steady_time valid_until,
                     steady_time now);
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -634,6 +634,8 @@
   CHECK(pool.round().empty());
   pool.advance(milliseconds(100));
   pool.report("w1", restarted);
+  observe_worker_entry(&pool.state, pool.state.workers.at("w1").entry,
+                       pool.now);
   starts = pool.round();
   REQUIRE(starts.size() == 1);
   CHECK(starts[0].fencing_token == token);
@@ -793,6 +795,8 @@
   pool.report("w1", restarted);
   // The first report raised the fencing token.
   pool.report("w1", restarted);
+  observe_worker_entry(&pool.state, pool.state.workers.at("w1").entry,
+                       pool.now);
   pool.submit(kJob, {test_pool::step(1, 1000)});
   std::vector<start_order> starts = pool.round();
   REQUIRE(starts.size() == 1);
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -440,6 +440,7 @@
     return false;
   }
   worker.entry = entry;
+  worker.described_incarnation_ms = entry.incarnation_ms;
   if (!worker.listed) worker.last_reply = now;
   worker.listed = true;
   if (!is_new && entry.incarnation_ms > incarnation) {
