Give leases to workers that close their connections

Tasks on a worker that closes the connection after each reply without saying so would lose their lease: each poll counted as the first on a new connection, which asks for no lease, and the next followed without a pause. One announced close, as at a shutdown, had the opposite effect: the next poll counted as connected to the same incarnation.

A worker that has answered two polls in a row on a new connection each now counts as connected, whatever it announces, and is polled at the usual interval. The test 'a worker that closes its connections gets leases' failed before, with none of 20 polls connected.

--- a/src/poold/worker_link.cpp
+++ b/src/poold/worker_link.cpp
@@ -20,6 +20,9 @@
 // lease is renewed also while the journal is unavailable.
 constexpr milliseconds kMaxEndRecordWait{700};
 constexpr milliseconds kCommandTimeout{600};
+// A worker that has answered so many polls on a new connection each closes the
+// connections itself, so their loss tells nothing of its incarnation.
+constexpr std::size_t kMinAnswersOfClosingWorker = 2;
 constexpr std::size_t kPollConnections = 1;
 constexpr std::size_t kOrderConnections = 3;
 
@@ -65,8 +68,10 @@
 
 void worker_link::poll() {
   awaits_end_records_ = false;
+  bool reuses_connection = poll_client_.has_idle_connection();
   bool connected =
-      answered_ && (closed_by_reply_ || poll_client_.has_idle_connection());
+      answered_ && (reuses_connection ||
+                    answers_on_new_connections_ >= kMinAnswersOfClosingWorker);
   platform::worker_poll_request request =
       handlers_.prepare_poll(worker_, connected);
   request.worker = worker_;
@@ -75,9 +80,14 @@
   steady_time sent = clock_.now();
   poll_client_.call("hold", platform::encode_worker_poll(request),
                     request.wait + kReplyTimeoutMargin,
-                    [self = shared_from_this(), request, sent,
-                     connected](http::call_result&& result) {
+                    [self = shared_from_this(), request, sent, connected,
+                     reuses_connection](http::call_result&& result) {
                       if (self->stopped_) return;
+                      if (reuses_connection || result.has_error()) {
+                        self->answers_on_new_connections_ = 0;
+                      } else {
+                        ++self->answers_on_new_connections_;
+                      }
                       self->on_reply(std::move(result), request, sent,
                                      connected);
                     });
@@ -93,7 +103,6 @@
   }
   platform::worker_poll_reply reply = platform::decode_worker_poll(*result);
   answered_ = reply.outcome == platform::worker_poll_outcome::answered;
-  closed_by_reply_ = !result->keep_alive();
   handlers_.on_poll_result(request, &reply, sent);
   if (stopped_) return;
   if (!answered_) return poll_after(kPollRetryDelay);
--- a/src/poold/worker_link.h
+++ b/src/poold/worker_link.h
@@ -69,8 +69,9 @@
   http::client order_client_;
   boost::asio::steady_timer timer_;
   bool stopped_ = false;
-  bool answered_ = false;         // The last poll.
-  bool closed_by_reply_ = false;  // The worker closes after each reply.
+  bool answered_ = false;  // The last poll.
+  // Answers in a row, each on a new connection.
+  std::size_t answers_on_new_connections_ = 0;
   bool awaits_end_records_ = false;
 };
 
