Don't wait for the record of ends that a new connection lists again

By reading, found in the review: a poll on a new connection acknowledges nothing, so the worker lists ends that have long been recorded. No record of theirs comes any more, and the next poll, which carries the lease, waited up to 700 ms for it. This comes after each lost reply of a poll.

The wait is for polls that acknowledge ends; the poll after a new connection's first follows at once. The tests of the daemon pass as before; there is none for the delay itself.

--- a/src/poold/worker_link.cpp
+++ b/src/poold/worker_link.cpp
@@ -106,7 +106,8 @@
   handlers_.on_poll_result(request, &reply, sent);
   if (stopped_) return;
   if (!answered_) return poll_after(kPollRetryDelay);
-  if (!reply.report.ended.empty()) {
+  // A poll on a new connection lists ends that have been recorded, too.
+  if (connected && !reply.report.ended.empty()) {
     awaits_end_records_ = true;
     return poll_after(kMaxEndRecordWait);
   }
