--- a/src/poold/worker_link_test.cpp
+++ b/src/poold/worker_link_test.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <optional>
+#include <utility>
 
 #include "http/address.h"
 
