Repeat no start before the worker has replied to the raised token

Callers could see a task run twice: a start gets no reply, the connection is lost, and the copy goes out with the raised token. If the worker has started again under its id, the new incarnation begins the run under the same number, after the former one may have ended it.

The owner waits with the copy until the worker has replied to the current token, which also tells its incarnation; if it doesn't reply, the run is stopped as before. The test 'a start isn't repeated before the worker knows the raised token' failed before (two checks).

--- a/src/pool/incarnation_test.cpp
+++ b/src/pool/incarnation_test.cpp
@@ -125,6 +125,26 @@
   }
 }
 
+// A copy could begin the run in a new incarnation after an earlier copy did in
+// the former one.
+TEST_CASE("a start isn't repeated before the worker knows the raised token") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  observe_start(&pool.state, starts[0], start_outcome::unknown, pool.now);
+  observe_connection_lost(&pool.state, "w1");
+  pool.advance(milliseconds(100));
+  decisions orders;
+  pool.round(&orders);
+  CHECK(orders.repeated_starts.empty());
+  CHECK(orders.stops.empty());
+  pool.report("w1", {});
+  pool.round(&orders);
+  CHECK(orders.repeated_starts.size() == 1);
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -48,9 +48,11 @@
 
 void retry_start(pool_state* pool, worker* worker, placement* placed,
                  decisions* out, steady_time now) {
+  bool responsive = now - worker->last_reply <= kUnresponsiveAfter;
+  // The next reply tells whether another incarnation would get the copy.
+  if (responsive && !worker->knows_token) return;
   bool may_repeat = placed->starts_sent < kMaxStartSends &&
-                    !placed->stop_wanted &&
-                    now - worker->last_reply <= kUnresponsiveAfter;
+                    !placed->stop_wanted && responsive;
   if (!may_repeat) {
     placed->stop_wanted = true;
     return;
