Raise the fencing token again after starts that carried it

Callers could see a task run twice: starts that are sent between the loss of a connection and the worker's reply carry the raised token. If the connection is lost again, or the worker departs and returns, such a start may be carried out late in a new incarnation, whose first poll carried the same token.

A loss now raises the token also if a start has carried the current one, and the token rises when a worker is forgotten. Two tests failed before. Found in the review.

--- a/src/pool/incarnation_test.cpp
+++ b/src/pool/incarnation_test.cpp
@@ -145,6 +145,34 @@
   CHECK(orders.repeated_starts.size() == 1);
 }
 
+TEST_CASE("a start before a second loss of the connection is refused later") {
+  test_pool pool;
+  pool.add_worker("w1");
+  observe_connection_lost(&pool.state, "w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  observe_connection_lost(&pool.state, "w1");
+  CHECK(fencing_token(pool.state, "w1") > starts[0].fencing_token);
+}
+
+TEST_CASE("a worker that departs and returns refuses its former starts") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  observe_start(&pool.state, starts[0], start_outcome::unknown, pool.now);
+  observe_worker_removed(&pool.state, "w1");
+  for (int i = 0; i < 2; ++i) {
+    pool.advance(milliseconds(10000));
+    pool.round();
+  }
+  REQUIRE(pool.state.workers.count("w1") == 0);
+  pool.add_worker("w1");
+  CHECK(fencing_token(pool.state, "w1") > starts[0].fencing_token);
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -41,6 +41,7 @@
   order.checkpoint = step->tasks[placed->task.index].checkpoint;
   placed->resumed = !order.checkpoint.empty();
   order.ticket = placed->ticket;
+  worker->token_in_start = true;
   ++placed->starts_sent;
   ++pool->counters.starts;
   return order;
@@ -127,10 +128,14 @@
   for (std::unordered_map<std::string, worker>::iterator each =
            pool->workers.begin();
        each != pool->workers.end();) {
-    const worker& worker = each->second;
+    worker& worker = each->second;
     bool removable = !worker.listed && worker.placements.empty() &&
                      now - worker.last_reply > kUnresponsiveAfter;
-    if (removable) out->departed.push_back(each->first);
+    if (removable) {
+      out->departed.push_back(each->first);
+      // It may return and get a late order from before.
+      raise_token(pool, &worker);
+    }
     each = removable ? pool->workers.erase(each) : std::next(each);
   }
 }
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -104,7 +104,8 @@
   std::int64_t described_incarnation_ms = 0;
   bool listed = false;  // Present in service discovery.
   bool fenced = false;  // This incarnation has replied to this owner's token.
-  bool knows_token = false;  // Has replied to the current fencing token.
+  bool knows_token = false;     // Has replied to the current fencing token.
+  bool token_in_start = false;  // A start has carried the current token.
   // Where the current incarnation has replied. Empty before its first reply.
   std::string replied_at;
   steady_time last_reply;
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -70,6 +70,9 @@
 // current run.
 void drop_placement(pool_state* pool, worker* worker, const task_key& task,
                     std::uint32_t run);
+// Orders to the worker get a higher fencing token from now on.
+void raise_token(pool_state* pool, worker* worker);
+
 // Drops all placements of the worker. `reason` goes into the events.
 void drop_all(pool_state* pool, worker* worker, const std::string& reason);
 
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -300,9 +300,8 @@
   std::int64_t previous = worker->entry.incarnation_ms;
   std::uint64_t last_end = worker->last_end;
   worker->entry.incarnation_ms = incarnation_ms;
-  ++pool->raised_tokens[worker->entry.id];
+  raise_token(pool, worker);
   worker->fenced = false;
-  worker->knows_token = false;
   worker->last_end = 0;
   worker->acked_end = 0;
   worker->consecutive_failures = 0;
@@ -339,6 +338,12 @@
 
 }  // namespace
 
+void raise_token(pool_state* pool, worker* worker) {
+  ++pool->raised_tokens[worker->entry.id];
+  worker->knows_token = false;
+  worker->token_in_start = false;
+}
+
 worker* find_worker(pool_state* pool, const std::string& id) {
   std::unordered_map<std::string, worker>::iterator found =
       pool->workers.find(id);
@@ -466,9 +471,10 @@
 
 void observe_connection_lost(pool_state* pool, const std::string& id) {
   worker* worker = find_worker(pool, id);
-  if (worker == nullptr || !worker->knows_token) return;
-  ++pool->raised_tokens[id];
-  worker->knows_token = false;
+  if (worker == nullptr) return;
+  // No order that may still arrive carries the current token.
+  if (!worker->knows_token && !worker->token_in_start) return;
+  raise_token(pool, worker);
 }
 
 worker_time grant_lease(pool_state* pool, const std::string& id,
