Hold a task by any run of it that a worker reports

A start that is still being recorded went out although a run of its task had been reported meanwhile. And if a task had two runs, the end of the one that it was placed by made it free, although the unexpected one went on.

A reported run now keeps the start that is being recorded from being sent, and a task that becomes free is held by an unexpected run of it that goes on. The search for one is skipped while there is no unexpected run at all, so it costs nothing in normal operation. Two tests failed before.

--- a/src/pool/incarnation_test.cpp
+++ b/src/pool/incarnation_test.cpp
@@ -173,6 +173,62 @@
   CHECK(fencing_token(pool.state, "w1") > starts[0].fencing_token);
 }
 
+// A refused start of the job's task that w1 carries out nonetheless, while the
+// task is placed on w2.
+struct unexpected_run : test_pool {
+  unexpected_run() {
+    add_worker("w1");
+    submit(kJob, {step(1, 1000)});
+    first = round().at(0);
+    observe_start(&state, first, start_outcome::no_capacity, now);
+    state.workers["w1"].avoid_until = now + milliseconds(60000);
+    add_worker("w2");
+    advance(milliseconds(10));
+  }
+  void report_first() {
+    worker_report report;
+    report.running.push_back(reported_run_of(first));
+    this->report("w1", report);
+  }
+  start_order first;
+};
+
+TEST_CASE("a start isn't sent while an earlier run of its task is reported") {
+  unexpected_run pool;
+  decide(&pool.state, pool.now, pool.wall);
+  journal_batch batch = take_batch(&pool.state, pool.wall);
+  REQUIRE(batch.starts.size() == 1);
+  pool.report_first();
+  CHECK(observe_batch_written(&pool.state, batch, pool.now).empty());
+  CHECK(pool.round().empty());
+  pool.advance(milliseconds(10));
+  pool.report("w1", {});
+  CHECK(pool.round().size() == 1);
+}
+
+TEST_CASE("a task isn't placed while one of two runs of it goes on") {
+  unexpected_run pool;
+  std::vector<start_order> second = pool.round();
+  REQUIRE(second.size() == 1);
+  REQUIRE(second[0].worker == "w2");
+  pool.confirm(second);
+  pool.advance(milliseconds(10));
+  worker_report running;
+  running.running.push_back(reported_run_of(second[0]));
+  pool.report("w2", running);
+  pool.report_first();
+  pool.round();
+  pool.advance(milliseconds(10));
+  pool.report("w2", report_of(2));
+  pool.add_worker("w3");
+  CHECK(pool.round().empty());
+  pool.report_first();
+  CHECK(pool.round().empty());
+  pool.advance(milliseconds(10));
+  pool.report("w1", {});
+  CHECK(pool.round().size() == 1);
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -84,6 +84,7 @@
   bool resumed = false;       // Started from a checkpoint.
   bool overdue = false;       // Counted as slow before it ended.
   bool reported = false;      // By the worker's current incarnation.
+  bool unexpected = false;    // Reported without a valid order.
   bool stop_wanted = false;
   bool stop_confirmed = false;
   steady_time stop_sent_at;  // Default value: not sent.
@@ -286,6 +287,7 @@
   std::unordered_set<std::string> changed_jobs;  // To write to the journal.
   // Ended jobs, which are removed some time after status_time.
   std::unordered_map<std::string, unix_time> ended_jobs;
+  std::size_t unexpected_placements = 0;
   // Placements that are not in the journal yet.
   std::vector<placement_key> unrecorded_starts;
   std::size_t pending_advice_requests = 0;  // To the advice service.
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -200,21 +200,45 @@
 
 // Keeps the task of an unexpected run from being placed until the run has
 // ended.
-void hold_task(pool_state* pool, const worker& worker,
-               const reported_run& row) {
-  task_ref ref = find_task(pool, row.task);
-  if (ref.step == nullptr || row.task.index >= ref.step->tasks.size()) return;
-  task& task = ref.step->tasks[row.task.index];
-  if (task.done || task.placed) return;
-  task.last_run = std::max(task.last_run, row.run);
+void hold_task(pool_state* pool, const worker& worker, const task_key& key,
+               std::uint32_t run) {
+  task_ref ref = find_task(pool, key);
+  if (ref.step == nullptr || key.index >= ref.step->tasks.size()) return;
+  task& task = ref.step->tasks[key.index];
+  if (task.done) return;
+  if (task.placed) {
+    // A start that is still being recorded must not be sent.
+    pool::worker* placed_on = find_worker(pool, task.worker);
+    placement* current = placed_on == nullptr
+                             ? nullptr
+                             : find_placement(placed_on, key, task.placed_run);
+    if (current != nullptr && current->phase == phase::recording) {
+      current->stop_wanted = true;
+    }
+    return;
+  }
+  task.last_run = std::max(task.last_run, run);
   task.placed = true;
-  task.placed_run = row.run;
+  task.placed_run = run;
   task.worker = worker.entry.id;
   task.incarnation_ms = worker.entry.incarnation_ms;
-  pool->changed_jobs.insert(row.task.job);
+  pool->changed_jobs.insert(key.job);
   update_waiting(pool, *ref.job, *ref.step);
 }
 
+// Another run of a task that is no longer placed may go on.
+void hold_by_unexpected_run(pool_state* pool, const job& job,
+                            const task_key& key) {
+  for (const std::pair<const std::string, std::size_t>& each : job.workers) {
+    const worker* at = find_worker(pool, each.first);
+    if (at == nullptr) continue;
+    for (const placement& other : at->placements) {
+      if (other.task != key) continue;
+      return hold_task(pool, *at, key, other.run);
+    }
+  }
+}
+
 void apply_running(pool_state* pool, worker* worker, const reported_run& row,
                    steady_time now) {
   mark_started(pool, row.task.job);
@@ -233,10 +257,12 @@
     unexpected.phase_since = now;
     unexpected.last_progress = now;
     unexpected.reported = true;
+    unexpected.unexpected = true;
+    ++pool->unexpected_placements;
     unexpected.stop_wanted = true;
     record_unexpected_run(pool, *worker, row);
     add_placement(pool, worker, std::move(unexpected));
-    hold_task(pool, *worker, row);
+    hold_task(pool, *worker, row.task, row.run);
     return;
   }
   if (placed->phase == phase::recording) return;
@@ -392,6 +418,7 @@
   worker->placements.erase(worker->placements.begin() +
                            (placed - worker->placements.data()));
   worker->used = worker->used - dropped.need;
+  if (dropped.unexpected) --pool->unexpected_placements;
   pool->cpu_release_rate.freed_cpu_milli += dropped.need.cpu_milli;
   decrement_job_worker(pool, dropped.task.job, worker->entry.id);
   task_ref ref = find_task(pool, dropped.task);
@@ -406,6 +433,9 @@
   if (job->outcome != wire::OPEN) return;
   // A gang can't complete without all members.
   if (definition(*job, *step).gang()) stop_runs(pool, job->id, step);
+  if (pool->unexpected_placements > 0) {
+    hold_by_unexpected_run(pool, *job, dropped.task);
+  }
   update_waiting(pool, *job, *step);
 }
 
