Add a failing test: worthless urgent steps keep a gang from asking for advice

Sixty steps of priority 0 whose results have no value any more ask for advice at the same time, as they don't count against the limit of 24 pending requests. A gang that is in time comes after them: with 59 requests left it may make none, although the whole pool is free.

Two tests that pass state what must stay: urgent steps in time ask beyond the limit, and worthless ones all get tickets and start when nothing else asks.

--- a/src/pool/load_test.cpp
+++ b/src/pool/load_test.cpp
@@ -15,10 +15,11 @@
 
 constexpr char kSmallQueue[] = "queue-small";
 constexpr char kUrgentQueue[] = "queue-urgent";
+constexpr char kUrgentAdviceQueue[] = "queue-urgent-advice";
 constexpr std::int64_t kWorkerCpu = 16000;
 
-// Workers of 16 cores, a queue of gangs that need advice, and queues of lower
-// and of higher priority without advice.
+// Workers of 16 cores, a queue of gangs that need advice, queues of lower and
+// of higher priority without advice, and one of higher priority with it.
 struct loaded_pool : test_pool {
   explicit loaded_pool(int workers) {
     policy.needs_advice = true;
@@ -30,9 +31,12 @@
     small.priority = 2;
     queue_policy urgent = small;
     urgent.priority = 0;
-    set_queues(
-        &state,
-        {{kQueue, policy}, {kSmallQueue, small}, {kUrgentQueue, urgent}});
+    queue_policy urgent_advice = urgent;
+    urgent_advice.needs_advice = true;
+    set_queues(&state, {{kQueue, policy},
+                        {kSmallQueue, small},
+                        {kUrgentQueue, urgent},
+                        {kUrgentAdviceQueue, urgent_advice}});
     for (int i = 0; i < workers; ++i) add_worker(name(i), kWorkerCpu);
   }
 
@@ -66,6 +70,17 @@
     confirm(round());
   }
 
+  // Submits urgent steps that need advice, and lets the time pass in which
+  // their results have a value.
+  void submit_worthless(int jobs, int workers) {
+    for (int i = 0; i < jobs; ++i) {
+      submit_to(kUrgentAdviceQueue, "00000000000001" + std::to_string(10 + i),
+                step(1, 1000));
+    }
+    advance(milliseconds(20'000));
+    for (int i = 0; i < workers; ++i) report(name(i), {});
+  }
+
   // Grants every request the workers from `first` to `last` that it names.
   void grant(const std::vector<advice_request>& requests, int first, int last,
              milliseconds validity) {
@@ -217,6 +232,64 @@
   }
 }
 
+// Load pattern: after a long disturbance the advice service, which answers one
+// call at a time for each daemon, is busy with steps whose results have no
+// value any more, and tickets of gangs come too late.
+TEST_CASE("urgent steps past any worth keep a gang from asking for advice",
+          "[!shouldfail]") {
+  constexpr int kWorkers = 48;
+  constexpr std::size_t kLimit = 24;
+  loaded_pool pool(kWorkers);
+  pool.submit_worthless(60, kWorkers);
+  decisions worthless;
+  pool.round(&worthless);
+  REQUIRE(pool.state.load.waiting_without_value == 60);
+  CHECK(worthless.advice.size() == kLimit);
+  pool.submit_gang("00000000000000aa", 8, 4500);
+  // One reply arrives.
+  pool.grant({worthless.advice[0]}, 0, -1, milliseconds(2000));
+  decisions asked;
+  CHECK(pool.round(&asked).empty());
+  REQUIRE(asked.advice.size() == 1);
+  CHECK(asked.advice[0].job == "00000000000000aa");
+  CHECK(pool.state.pending_advice_requests == kLimit);
+  pool.grant(asked.advice, 0, kWorkers - 1, milliseconds(2000));
+  std::vector<start_order> starts = pool.round();
+  CHECK(starts.size() == 8);
+  for (const start_order& each : starts) {
+    CHECK(each.task.job == "00000000000000aa");
+  }
+}
+
+TEST_CASE("urgent steps past any worth get tickets when nothing else asks") {
+  constexpr int kWorkers = 48;
+  loaded_pool pool(kWorkers);
+  pool.submit_worthless(60, kWorkers);
+  std::set<std::string> started;
+  for (int i = 0; i < 6; ++i) {
+    decisions asked;
+    for (const start_order& each : pool.round(&asked)) {
+      started.insert(each.task.job);
+    }
+    pool.grant(asked.advice, 0, kWorkers - 1, milliseconds(2000));
+  }
+  CHECK(started.size() == 60);
+}
+
+// Urgent steps whose results still have a value ask without delay.
+TEST_CASE("urgent steps in time ask for advice beyond the limit") {
+  constexpr int kWorkers = 48;
+  loaded_pool pool(kWorkers);
+  for (int i = 0; i < 60; ++i) {
+    pool.submit_to(kUrgentAdviceQueue,
+                   "00000000000001" + std::to_string(10 + i),
+                   test_pool::step(1, 1000));
+  }
+  decisions asked;
+  pool.round(&asked);
+  CHECK(asked.advice.size() == 60);
+}
+
 TEST_CASE("a large gang asks through several daemons at a time") {
   loaded_pool pool(1100);
   pool.state.advice_daemons = 147;
