Begin the work of a simulated gang anew when a member joins its run again

In the simulation a gang that broke kept the time at which it would have ended. A member that started again under the same run, as a copy of its start in a new incarnation does, joined it and ended as done at once, alone, and the owner rightly took the gang as done. The platform's gang would wait for the others.

--- a/src/pool/simulated_worker.cpp
+++ b/src/pool/simulated_worker.cpp
@@ -137,6 +137,8 @@
       target.members.find(task);
   if (found != target.members.end() && found->second == worker) {
     target.members.erase(found);
+    // The work begins anew if a member joins the same run again.
+    target.ends_at = steady_time::max();
   }
 }
 
--- a/src/pool/simulation_test.cpp
+++ b/src/pool/simulation_test.cpp
@@ -77,6 +77,15 @@
   check_seeds(options);
 }
 
+TEST_CASE("jobs survive crashes while many calls are lost or late") {
+  cell_options options;
+  options.message_loss = 0.15;
+  options.reply_loss = 0.15;
+  options.late_delivery = 0.15;
+  options.crash_every = milliseconds(800);
+  check_seeds(options);
+}
+
 TEST_CASE("jobs survive takeovers") {
   cell_options options;
   options.failure_rate = 0.05;
