--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -132,7 +132,7 @@
   bool placed = false;
   std::string checkpoint;
   std::string worker;  // While placed.
-  std::uint32_t placed_run = 0;
+  std::uint32_t placed_run = 0;  // While placed; may be before last_run.
   std::int64_t incarnation_ms = 0;
   std::string last_failed_worker;
 };
@@ -287,7 +287,7 @@
   std::unordered_set<std::string> changed_jobs;  // To write to the journal.
   // Ended jobs, which are removed some time after status_time.
   std::unordered_map<std::string, unix_time> ended_jobs;
-  std::size_t unexpected_placements = 0;
+  std::size_t unexpected_placements = 0;  // Of all workers.
   // Placements that are not in the journal yet.
   std::vector<placement_key> unrecorded_starts;
   std::size_t pending_advice_requests = 0;  // To the advice service.
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -502,7 +502,8 @@
 void observe_connection_lost(pool_state* pool, const std::string& id) {
   worker* worker = find_worker(pool, id);
   if (worker == nullptr) return;
-  // No order that may still arrive carries the current token.
+  // Polls before the first reply to a token carry neither lease nor end number,
+  // so without a start nothing harmful has carried the current one.
   if (!worker->knows_token && !worker->token_in_start) return;
   raise_token(pool, worker);
 }
--- a/src/poold/worker_link.cpp
+++ b/src/poold/worker_link.cpp
@@ -20,8 +20,9 @@
 // lease is renewed also while the journal is unavailable.
 constexpr milliseconds kMaxEndRecordWait{700};
 constexpr milliseconds kCommandTimeout{600};
-// A worker that has answered so many polls on a new connection each closes the
-// connections itself, so their loss tells nothing of its incarnation.
+// A worker that has answered this many polls in a row, each on a new
+// connection, closes the connections itself; their loss then doesn't show a
+// restart.
 constexpr std::size_t kMinAnswersOfClosingWorker = 2;
 constexpr std::size_t kPollConnections = 1;
 constexpr std::size_t kOrderConnections = 3;
