--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -131,7 +131,7 @@
   bool done = false;
   bool placed = false;
   std::string checkpoint;
-  std::string worker;  // While placed.
+  std::string worker;            // While placed.
   std::uint32_t placed_run = 0;  // While placed; may be before last_run.
   std::int64_t incarnation_ms = 0;
   std::string last_failed_worker;
