--- a/src/poold/owner_test.cpp
+++ b/src/poold/owner_test.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "clock/test_suspension.h"
 #include "http/server.h"
 #include "standin/pool/keyed_store.h"
 
@@ -172,6 +173,19 @@
   CHECK(test.run_until([&] { return test.starts == 1; }));
 }
 
+// Guards against leases that outlast max_previous_owner_lease(): another owner
+// may have claimed the pool while the VM was suspended.
+TEST_CASE("an owner extends no lease after its VM was suspended",
+          "[!shouldfail]") {
+  fixture test;
+  REQUIRE(test.run_until([&] { return test.has_lease(); }));
+  test.drop_replies();
+  clock::suspend_vm(kLease);
+  CHECK_FALSE(test.grants_leases());
+  test.store.drop_replies(0);
+  CHECK(test.run_until([&] { return test.has_lease(); }));
+}
+
 // Guards against a copy in which a record from a load of the journal replaces a
 // newer one that the owner has applied when it was written.
 TEST_CASE("an owner's records are applied with their offsets") {
