Log pauses of a pool daemon and steps of its time of day

Each tick now compares three clocks with the last tick: the one that counts suspension, the monotonic one and the time of day. Events 844 daemon_paused and 845 time_of_day_stepped, three counters. Both lines carry the epoch that the daemon owned at the tick before, as what else ran late may take the ownership first. No decision rests on it.

Evidence: a daemon stopped by SIGSTOP for 3 s wrote one daemon_paused with suspended_ms=0. Suspension was shown by the unit test of the comparison only, not on a suspended machine.

--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -61,6 +61,8 @@
   worker_restarted = 841,
   run_unexpected = 842,
   worker_entry_outdated = 843,
+  daemon_paused = 844,
+  time_of_day_stepped = 845,
 };
 
 struct definition {
@@ -189,6 +191,10 @@
     definition{
         id::worker_entry_outdated, "worker_entry_outdated", level::warning,
         "The worker's entry is older than what is known of it.", "worker"},
+    definition{id::daemon_paused, "daemon_paused", level::warning,
+               "The daemon stood still, or its machine was suspended.", "none"},
+    definition{id::time_of_day_stepped, "time_of_day_stepped", level::warning,
+               "The machine's time of day was set ahead or back.", "none"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -115,6 +115,7 @@
   if (bound.has_value()) bound = peers_.listen(settings_.peer_address);
   if (bound.has_error()) return bound;
   last_owner_contact_ = clock_.now();
+  last_tick_ = read_clocks(clock_);
   arm_tick();
   return bound;
 }
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -20,6 +20,7 @@
 
 #include "http/server.h"
 #include "jobs/job_table.h"
+#include "poold/clock_watch.h"
 #include "poold/job_api.h"
 #include "poold/measurements.h"
 #include "poold/owner.h"
@@ -91,6 +92,8 @@
   void on_journal_records(const std::vector<jobs::record>& records);
   void on_operator_records(const std::vector<jobs::record>& records);
   void apply_wave(const jobs::record& record);
+  // Logs a pause of this daemon and steps of the time of day.
+  void watch_clocks();
   void on_tick();
   void arm_tick();
   void consider_claim(steady_time now);
@@ -166,6 +169,11 @@
   std::uint64_t claimed_epoch_ = 0;  // Epoch of the last claim; 0 if none.
   steady_time claim_sent_;           // When that claim was sent.
   bool draining_ = false;
+  clock_reading last_tick_;
+  std::uint64_t last_tick_epoch_ = 0;  // As the owner, else 0.
+  std::uint64_t pauses_ = 0;
+  milliseconds suspended_{0};  // During the pauses.
+  std::uint64_t time_of_day_steps_ = 0;
   std::mt19937 random_;
 };
 
--- a/src/poold/node_ownership.cpp
+++ b/src/poold/node_ownership.cpp
@@ -45,7 +45,28 @@
   });
 }
 
+void node::watch_clocks() {
+  clock_reading earlier = std::exchange(last_tick_, read_clocks(clock_));
+  clock_gap gap = compare(earlier, last_tick_, kTickInterval);
+  // What else ran late since the pause may have taken the ownership already.
+  std::uint64_t epoch =
+      std::exchange(last_tick_epoch_, owner_ ? owner_->epoch() : 0);
+  if (gap.paused > milliseconds(0)) {
+    ++pauses_;
+    suspended_ += gap.suspended;
+    events::emit(events::id::daemon_paused, "tick", "",
+                 "paused_ms={} suspended_ms={} epoch={}", gap.paused.count(),
+                 gap.suspended.count(), epoch);
+  }
+  if (gap.step != milliseconds(0)) {
+    ++time_of_day_steps_;
+    events::emit(events::id::time_of_day_stepped, "tick", "",
+                 "step_ms={} epoch={}", gap.step.count(), epoch);
+  }
+}
+
 void node::on_tick() {
+  watch_clocks();
   steady_time now = clock_.now();
   if (owner_) return;
   // A draining daemon still passes open calls to the owner.
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -338,6 +338,15 @@
   append_value(&text, "ebonygrade_pool_unreadable_records_total", "counter",
                "Records of the journal that could not be read.",
                table_.unreadable_records);
+  append_value(&text, "ebonygrade_pool_pauses_total", "counter",
+               "Times that this daemon stood still for over a second.",
+               pauses_);
+  append_value(&text, "ebonygrade_pool_suspended_ms_total", "counter",
+               "Part of the pauses with the machine suspended, milliseconds.",
+               static_cast<std::uint64_t>(suspended_.count()));
+  append_value(&text, "ebonygrade_pool_time_of_day_steps_total", "counter",
+               "Times that the machine's time of day was set.",
+               time_of_day_steps_);
   if (owner_) append_owner_metrics(&text);
   return text;
 }
