Test that ended jobs stay known whatever the time of day does

After a jump ahead of more than status_time, or a takeover by a daemon whose clock is ahead, callers get a 410 for every ended job, and a repeated submission of one runs it again. The five tests fail on this commit: the owner compares its time of day with the one in the end's record. With a clock that is behind, ended jobs stay for the difference. The sixth, a change of owner every minute, passes.

--- /dev/null
+++ b/src/pool/retention_test.cpp
@@ -0,0 +1,110 @@
+// How long ended jobs stay known.
+#include <catch2/catch.hpp>
+
+#include "pool/pool_pvt.h"
+#include "pool/test_pool.h"
+
+namespace ebonygrade::pool {
+
+namespace {
+
+constexpr char kJob[] = "00000000000000aa";
+constexpr milliseconds kSecond{1000};
+// Longest time for which an ended job may stay known in these tests.
+constexpr milliseconds kLatestDeletion{180000};
+
+// A pool in which kJob has just completed.
+struct pool_with_ended_job : test_pool {
+  steady_time ended;
+
+  pool_with_ended_job() {
+    add_worker("w1");
+    submit(kJob, {step(1, 1000)});
+    std::vector<start_order> starts = round();
+    confirm(starts);
+    report("w1",
+           {{}, 1, {}, {reported_end_of(1, starts.at(0), end_kind::done)}});
+    round();
+    ended = now;
+    REQUIRE(job_state(kJob) == jobs::state::complete);
+  }
+
+  bool knows_job() const { return jobs::find(table, kJob) != nullptr; }
+
+  // Runs a round every second until `age` has passed since the end, with a new
+  // owner after each `owner_time`.
+  void run_until(milliseconds age, milliseconds owner_time = kLatestDeletion) {
+    for (int i = 1; now - ended < age; ++i) {
+      advance(kSecond);
+      if (i % (owner_time / kSecond) == 0) take_over();
+      round();
+    }
+  }
+
+  void check_retention(milliseconds owner_time = kLatestDeletion) {
+    run_until(state.limits.status_time, owner_time);
+    CHECK(knows_job());
+    run_until(kLatestDeletion, owner_time);
+    CHECK_FALSE(knows_job());
+  }
+};
+
+// A jump ahead deleted every ended job at once: callers got a 410, and a
+// repeated submission ran again.
+TEST_CASE("an ended job stays known when the time of day jumps ahead",
+          "[!shouldfail]") {
+  pool_with_ended_job pool;
+  pool.wall += std::chrono::minutes(10);
+  pool.round();
+  CHECK(pool.knows_job());
+  pool.check_retention();
+}
+
+TEST_CASE("an ended job stays known to an owner whose time of day is ahead",
+          "[!shouldfail]") {
+  pool_with_ended_job pool;
+  pool.wall += std::chrono::minutes(10);
+  pool.take_over();
+  pool.round();
+  CHECK(pool.knows_job());
+  pool.check_retention();
+}
+
+// The job stayed known for the time of the jump.
+TEST_CASE("an ended job is deleted by an owner whose time of day is behind",
+          "[!shouldfail]") {
+  pool_with_ended_job pool;
+  pool.wall -= std::chrono::minutes(10);
+  pool.take_over();
+  pool.check_retention();
+}
+
+TEST_CASE("an ended job stays known when the time of day jumps back and ahead",
+          "[!shouldfail]") {
+  pool_with_ended_job pool;
+  pool.wall -= std::chrono::minutes(10);
+  pool.round();
+  pool.wall += std::chrono::minutes(20);
+  pool.check_retention();
+}
+
+// No owner lasts for status_time, so none sees the whole retention itself.
+TEST_CASE("an ended job is deleted although the owner changes every minute") {
+  pool_with_ended_job pool;
+  pool.check_retention(std::chrono::minutes(1));
+}
+
+// A repeated submission within status_time must not start the job again.
+TEST_CASE(
+    "a repeated submission after a jump of the time of day starts nothing",
+    "[!shouldfail]") {
+  pool_with_ended_job pool;
+  pool.wall += std::chrono::minutes(10);
+  pool.round();
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  CHECK(pool.round().empty());
+}
+
+}  // namespace
+
+}  // namespace ebonygrade::pool
