Tell a daemon's processes apart without the time of day

The daemon appends its callers' records itself when no owner takes them, under a producer named after the daemon and the millisecond of its start. After the time of day was set back, a new process may have the name of an earlier one. The store takes its appends for repeats of the earlier process's last five and answers with their first replies, and the daemon confirms the job.

The name now has a random number as well.

--- a/src/poold/job_api.cpp
+++ b/src/poold/job_api.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <random>
 #include <utility>
 
 #include "events/events.h"
@@ -82,9 +83,10 @@
       owner_(std::move(owner)),
       measurements_(measurements),
       deadline_timer_(context) {
-  // The start time in the name keeps the sequence numbers apart from those of
-  // earlier processes of this daemon.
-  std::string producer = daemon + "." + std::to_string(unix_ms(clock));
+  // Keeps the sequence numbers apart from those of earlier processes of this
+  // daemon. The time of day may repeat.
+  std::string producer = daemon + "." + std::to_string(unix_ms(clock)) + "." +
+                         std::to_string(std::random_device{}());
   appender_ = std::make_shared<appender>(context, store,
                                          std::string(platform::kJournalTopic),
                                          platform::producer{producer, 1, 0});
