Order upkeep only while no other daemon can have claimed the pool

What could happen: an owner that is frozen or suspended between the append of an upkeep order and the reply sends the order when it wakes, by then perhaps after a later owner's orders. A daemon that wins a claim and wakes late repeats the orders of an earlier owner in the same way. The isolation limit, half a lease, would be too long here: other daemons claim after 0.85 s at the earliest.

An order is sent only if the last confirmed append was sent at most 800 ms ago; otherwise it is recorded again first. The owner notes an append before it replies to those who wait for it.

--- a/src/poold/maintenance_runner.cpp
+++ b/src/poold/maintenance_runner.cpp
@@ -12,6 +12,10 @@
 // Applies while a wave is open. The platform accepts tens of list calls per
 // second from all daemons together.
 constexpr milliseconds kListDelay{500};
+// Other daemons claim the pool no earlier than this after they have read the
+// owner's last append: when it is 500 ms old and a probe of the owner has timed
+// out. The platform may not check fencing tokens.
+constexpr milliseconds kMaxAppendAge{800};
 constexpr std::size_t kConnections = 2;
 
 http::client_options machine_options() {
@@ -50,7 +54,14 @@
   bool is_new = maintenance_.waves.count(wave.number) == 0;
   for (const pool::maintenance_order& each :
        pool::observe_wave(&maintenance_, wave, record, clock_.now())) {
-    send(each);
+    if (may_order()) {
+      send(each);
+    } else {
+      // It is repeated after a new record.
+      pool::observe_maintenance(&maintenance_, each,
+                                pool::maintenance_outcome::unknown,
+                                clock_.now());
+    }
   }
   if (is_new) publish_status(wave.number, record.complete());
   if (!running_ && pool::has_incomplete_wave(maintenance_)) {
@@ -59,6 +70,10 @@
   }
 }
 
+bool maintenance_runner::may_order() const {
+  return clock_.now() - pool_.last_journal_write <= kMaxAppendAge;
+}
+
 void maintenance_runner::run_after(milliseconds delay) {
   timer_.expires_after(delay);
   timer_.async_wait(
@@ -128,7 +143,7 @@
 void maintenance_runner::record_and_send(const pool::maintenance_order& order) {
   record_wave(order.wave, [self = shared_from_this(), order](bool written) {
     if (self->stopped_) return;
-    if (written) return self->send(order);
+    if (written && self->may_order()) return self->send(order);
     // The order was not sent, so it may be issued again.
     pool::observe_maintenance(&self->maintenance_, order,
                               pool::maintenance_outcome::busy,
--- a/src/poold/maintenance_runner.h
+++ b/src/poold/maintenance_runner.h
@@ -35,6 +35,9 @@
   void stop();
 
  private:
+  // Whether no other daemon can have claimed the pool, as far as the last
+  // confirmed append tells.
+  bool may_order() const;
   void run_after(milliseconds delay);
   void run();
   void list(const std::string& page_token);
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -549,6 +549,7 @@
        callers = std::move(callers), releases, count,
        sent](write_outcome outcome) mutable {
         if (outcome == write_outcome::written && !self->stopped_) {
+          pool::observe_journal_write(&self->pool_, sent);
           std::uint64_t first = self->journal_->last_offset();
           self->on_appended_(first, first + count, sent);
           std::uint64_t offset = first;
@@ -560,7 +561,7 @@
         }
         self->reply_to_callers(callers, outcome);
         if (outcome != write_outcome::abandoned) {
-          return self->on_written(batch, outcome, releases, sent);
+          return self->on_written(batch, outcome, releases);
         }
         if (!self->stopped_) self->send(std::move(batch), {}, releases);
       });
@@ -576,7 +577,7 @@
 }
 
 void owner::on_written(const pool::journal_batch& batch, write_outcome outcome,
-                       bool releases, steady_time sent) {
+                       bool releases) {
   if (stopped_) return;
   if (outcome != write_outcome::written) {
     events::emit(events::id::claim_lost, "append", "",
@@ -584,7 +585,6 @@
     return step_down();
   }
   last_write_ = clock_.now();
-  pool::observe_journal_write(&pool_, sent);
   if (releases) return finish_release();
   apply_written(batch);
   schedule_round();
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -115,9 +115,8 @@
   // `releases`: the batch ends with the record that releases the pool.
   void send(pool::journal_batch batch, std::vector<caller_write> callers,
             bool releases);
-  // `sent`: when the append was first sent.
   void on_written(const pool::journal_batch& batch, write_outcome outcome,
-                  bool releases, steady_time sent);
+                  bool releases);
   void apply_written(const pool::journal_batch& batch);
   // Replies to the callers whose records have not been sent.
   void fail_queued_callers(owner_reply reply);
