Measure a run's time without progress by its worker's clock

What could happen: an owner that was frozen or suspended for 2.5 s or more and is still the owner, or doesn't know yet that it isn't, handles the reports that came before its pause. They count as new, their percentages are those from before the pause, and every run looks as if it had made no progress since then: all are stopped, and their workers get no starts for 5 s. The workers that a later owner hasn't reached obey a superseded owner, too.

The time without progress now goes by the clock of the worker's reports, plus the time since the last one, at most one poll.

Evidence: the new test "an owner that was paused stops no run for an old report" fails without the change (one stop) and passes with it; "a run that reports no progress is stopped" passes on both, so detection takes as long as before in it.

--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -94,7 +94,6 @@
   placed.need = resources_needed(definition(*candidate.job, *candidate.step));
   placed.phase_since = round.now;
   placed.placed_at = round.now;
-  placed.last_progress = round.now;
   placed.ticket = std::string(at->ticket);
   at->free = at->free - placed.need;
   --at->slots;
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -67,7 +67,6 @@
   placed.need = resources_needed(definition(*job, *step));
   placed.phase = phase::unverified;
   placed.phase_since = now;
-  placed.last_progress = now;
   add_placement(pool, &worker, std::move(placed));
 }
 
--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -20,6 +20,8 @@
 // percent: a 20 s task at a sixth of its speed still advances by 1% within this
 // time.
 constexpr milliseconds kNoProgressTimeout{3500};
+// Longest time between the reports of a worker without ended runs.
+constexpr milliseconds kMaxReportInterval{1100};
 constexpr std::uint32_t kFullProgressPercent = 100;
 constexpr milliseconds kAvoidAfterHang{5000};
 
@@ -70,8 +72,15 @@
 bool is_hung(pool_state* pool, const worker& worker, const placement& placed,
              steady_time now) {
   if (placed.phase != phase::running || placed.stop_wanted) return false;
+  if (!placed.reported) return false;
   if (now - worker.last_reply > kUnresponsiveAfter) return false;
-  if (now - placed.last_progress < kNoProgressTimeout) return false;
+  // The worker's clock, as this owner may have been paused between two reports.
+  milliseconds since_report = std::min(
+      std::chrono::duration_cast<milliseconds>(now - worker.clock_read_at),
+      kMaxReportInterval);
+  milliseconds without_progress =
+      worker.clock + since_report - placed.last_progress;
+  if (without_progress < kNoProgressTimeout) return false;
   task_ref ref = find_task(pool, placed.task);
   job* job = ref.job;
   step_state* step = ref.step;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -80,11 +80,11 @@
   std::uint32_t starts_sent = 0;
   std::string ticket;
   std::uint32_t percent = 0;
-  steady_time last_progress;  // When `percent` last changed.
-  bool resumed = false;       // Started from a checkpoint.
-  bool overdue = false;       // Counted as slow before it ended.
-  bool reported = false;      // By the worker's current incarnation.
-  bool unexpected = false;    // Reported without a valid order.
+  worker_time last_progress{0};  // Worker's clock when `percent` last changed.
+  bool resumed = false;          // Started from a checkpoint.
+  bool overdue = false;          // Counted as slow before it ended.
+  bool reported = false;         // By the worker's current incarnation.
+  bool unexpected = false;       // Reported without a valid order.
   bool stop_wanted = false;
   bool stop_confirmed = false;
   steady_time stop_sent_at;  // Default value: not sent.
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -581,6 +581,45 @@
   CHECK(pool.state.workers["w1"].lease_end == lease_end);
 }
 
+// Guards against the loss of all runs when an owner wakes up: the reports that
+// it handles then are as old as its pause.
+TEST_CASE("an owner that was paused stops no run for an old report") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  pool.confirm(starts);
+  worker_report report{{}, 1, {reported_run_of(starts[0])}, {}};
+  pool.report("w1", report);
+  report.clock = pool.state.workers["w1"].clock + milliseconds(100);
+  steady_time sent = pool.now;
+  pool.advance(milliseconds(5000));
+  observe_worker_report(&pool.state, "w1", report,
+                        fencing_token(pool.state, "w1"), sent, pool.now,
+                        pool.wall);
+  decisions orders;
+  pool.round(&orders);
+  CHECK(orders.stops.empty());
+}
+
+TEST_CASE("a run that reports no progress is stopped") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  pool.confirm(starts);
+  decisions orders;
+  for (int i = 0; i < 4; ++i) {
+    CHECK(orders.stops.empty());
+    pool.report("w1", {{}, 1, {reported_run_of(starts[0])}, {}});
+    pool.advance(milliseconds(1000));
+    pool.round(&orders);
+  }
+  CHECK(orders.stops.size() == 1);
+}
+
 // The reply to a start doesn't tell the incarnation that began the run.
 TEST_CASE("a run that the next incarnation has begun isn't placed again") {
   test_pool pool;
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -255,7 +255,7 @@
       unexpected.need = resources_needed(definition(*job, *step));
     unexpected.phase = phase::running;
     unexpected.phase_since = now;
-    unexpected.last_progress = now;
+    unexpected.last_progress = worker->clock;
     unexpected.reported = true;
     unexpected.unexpected = true;
     ++pool->unexpected_placements;
@@ -266,16 +266,15 @@
     return;
   }
   if (placed->phase == phase::recording) return;
-  placed->reported = true;
   if (placed->phase != phase::running) {
     placed->phase = phase::running;
     placed->phase_since = now;
-    placed->last_progress = now;
   }
-  if (placed->percent != row.percent) {
+  if (!placed->reported || placed->percent != row.percent) {
     placed->percent = row.percent;
-    placed->last_progress = now;
+    placed->last_progress = worker->clock;
   }
+  placed->reported = true;
   if (row.checkpoint.empty()) return;
   task_ref ref = find_task(pool, row.task);
   job* job = ref.job;
@@ -596,7 +595,6 @@
       if (order.incarnation_ms != worker->entry.incarnation_ms) return;
       placed->phase = phase::running;
       placed->phase_since = now;
-      placed->last_progress = now;
       return;
     case start_outcome::fenced:
       if (order.fencing_token == fencing_token(*pool, order.worker)) {
