Take no note of ends that lapsed in the simulation's ledger

The ledger called it a violation when a task had started again before the end 'done' of an earlier run was acknowledged. The platform's rule (TWICE) has an exception that the ledger lacked: an end isn't taken note of by a `lastSeen` that reaches it after the worker's lease lapsed. A worker that nobody reaches for longer than its lease may hold an end that no owner can know; the task then has to start elsewhere.

No simulation had cuts for so long, so none came there. Ends that are acknowledged while the lease goes on are checked as before, as are starts after any acknowledgement, lapsed or not, which is stricter than the rule.

--- a/src/pool/simulated_worker.cpp
+++ b/src/pool/simulated_worker.cpp
@@ -92,13 +92,13 @@
   alive.insert({worker, run});
 }
 
-void ledger::record_acknowledged(const reported_end& end) {
-  if (end.kind == end_kind::failed) {
+void ledger::record_acknowledged(const reported_end& end, bool lapsed) {
+  if (end.kind == end_kind::failed && !lapsed) {
     failed_acknowledged_[end.task].insert(end.run);
     check_attempts(end.task, jobs_.at(end.task.job).attempts);
   }
   if (end.kind != end_kind::done) return;
-  if (started_after_.count({end.task, end.run}) > 0) {
+  if (!lapsed && started_after_.count({end.task, end.run}) > 0) {
     report_violation("started again after an acknowledged completion: " +
                      name_of(end.task, end.run));
   }
@@ -199,7 +199,8 @@
   ends_.push_back({next_end_++, task, ended.run, kind, {}});
   ledger_->record_end(id_, task, ended.run, kind);
   if (ends_.back().number <= acked_end_) {
-    ledger_->record_acknowledged(ends_.back());
+    // The lease can't have lapsed since.
+    ledger_->record_acknowledged(ends_.back(), false);
     ends_.pop_back();
   }
   if (!ended.gang) return;
@@ -247,6 +248,7 @@
       end(each.first, end_kind::alone);
     }
   }
+  if (lease_expired) lapsed_end_ = next_end_ - 1;
 }
 
 void simulated_worker::crash(steady_time now) {
@@ -266,6 +268,7 @@
   closed_runs_.clear();
   ends_.clear();
   next_end_ = 1;
+  lapsed_end_ = 0;
   acked_end_ = 0;
   fence_ = 0;
   polled_token_ = 0;
@@ -358,7 +361,7 @@
   acked_end_ = std::max(acked_end_, acked);
   std::erase_if(ends_, [&](const reported_end& end) {
     if (end.number > acked_end_) return false;
-    ledger_->record_acknowledged(end);
+    ledger_->record_acknowledged(end, end.number <= lapsed_end_);
     return true;
   });
   out->clock = clock(now);
--- a/src/pool/simulated_worker.h
+++ b/src/pool/simulated_worker.h
@@ -29,8 +29,10 @@
                   std::uint32_t run, end_kind kind);
   // Records that an owner acknowledged the end. A task must not start again
   // after a run completed whose end is acknowledged, at that time or later. If
-  // a crash lost the end before that, the task may run again.
-  void record_acknowledged(const reported_end& end);
+  // a crash lost the end before that, the task may run again. It may also have
+  // started again before the acknowledgement if the worker's lease lapsed after
+  // the end.
+  void record_acknowledged(const reported_end& end, bool lapsed);
   void report_violation(std::string text) {
     violations_.push_back(std::move(text));
   }
@@ -165,6 +167,8 @@
   std::map<task_key, std::uint32_t> closed_runs_;
   std::vector<reported_end> ends_;
   std::uint64_t next_end_ = 1;
+  // Ends up to this number were listed when the lease lapsed.
+  std::uint64_t lapsed_end_ = 0;
   // Ends up to this number are not listed, later ones included.
   std::uint64_t acked_end_ = 0;
 };
