--- a/src/pool/simulated_worker.cpp
+++ b/src/pool/simulated_worker.cpp
@@ -92,13 +92,13 @@
   alive.insert({worker, run});
 }
 
-void ledger::record_acknowledged(const reported_end& end) {
-  if (end.kind == end_kind::failed) {
+void ledger::record_acknowledged(const reported_end& end, bool lapsed) {
+  if (end.kind == end_kind::failed && !lapsed) {
     failed_acknowledged_[end.task].insert(end.run);
     check_attempts(end.task, jobs_.at(end.task.job).attempts);
   }
   if (end.kind != end_kind::done) return;
-  if (started_after_.count({end.task, end.run}) > 0) {
+  if (!lapsed && started_after_.count({end.task, end.run}) > 0) {
     report_violation("started again after an acknowledged completion: " +
                      name_of(end.task, end.run));
   }
@@ -183,7 +183,25 @@
 }
 
 worker_time simulated_worker::clock(steady_time now) const {
-  return std::chrono::duration_cast<milliseconds>(now - born_);
+  milliseconds lived = std::chrono::duration_cast<milliseconds>(now - born_);
+  return worker_time(static_cast<std::int64_t>(
+      static_cast<double>(lived.count()) * behaviour_.clock_rate));
+}
+
+std::uint32_t simulated_worker::percent(const task_key& task,
+                                        const active_run& run,
+                                        steady_time now) const {
+  if (!behaviour_.reports_progress) return 50;
+  // The work of a gang begins late.
+  steady_time ends_at = run.gang ? gangs_->ends_at(task, run.run) : run.ends_at;
+  if (ends_at == steady_time::max()) return 0;
+  milliseconds work = behaviour_.task_time;
+  if (!run.gang) {
+    work = std::chrono::duration_cast<milliseconds>(run.ends_at - run.began);
+  }
+  milliseconds left = std::chrono::duration_cast<milliseconds>(ends_at - now);
+  std::int64_t done = 100 - left * 100 / std::max(work, milliseconds(1));
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(done, 0, 100));
 }
 
 end_kind simulated_worker::outcome() {
@@ -199,7 +217,8 @@
   ends_.push_back({next_end_++, task, ended.run, kind, {}});
   ledger_->record_end(id_, task, ended.run, kind);
   if (ends_.back().number <= acked_end_) {
-    ledger_->record_acknowledged(ends_.back());
+    // The lease can't have lapsed since.
+    ledger_->record_acknowledged(ends_.back(), false);
     ends_.pop_back();
   }
   if (!ended.gang) return;
@@ -224,13 +243,18 @@
   return gangs_->ends_at(task, run.run) <= now;
 }
 
-void simulated_worker::tick(steady_time now) {
-  bool lease_expired = clock(now) > lease_;
+std::vector<std::pair<task_key, std::uint32_t>> simulated_worker::active_runs()
+    const {
   std::vector<std::pair<task_key, std::uint32_t>> names;
   for (const std::pair<const task_key, active_run>& each : runs_) {
     names.emplace_back(each.first, each.second.run);
   }
-  for (const std::pair<task_key, std::uint32_t>& each : names) {
+  return names;
+}
+
+void simulated_worker::tick(steady_time now) {
+  bool lease_expired = clock(now) > lease_;
+  for (const std::pair<task_key, std::uint32_t>& each : active_runs()) {
     std::map<task_key, active_run>::iterator found = runs_.find(each.first);
     // Another member of the gang may have ended the run in this loop.
     if (found == runs_.end()) continue;
@@ -247,6 +271,7 @@
       end(each.first, end_kind::alone);
     }
   }
+  if (lease_expired) lapsed_end_ = next_end_ - 1;
 }
 
 void simulated_worker::crash(steady_time now) {
@@ -266,6 +291,7 @@
   closed_runs_.clear();
   ends_.clear();
   next_end_ = 1;
+  lapsed_end_ = 0;
   acked_end_ = 0;
   fence_ = 0;
   polled_token_ = 0;
@@ -358,13 +384,16 @@
   acked_end_ = std::max(acked_end_, acked);
   std::erase_if(ends_, [&](const reported_end& end) {
     if (end.number > acked_end_) return false;
-    ledger_->record_acknowledged(end);
+    ledger_->record_acknowledged(end, end.number <= lapsed_end_);
     return true;
   });
   out->clock = clock(now);
   out->incarnation_ms = incarnation_ms_;
   for (const std::pair<const task_key, active_run>& each : runs_) {
-    out->running.push_back({each.first, each.second.run, {}, 50});
+    out->running.push_back({each.first,
+                            each.second.run,
+                            {},
+                            percent(each.first, each.second, now)});
   }
   out->ended = ends_;
   return true;
