Log when the owner loses its right to give leases and has it again

If a superseded owner went on to give leases, the later owner's wait was too short (hypothesis 1 of docs/incidents/zora-twice.md); no line told whether an owner took itself as entitled, as the check is made per lease and silently.

Events 846 owner_isolated, with the age of the last confirmed append, and 847 owner_confirmed: once per change, looked at in each round. A loss that ends before the next round isn't seen. No decision rests on it.

Evidence: the new test of owner_test, in which the store's replies stop for longer than half a lease and come again, sees each line once.

--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -63,6 +63,8 @@
   worker_entry_outdated = 843,
   daemon_paused = 844,
   time_of_day_stepped = 845,
+  owner_isolated = 846,
+  owner_confirmed = 847,
 };
 
 struct definition {
@@ -195,6 +197,12 @@
                "The daemon stood still, or its machine was suspended.", "none"},
     definition{id::time_of_day_stepped, "time_of_day_stepped", level::warning,
                "The machine's time of day was set ahead or back.", "none"},
+    definition{id::owner_isolated, "owner_isolated", level::warning,
+               "The owner may give no more leases; its last confirmed record "
+               "is too old.",
+               "none"},
+    definition{id::owner_confirmed, "owner_confirmed", level::info,
+               "The owner may give leases again.", "none"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -322,8 +322,28 @@
       });
 }
 
+void owner::watch_isolation(steady_time now) {
+  bool was_isolated = isolated_since_ != steady_time();
+  if (pool::is_isolated(pool_, now) == was_isolated) return;
+  if (was_isolated) {
+    events::emit(events::id::owner_confirmed, "decide", "",
+                 "epoch={} isolated_ms={}", epoch_,
+                 std::chrono::duration_cast<milliseconds>(
+                     now - std::exchange(isolated_since_, {}))
+                     .count());
+    return;
+  }
+  isolated_since_ =
+      pool_.last_journal_write + pool::isolation_limit(pool_.limits);
+  events::emit(
+      events::id::owner_isolated, "decide", "", "epoch={} age_ms={}", epoch_,
+      std::chrono::duration_cast<milliseconds>(now - pool_.last_journal_write)
+          .count());
+}
+
 void owner::run_round() {
   last_round_ = clock_.now();
+  watch_isolation(last_round_);
   if (pool_.superseded) return step_down();
   if (is_stalled()) fail_queued_callers(owner_reply::unavailable);
   pool_.advice_daemons = advice_dispatcher_.available_daemons();
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -99,6 +99,9 @@
   void schedule_round();
   void schedule_round_at(steady_time when);
   void run_round();
+  // Logs when the owner loses its right to give leases, and when it is back. A
+  // loss that ends before the next round isn't seen.
+  void watch_isolation(steady_time now);
   // Limits the rate of rounds by the time of the last one.
   void measure_round(steady_time begun);
   // Logs the load of the pool once a second.
@@ -156,6 +159,7 @@
   std::function<void()> on_released_;
   steady_time last_round_;
   std::chrono::microseconds round_interval_{0};  // Minimum, by the last round.
+  steady_time isolated_since_;                   // Default value: not isolated.
   steady_time load_emitted_at_;
   // Longest time of a round since the load was last logged.
   std::chrono::microseconds longest_round_{0};
--- a/src/poold/owner_test.cpp
+++ b/src/poold/owner_test.cpp
@@ -2,15 +2,19 @@
 // short, so that the limits that follow from them are, too.
 #include "poold/owner.h"
 
+#include <spdlog/sinks/ostream_sink.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "events/events.h"
 #include "http/server.h"
 #include "standin/pool/keyed_store.h"
 
@@ -152,6 +156,31 @@
   CHECK(test.run_until([&] { return test.has_lease(); }));
 }
 
+TEST_CASE("the loss of the right to give leases is logged once") {
+  std::ostringstream log;
+  clock::system_clock clock;
+  events::start(
+      std::make_shared<spdlog::logger>(
+          "test", std::make_shared<spdlog::sinks::ostream_sink_mt>(log)),
+      "info", clock);
+  auto position = [&](const char* name) { return log.str().find(name); };
+  {
+    fixture test;
+    test.drop_replies();
+    CHECK(test.run_until(
+        [&] { return position("846 owner_isolated") != std::string::npos; }));
+    // Several rounds pass.
+    test.run_until([] { return false; }, kLease / 2);
+    test.store.drop_replies(0);
+    CHECK(test.run_until(
+        [&] { return position("847 owner_confirmed") != std::string::npos; }));
+  }
+  events::stop();
+  CHECK(position("epoch=7 age_ms=") != std::string::npos);
+  std::string before = log.str().substr(0, position("847 owner_confirmed"));
+  CHECK(before.find("846 ") == before.rfind("846 "));
+}
+
 // Guards against the same in starts, which carry a lease as well.
 TEST_CASE("a start whose record was confirmed late is not sent") {
   fixture test;
