Log the evidence on which runs are freed by their lease

The line didn't tell whether the owner knew the lease or assumed it from earlier owners, and pool_taken not what was at stake.

task_ended with reason=lease_passed now has silent_ms, replied, lease (granted or assumed) and lease_ended_ms; pool_taken has unverified_runs and freed_within_ms, the latest time at which a silent worker's runs are freed. A counter for such runs. The existing keys stay, and the end of a lease is computed as before: the three places that moved it share a function.

--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -59,8 +59,7 @@
   worker.entry.id = saved.worker();
   worker.entry.incarnation_ms =
       std::max(worker.entry.incarnation_ms, saved.incarnation_ms());
-  worker.lease_end =
-      std::max(worker.lease_end, now + max_previous_owner_lease(pool->limits));
+  extend_lease(&worker, now + max_previous_owner_lease(pool->limits), false);
   placement placed;
   placed.task = {job->id, step->occurrence, step->step, saved.index()};
   placed.run = saved.last_run();
--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -96,11 +96,29 @@
                         placed->run});
 }
 
+// Reason of a run that is freed without its worker's word, and the evidence.
+std::string lease_passed(const worker& worker, steady_time now) {
+  std::string text = "lease_passed";
+  // Without a reply, from when its entry was read; a worker that is known from
+  // the journal alone has neither.
+  if (worker.last_reply != steady_time()) {
+    milliseconds silent =
+        std::chrono::duration_cast<milliseconds>(now - worker.last_reply);
+    text += " silent_ms=" + std::to_string(silent.count());
+  }
+  milliseconds ended =
+      std::chrono::duration_cast<milliseconds>(now - worker.lease_end);
+  return text + " replied=" + (worker.replied_at.empty() ? "0" : "1") +
+         " lease=" + (worker.lease_granted ? "granted" : "assumed") +
+         " lease_ended_ms=" + std::to_string(ended.count());
+}
+
 void process_worker_orders(pool_state* pool, worker* worker, decisions* out,
                            steady_time now) {
   bool unresponsive = now - worker->last_reply > kUnresponsiveAfter;
   if (unresponsive && now > worker->lease_end && !worker->placements.empty()) {
-    drop_all(pool, worker, "lease_passed");
+    pool->counters.lease_passed_runs += worker->placements.size();
+    drop_all(pool, worker, lease_passed(*worker, now));
     return;
   }
   for (placement& placed : worker->placements) {
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -112,7 +112,10 @@
   steady_time last_reply;
   worker_time clock{0};  // The worker's clock at clock_read_at.
   steady_time clock_read_at;
-  steady_time lease_end;        // No leased run continues after this.
+  steady_time lease_end;  // No leased run continues after this.
+  // Whether lease_end follows from a lease that this owner sent, rather than
+  // from what earlier owners may have sent. For logs only.
+  bool lease_granted = false;
   std::uint64_t last_end = 0;   // Highest end number that was applied.
   std::uint64_t acked_end = 0;  // Highest end whose effect is in the journal.
   std::vector<placement> placements;
@@ -247,6 +250,7 @@
   std::uint64_t ends_other = 0;
   // Runs whose worker restarted or became unresponsive.
   std::uint64_t lost_runs = 0;
+  std::uint64_t lease_passed_runs = 0;  // Part of the lost runs.
   std::uint64_t refused_starts = 0;
   std::uint64_t worker_restarts = 0;  // New incarnations under a known id.
   std::uint64_t unexpected_runs = 0;  // Reported runs without a valid order.
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -12,6 +12,9 @@
 // covers two missed polls of one second.
 inline constexpr milliseconds kUnresponsiveAfter{2500};
 
+// Moves the end of the worker's lease to `end` unless it is later already.
+void extend_lease(worker* worker, steady_time end, bool granted);
+
 // Update the worker's speed when a run completes, or when it is overdue. Runs
 // whose time doesn't depend on the worker alone are ignored.
 void update_speed_after_end(pool_state* pool, worker* worker,
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -747,6 +747,29 @@
   CHECK(starts[0].worker == "w2");
 }
 
+TEST_CASE("a run that is freed by its lease tells the evidence") {
+  test_pool pool;
+  pool.add_worker("w1");
+  // Later than what an earlier owner may have sent.
+  pool.advance(std::chrono::seconds(1));
+  pool.report("w1", {});
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  pool.confirm(pool.round());
+  bool granted = GENERATE(true, false);
+  if (!granted) pool.take_over();
+  pool.advance(std::chrono::seconds(10));
+  pool.round();
+  REQUIRE(pool.state.counters.lease_passed_runs == 1);
+  std::string detail = pool.state.job_events.back().detail;
+  CAPTURE(detail);
+  std::string expected =
+      granted ? " reason=lease_passed silent_ms=10000 replied=1 lease=granted "
+                "lease_ended_ms="
+              : " reason=lease_passed replied=0 lease=assumed "
+                "lease_ended_ms=730";
+  CHECK(detail.find(expected) != std::string::npos);
+}
+
 TEST_CASE("a refused start at a former address frees no other runs") {
   test_pool pool;
   pool.add_worker("w1");
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -370,6 +370,12 @@
   worker->token_in_start = false;
 }
 
+void extend_lease(worker* worker, steady_time end, bool granted) {
+  if (end <= worker->lease_end) return;
+  worker->lease_end = end;
+  worker->lease_granted = granted;
+}
+
 worker* find_worker(pool_state* pool, const std::string& id) {
   std::unordered_map<std::string, worker>::iterator found =
       pool->workers.find(id);
@@ -518,9 +524,9 @@
       std::chrono::duration_cast<milliseconds>(now - worker->clock_read_at);
   worker_time until =
       worker->clock + since_read + pool->limits.lease - kLeaseMargin;
-  worker->lease_end =
-      std::max(worker->lease_end,
-               worker->clock_read_at + with_clock_drift(until - worker->clock));
+  extend_lease(worker,
+               worker->clock_read_at + with_clock_drift(until - worker->clock),
+               true);
   return until;
 }
 
@@ -538,8 +544,7 @@
     if (!worker->fenced) {
       worker->fenced = true;
       // A late order may have renewed the lease until this reply.
-      worker->lease_end = std::max(worker->lease_end,
-                                   now + with_clock_drift(pool->limits.lease));
+      extend_lease(worker, now + with_clock_drift(pool->limits.lease), false);
     }
   }
   worker->replied_at = worker->entry.address;
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -379,6 +379,9 @@
                "Runs that ended otherwise.", state.counters.ends_other);
   append_value(text, "ebonygrade_pool_runs_lost_total", "counter",
                "Runs lost with their worker.", state.counters.lost_runs);
+  append_value(text, "ebonygrade_pool_runs_lease_passed_total", "counter",
+               "Lost runs whose worker was silent until its lease had ended.",
+               state.counters.lease_passed_runs);
   append_value(text, "ebonygrade_pool_worker_restarts_total", "counter",
                "Workers that began another incarnation under their id.",
                state.counters.worker_restarts);
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -90,9 +90,20 @@
       pool::cancel_job(&pool_, each.first, wall_now());
     }
   }
+  // The journal is all that is known of the workers.
+  std::size_t unverified = 0;
+  milliseconds freed_within{0};
+  for (const std::pair<const std::string, pool::worker>& each : pool_.workers) {
+    unverified += each.second.placements.size();
+    freed_within = std::max(
+        freed_within,
+        std::chrono::duration_cast<milliseconds>(each.second.lease_end - now));
+  }
   events::emit(events::id::pool_taken, "take over", "",
-               "epoch={} jobs={} placed_on={} workers", epoch_,
-               pool_.jobs.size(), pool_.workers.size());
+               "epoch={} jobs={} placed_on={} workers unverified_runs={} "
+               "freed_within_ms={}",
+               epoch_, pool_.jobs.size(), pool_.workers.size(), unverified,
+               freed_within.count());
   start_discovery();
   start_maintenance();
   schedule_round();
