--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -65,6 +65,7 @@
   time_of_day_stepped = 845,
   owner_isolated = 846,
   owner_confirmed = 847,
+  job_forgotten = 848,
 };
 
 struct definition {
@@ -203,6 +204,8 @@
                "none"},
     definition{id::owner_confirmed, "owner_confirmed", level::info,
                "The owner may give leases again.", "none"},
+    definition{id::job_forgotten, "job_forgotten", level::info,
+               "An ended job was deleted from the journal.", "none"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -12,6 +12,9 @@
 // query them.
 constexpr milliseconds kRetentionMargin{10000};
 
+// As many as are written in a second.
+constexpr std::size_t kMaxPendingForgotten = 50;
+
 bool has_progress(const task& task) { return task.last_run > 0 && !task.done; }
 
 void append_step(const step_state& step, wire::job_progress* out) {
@@ -49,6 +52,17 @@
   return out.SerializeAsString();
 }
 
+// Requires that the job is still in the pool if it was.
+void record_forgotten(pool_state* pool, const std::string& id,
+                      milliseconds age) {
+  ++pool->counters.forgotten_jobs;
+  if (pool->forgotten_jobs.size() >= kMaxPendingForgotten) return;
+  const job* job = find_job(pool, id);
+  std::string outcome;
+  if (job != nullptr) outcome = wire::job_outcome_Name(job->outcome);
+  pool->forgotten_jobs.push_back({id, outcome, age});
+}
+
 void drop_expired_jobs(pool_state* pool, journal_batch* batch, unix_time wall) {
   for (std::unordered_map<std::string, unix_time>::iterator each =
            pool->ended_jobs.begin();
@@ -61,6 +75,7 @@
     // Repeated requests may have been recorded after the end.
     batch->records.push_back({jobs::cancellation_key(each->first), {}, 0});
     batch->records.push_back({jobs::submission_key(each->first), {}, 0});
+    record_forgotten(pool, each->first, wall - each->second);
     pool->jobs.erase(each->first);
     each = pool->ended_jobs.erase(each);
   }
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -234,6 +234,13 @@
   std::string detail;  // "key=value" pairs with inputs and outcome.
 };
 
+// An ended job that was deleted from the journal.
+struct forgotten_job {
+  std::string job;
+  std::string outcome;  // Empty if not known.
+  milliseconds age{0};  // Since its end, as the retention measures it.
+};
+
 // Rate at which ended runs release CPU capacity of the pool.
 struct cpu_release_rate {
   std::int64_t cpu_milli_per_second = 0;  // Smoothed.
@@ -252,6 +259,7 @@
   std::uint64_t lost_runs = 0;
   std::uint64_t lease_passed_runs = 0;  // Part of the lost runs.
   std::uint64_t refused_starts = 0;
+  std::uint64_t forgotten_jobs = 0;   // Deleted from the journal.
   std::uint64_t worker_restarts = 0;  // New incarnations under a known id.
   std::uint64_t unexpected_runs = 0;  // Reported runs without a valid order.
 };
@@ -307,6 +315,9 @@
   load_summary load;
   std::vector<job_event> job_events;        // The caller removes them.
   std::vector<worker_event> worker_events;  // The caller removes them.
+  // Apart from the job events, which a mass of them must not push out. The
+  // caller removes them; the later ones of a burst are counted only.
+  std::vector<forgotten_job> forgotten_jobs;
   pool::counters counters;
 };
 
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -770,6 +770,22 @@
   CHECK(detail.find(expected) != std::string::npos);
 }
 
+TEST_CASE("deleted jobs are told, of a burst the first ones") {
+  constexpr std::size_t kTold = 50;
+  test_pool pool;
+  for (std::size_t i = 0; i <= kTold; ++i) {
+    std::string id = "job-" + std::to_string(i);
+    pool.submit(id, {test_pool::step(1, 1000)});
+    cancel_job(&pool.state, id, pool.wall);
+  }
+  pool.advance(std::chrono::minutes(10));
+  pool.round();
+  CHECK(pool.state.counters.forgotten_jobs == kTold + 1);
+  REQUIRE(pool.state.forgotten_jobs.size() == kTold);
+  CHECK(pool.state.forgotten_jobs[0].outcome == "CANCELLED");
+  CHECK(pool.state.forgotten_jobs[0].age == std::chrono::minutes(10));
+}
+
 TEST_CASE("a refused start at a former address frees no other runs") {
   test_pool pool;
   pool.add_worker("w1");
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -361,6 +361,7 @@
   if (!releasing_) send_orders(pool::decide(&pool_, clock_.now(), wall_now()));
   emit_job_events();
   emit_worker_events();
+  emit_forgotten_jobs();
   measure_round(last_round_);
   emit_load(last_round_);
   schedule_flush();
@@ -460,6 +461,16 @@
   }
 }
 
+void owner::emit_forgotten_jobs() {
+  for (const pool::forgotten_job& each :
+       std::exchange(pool_.forgotten_jobs, {})) {
+    events::emit(events::id::job_forgotten, "flush", "",
+                 "job={} outcome={} age_ms={} forgotten={}", each.job,
+                 each.outcome.empty() ? "-" : each.outcome, each.age.count(),
+                 pool_.counters.forgotten_jobs);
+  }
+}
+
 void owner::send_orders(const pool::decisions& orders) {
   for (const pool::start_order& each : orders.repeated_starts) {
     send_start(each);
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -109,6 +109,7 @@
   void record_latency(const pool::job_event& event);
   void emit_job_events();
   void emit_worker_events();
+  void emit_forgotten_jobs();
   void send_orders(const pool::decisions& orders);
   void send_start(const pool::start_order& order);
   void send_stop(const pool::stop_order& order);
