--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -14,6 +14,9 @@
 // Time between records of the pool time. A change of owner loses up to this.
 constexpr milliseconds kPoolTimeInterval{2000};
 
+// As many as are written in a second.
+constexpr std::size_t kMaxPendingForgotten = 50;
+
 bool has_progress(const task& task) { return task.last_run > 0 && !task.done; }
 
 void append_step(const step_state& step, wire::job_progress* out) {
@@ -49,6 +52,17 @@
   return out.SerializeAsString();
 }
 
+// Requires that the job is still in the pool if it was.
+void record_forgotten(pool_state* pool, const std::string& id,
+                      milliseconds age) {
+  ++pool->counters.forgotten_jobs;
+  if (pool->forgotten_jobs.size() >= kMaxPendingForgotten) return;
+  const job* job = find_job(pool, id);
+  std::string outcome;
+  if (job != nullptr) outcome = wire::job_outcome_Name(job->outcome);
+  pool->forgotten_jobs.push_back({id, outcome, age});
+}
+
 void drop_expired_jobs(pool_state* pool, journal_batch* batch,
                        milliseconds time) {
   for (std::unordered_map<std::string, milliseconds>::iterator each =
@@ -62,6 +76,7 @@
     // Repeated requests may have been recorded after the end.
     batch->records.push_back({jobs::cancellation_key(each->first), {}, 0});
     batch->records.push_back({jobs::submission_key(each->first), {}, 0});
+    record_forgotten(pool, each->first, time - each->second);
     pool->jobs.erase(each->first);
     each = pool->ended_jobs.erase(each);
   }
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -113,7 +113,10 @@
   steady_time last_reply;
   worker_time clock{0};  // The worker's clock at clock_read_at.
   steady_time clock_read_at;
-  steady_time lease_end;        // No leased run continues after this.
+  steady_time lease_end;  // No leased run continues after this.
+  // Whether lease_end follows from a lease that this owner sent, rather than
+  // from what earlier owners may have sent. For logs only.
+  bool lease_granted = false;
   std::uint64_t last_end = 0;   // Highest end number that was applied.
   std::uint64_t acked_end = 0;  // Highest end whose effect is in the journal.
   std::vector<placement> placements;
@@ -231,6 +234,13 @@
   std::string detail;  // "key=value" pairs with inputs and outcome.
 };
 
+// An ended job that was deleted from the journal.
+struct forgotten_job {
+  std::string job;
+  std::string outcome;  // Empty if not known.
+  milliseconds age{0};  // Since its end, as the retention measures it.
+};
+
 // Rate at which ended runs release CPU capacity of the pool.
 struct cpu_release_rate {
   std::int64_t cpu_milli_per_second = 0;  // Smoothed.
@@ -247,7 +257,9 @@
   std::uint64_t ends_other = 0;
   // Runs whose worker restarted or became unresponsive.
   std::uint64_t lost_runs = 0;
+  std::uint64_t lease_passed_runs = 0;  // Part of the lost runs.
   std::uint64_t refused_starts = 0;
+  std::uint64_t forgotten_jobs = 0;   // Deleted from the journal.
   std::uint64_t worker_restarts = 0;  // New incarnations under a known id.
   std::uint64_t unexpected_runs = 0;  // Reported runs without a valid order.
 };
@@ -312,6 +324,9 @@
   load_summary load;
   std::vector<job_event> job_events;        // The caller removes them.
   std::vector<worker_event> worker_events;  // The caller removes them.
+  // Apart from the job events, which a mass of them must not push out. The
+  // caller removes them; the later ones of a burst are counted only.
+  std::vector<forgotten_job> forgotten_jobs;
   pool::counters counters;
 };
 
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -93,9 +93,20 @@
       pool::cancel_job(&pool_, each.first, wall_now());
     }
   }
+  // The journal is all that is known of the workers.
+  std::size_t unverified = 0;
+  milliseconds freed_within{0};
+  for (const std::pair<const std::string, pool::worker>& each : pool_.workers) {
+    unverified += each.second.placements.size();
+    freed_within = std::max(
+        freed_within,
+        std::chrono::duration_cast<milliseconds>(each.second.lease_end - now));
+  }
   events::emit(events::id::pool_taken, "take over", "",
-               "epoch={} jobs={} placed_on={} workers", epoch_,
-               pool_.jobs.size(), pool_.workers.size());
+               "epoch={} jobs={} placed_on={} workers unverified_runs={} "
+               "freed_within_ms={}",
+               epoch_, pool_.jobs.size(), pool_.workers.size(), unverified,
+               freed_within.count());
   start_discovery();
   start_maintenance();
   schedule_round();
@@ -325,14 +336,35 @@
       });
 }
 
+void owner::watch_isolation(steady_time now) {
+  bool was_isolated = isolated_since_ != steady_time();
+  if (pool::is_isolated(pool_, now) == was_isolated) return;
+  if (was_isolated) {
+    events::emit(events::id::owner_confirmed, "decide", "",
+                 "epoch={} isolated_ms={}", epoch_,
+                 std::chrono::duration_cast<milliseconds>(
+                     now - std::exchange(isolated_since_, {}))
+                     .count());
+    return;
+  }
+  isolated_since_ =
+      pool_.last_journal_write + pool::isolation_limit(pool_.limits);
+  events::emit(
+      events::id::owner_isolated, "decide", "", "epoch={} age_ms={}", epoch_,
+      std::chrono::duration_cast<milliseconds>(now - pool_.last_journal_write)
+          .count());
+}
+
 void owner::run_round() {
   last_round_ = clock_.now();
+  watch_isolation(last_round_);
   if (pool_.superseded) return step_down();
   if (is_stalled()) fail_queued_callers(owner_reply::unavailable);
   pool_.advice_daemons = advice_dispatcher_.available_daemons();
   if (!releasing_) send_orders(pool::decide(&pool_, clock_.now(), wall_now()));
   emit_job_events();
   emit_worker_events();
+  emit_forgotten_jobs();
   measure_round(last_round_);
   emit_load(last_round_);
   schedule_flush();
@@ -432,6 +464,16 @@
   }
 }
 
+void owner::emit_forgotten_jobs() {
+  for (const pool::forgotten_job& each :
+       std::exchange(pool_.forgotten_jobs, {})) {
+    events::emit(events::id::job_forgotten, "flush", "",
+                 "job={} outcome={} age_ms={} forgotten={}", each.job,
+                 each.outcome.empty() ? "-" : each.outcome, each.age.count(),
+                 pool_.counters.forgotten_jobs);
+  }
+}
+
 void owner::send_orders(const pool::decisions& orders) {
   for (const pool::start_order& each : orders.repeated_starts) {
     send_start(each);
