Don't confirm an owner on a late reply of the store

One that was frozen or suspended with the reply on its way, and has been superseded, tells daemons that ask then that it is the owner, as does a daemon that wins a claim and wakes late. Those that don't know the successor go on passing callers' writes to it, and start their wait for a new owner again.

--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -32,6 +32,9 @@
 // Three heartbeats. Without a successful append for this long, the owner
 // reports the journal as unreachable.
 constexpr milliseconds kJournalTimeout{600};
+// The same for an owner whose last append was sent this long ago, although its
+// reply has just arrived. Other daemons claim 1.8 s after an append.
+constexpr milliseconds kMaxAppendAge{1500};
 // Discovery records change with a worker's state and with its heartbeats.
 constexpr milliseconds kDiscoveryReadInterval{250};
 // Subtracted from a ticket's validity for the latency of the reply.
@@ -162,7 +165,9 @@
 }
 
 bool owner::journal_reachable() const {
-  return clock_.now() - last_write_ < kJournalTimeout;
+  steady_time now = clock_.now();
+  return now - last_write_ < kJournalTimeout &&
+         now - pool_.last_journal_write < kMaxAppendAge;
 }
 
 void owner::record_daemon(const daemon_info& daemon) {
--- a/src/poold/owner_test.cpp
+++ b/src/poold/owner_test.cpp
@@ -20,6 +20,8 @@
 
 constexpr std::chrono::seconds kConditionTimeout{20};
 constexpr milliseconds kLease{900};
+// Other daemons claim the pool of an owner that is silent for this long.
+constexpr milliseconds kOwnerSilence{1800};
 constexpr std::uint64_t kEpoch = 7;
 constexpr char kJob[] = "00000000000000aa";
 constexpr int kAllReplies = 1000000;
@@ -172,6 +174,23 @@
   CHECK(test.run_until([&] { return test.starts == 1; }));
 }
 
+// Guards against a superseded owner that confirms its ownership on waking.
+TEST_CASE(
+    "a late reply of the store doesn't show that the journal is reached") {
+  fixture test;
+  REQUIRE(test.run_until([&] { return test.has_lease(); }));
+  REQUIRE(test.subject->journal_reachable());
+  test.drop_replies();
+  REQUIRE(test.run_until([&] { return test.waits_for_reply(); }));
+  test.run_until([] { return false; }, kOwnerSilence);
+  std::size_t before = test.written.size();
+  test.reply_once();
+  REQUIRE(test.run_until([&] { return test.written.size() > before; }));
+  CHECK_FALSE(test.subject->journal_reachable());
+  test.store.drop_replies(0);
+  CHECK(test.run_until([&] { return test.subject->journal_reachable(); }));
+}
+
 // Guards against a copy in which a record from a load of the journal replaces a
 // newer one that the owner has applied when it was written.
 TEST_CASE("an owner's records are applied with their offsets") {
