Test that a job accepted in the future has waited for no time

With the owner's time of day 5 s behind the entry's, waited_ms, after_ms and the two latencies are negative, and the sum of a latency histogram falls (300 ms and -5000 ms: -4.7 s with a count of 2), which reads as a restart. The test fails on this commit.

--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -834,6 +834,25 @@
   CHECK(observe_worker_entry(&pool.state, second, pool.now));
 }
 
+// The sums of the latency histograms fell, which reads as a restart.
+TEST_CASE("a job accepted in the future by this clock has waited for no time",
+          "[!shouldfail]") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  pool.wall -= milliseconds(5000);
+  pool.confirm(pool.round());
+  cancel_job(&pool.state, kJob, pool.wall);
+  std::size_t latencies = 0;
+  for (const job_event& each : pool.state.job_events) {
+    CHECK(each.detail.find("_ms=-") == std::string::npos);
+    if (!each.since_accepted) continue;
+    CHECK(*each.since_accepted == milliseconds(0));
+    ++latencies;
+  }
+  CHECK(latencies == 2);
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
