--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -211,6 +211,26 @@
   CHECK(cell.wait_until([&] { return drained; }));
 }
 
+// Without it, ended jobs would never be deleted in a pool whose owner changes
+// often.
+TEST_CASE("an owner continues the pool time of the journal") {
+  constexpr std::int64_t kKnown = 1'000'000'000'000'000;
+  cell cell;
+  cell.store.put("keyed.op", "config", kManifest);
+  wire::pool_time time;
+  time.set_elapsed_ms(kKnown);
+  cell.store.put("keyed.journal", jobs::kPoolTimeKey, time.SerializeAsString());
+  cell.add_node("n1");
+  CHECK(cell.wait_until([&] {
+    for (const standin::stored_record& each :
+         cell.store.records("keyed.journal")) {
+      if (each.key == jobs::kPoolTimeKey) time.ParseFromString(each.value);
+    }
+    return time.elapsed_ms() != kKnown;
+  }));
+  CHECK(time.elapsed_ms() > kKnown);
+}
+
 TEST_CASE("an owner that drains during an append records the release") {
   cell cell;
   cell.store.put("keyed.op", "config", kManifest);
