Test that a cancelled job stays known while a worker reports a run of it

The test fails on this commit: 130 s after the end the job is deleted although a worker still reports the run that it was ordered to stop.

--- a/src/pool/retention_test.cpp
+++ b/src/pool/retention_test.cpp
@@ -126,6 +126,30 @@
   CHECK(pool.round().empty());
 }
 
+// A repeated submission would start a task beside its former run.
+TEST_CASE("a cancelled job stays known while a worker reports a run of it",
+          "[!shouldfail]") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  pool.confirm(starts);
+  cancel_job(&pool.state, kJob, pool.wall);
+  worker_report report;
+  report.running.push_back(reported_run_of(starts.at(0)));
+  for (milliseconds age{0}; age < kLatestDeletion; age += kSecond) {
+    pool.advance(kSecond);
+    pool.report("w1", report);
+    pool.round();
+  }
+  CHECK(jobs::find(pool.table, kJob) != nullptr);
+  pool.report(
+      "w1", {{}, 1, {}, {reported_end_of(1, starts.at(0), end_kind::stopped)}});
+  pool.round();
+  pool.round();
+  CHECK(jobs::find(pool.table, kJob) == nullptr);
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
