--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -333,7 +333,7 @@
 // ---- Pool time ------------------------------------------------------------
 
 // The pool time is the time for which the pool has had an owner. Its owners
-// keep it in the journal and count it by their own steady clocks, so it depends
+// keep it in the journal and count it by their own clocks, so it depends
 // on no time of day. A change of owner loses the time since the last record of
 // it, which an owner writes every two seconds, and the time without an owner.
 // It is never ahead of the time that has passed.
