--- a/src/pool/simulated_cell.cpp
+++ b/src/pool/simulated_cell.cpp
@@ -382,7 +382,8 @@
 void simulated_cell::check_passed(const owner& owner) {
   if (owner.epoch < epoch_) return;
   for (const job_event& each : owner.state.job_events) {
-    if (!each.detail.ends_with(" reason=lease_passed")) continue;
+    if (each.detail.find(" reason=lease_passed ") == std::string::npos)
+      continue;
     ++reached_.leases_passed;
     for (const std::pair<task_key, std::uint32_t>& run :
          workers_[each.worker]->active_runs()) {
