Add failing tests: a lease of the next incarnation, an end confirmed late

A start that no reply has settled is kept when its worker begins another incarnation, as it may arrive there. If that incarnation answers nothing, the run is freed by the former one's lease; but a start that arrives gives a lease from then on.

An ended job's time is that of the batch, not of its confirmation. Callers see the end only then, and are promised the job for status_time.

--- a/src/pool/incarnation_test.cpp
+++ b/src/pool/incarnation_test.cpp
@@ -173,6 +173,27 @@
   CHECK(fencing_token(pool.state, "w1") > starts[0].fencing_token);
 }
 
+// Guards against two runs at the same time: the start of an earlier incarnation
+// reaches the next one, where it has a lease from then on.
+TEST_CASE("a start that may reach a new incarnation is kept for a lease of it",
+          "[!shouldfail]") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  REQUIRE(pool.round().size() == 1);
+  pool.advance(milliseconds(4000));
+  worker_entry entry = pool.state.workers.at("w1").entry;
+  entry.incarnation_ms = 2;
+  observe_worker_entry(&pool.state, entry, pool.now);
+  pool.add_worker("w2");
+  pool.advance(pool.state.limits.lease);
+  pool.report("w2", {});
+  CHECK(pool.round().empty());
+  pool.advance(milliseconds(1000));
+  pool.report("w2", {});
+  CHECK(pool.round().size() == 1);
+}
+
 // A refused start of the job's task that w1 carries out nonetheless, while the
 // task is placed on w2.
 struct unexpected_run : test_pool {
--- a/src/pool/retention_test.cpp
+++ b/src/pool/retention_test.cpp
@@ -116,6 +116,23 @@
   CHECK(pool_time(pool.state, pool.now) >= std::chrono::seconds(299 - 2 * 42));
 }
 
+// Callers see the end when its record is confirmed, which an outage of the
+// store puts off.
+TEST_CASE("an ended job stays known from when its end was confirmed",
+          "[!shouldfail]") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  cancel_job(&pool.state, kJob, pool.wall);
+  journal_batch end = take_batch(&pool.state, pool.now);
+  pool.advance(std::chrono::seconds(15));
+  for (const jobs::record& each : end.records) pool.apply(each);
+  REQUIRE(pool.job_state(kJob) == jobs::state::cancelled);
+  pool.advance(pool.state.limits.status_time - kSecond);
+  pool.round();
+  CHECK(jobs::find(pool.table, kJob) != nullptr);
+}
+
 // A repeated submission within status_time must not start the job again.
 TEST_CASE(
     "a repeated submission after a jump of the time of day starts nothing") {
