Cut sitting owners from workers in the simulation, too

Half of the cuts of new owners now begin up to 6 s after the claim, and early claims follow the last append by 30 ms at most.

--- a/src/pool/simulated_cell.cpp
+++ b/src/pool/simulated_cell.cpp
@@ -207,7 +207,7 @@
   }
   // Right after an append of the old owner is the worst time for a claim.
   milliseconds claim = lapse_chance(0.3)
-                           ? lapse_delay(0, 100)
+                           ? lapse_delay(0, 30)
                            : kTakeoverDelay + lapse_delay(-500, 500);
   at(claim, [this, owner] {
     if (owner_ == owner) begin_owner(true);
@@ -346,7 +346,7 @@
   result->state.limits.lease = kLease;
   set_queues(&result->state, queues_);
   if (cut_from_next_owner_.empty()) {
-    cut_workers(result.get(), milliseconds(0));
+    cut_workers(result.get(), lapse_chance(0.5) ? milliseconds(0) : kLease);
   }
   for (const std::string& worker :
        std::exchange(cut_from_next_owner_, std::set<std::string>())) {
--- a/src/pool/simulated_cell.h
+++ b/src/pool/simulated_cell.h
@@ -55,7 +55,7 @@
   // don't count it in either case.
   bool clock_counts_suspension = true;
   // Share of workers that an owner can't reach for 5 to 30 s, in one direction
-  // or both, from its claim and from about each of its lapses.
+  // or both, from about its claim and about each of its lapses.
   double cut_workers = 0;
   // Interval of jumps of the owner's time of day; 0: none.
   milliseconds jump_every{0};
