--- a/src/clock/clock.h
+++ b/src/clock/clock.h
@@ -15,7 +15,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<boot_clock>;
-  static constexpr bool is_steady = true;
+  // The standard library's name.
+  static constexpr bool is_steady = true;  // NOLINT
 
   static time_point now() noexcept {
     std::timespec time{};
