Log each crash of a worker, and what is known of the runs that it took

No line told that a worker had crashed, which of its runs was the newest, or whether a lost run had begun. worker_crashed (849) does, as do began, known_ms and beside in the lines of lost runs; a counter stands beside it.

--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -66,6 +66,7 @@
   owner_isolated = 846,
   owner_confirmed = 847,
   job_forgotten = 848,
+  worker_crashed = 849,
 };
 
 struct definition {
@@ -206,6 +207,9 @@
                "The owner may give leases again.", "none"},
     definition{id::job_forgotten, "job_forgotten", level::info,
                "An ended job was deleted from the journal.", "none"},
+    definition{id::worker_crashed, "worker_crashed", level::warning,
+               "A worker ended without draining, and its runs with it.",
+               "worker"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -226,6 +226,7 @@
   restarted,       // It began another incarnation.
   run_unexpected,  // It reports a run without a valid order.
   entry_outdated,  // Its entry is older than its known incarnation.
+  crashed,         // Its incarnation ended without draining, with its runs.
 };
 
 struct worker_event {
@@ -261,6 +262,7 @@
   std::uint64_t refused_starts = 0;
   std::uint64_t forgotten_jobs = 0;   // Deleted from the journal.
   std::uint64_t worker_restarts = 0;  // New incarnations under a known id.
+  std::uint64_t worker_crashes = 0;   // With runs, and not while draining.
   std::uint64_t unexpected_runs = 0;  // Reported runs without a valid order.
 };
 
@@ -410,7 +412,7 @@
 // have begun a later incarnation or to have moved since the call.
 bool observe_worker_replaced(pool_state* pool, const std::string& worker,
                              std::int64_t incarnation_ms,
-                             const std::string& address);
+                             const std::string& address, steady_time now);
 void observe_start(pool_state* pool, const start_order& order,
                    start_outcome outcome, steady_time now);
 void observe_stop(pool_state* pool, const stop_order& order, bool confirmed,
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -79,6 +79,17 @@
 // Orders to the worker get a higher fencing token from now on.
 void raise_token(pool_state* pool, worker* worker);
 
+// For how long the run is known to have been at work: from when its start was
+// confirmed to the worker's last reply. Zero if its start isn't confirmed.
+milliseconds known_run_time(const worker& worker, const placement& placed);
+// "key=value" pairs that tell what may have caused the loss of a run: its own
+// age, and how many runs were beside it.
+std::string describe_loss(const worker& worker, const placement& placed);
+// The worker's incarnation has ended with the runs that are placed on it.
+// `planned`: it was draining.
+void record_crash(pool_state* pool, const worker& worker,
+                  const std::string& reason, bool planned, steady_time now);
+
 // Drops all placements of the worker. `reason` goes into the events.
 void drop_all(pool_state* pool, worker* worker, const std::string& reason);
 
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -762,7 +762,7 @@
   worker_entry wrong = pool.state.workers["w1"].entry;
   wrong.address = "127.0.0.1:2";
   observe_worker_entry(&pool.state, wrong, pool.now);
-  observe_worker_replaced(&pool.state, "w1", 1, wrong.address);
+  observe_worker_replaced(&pool.state, "w1", 1, wrong.address, pool.now);
   pool.submit("00000000000000ab", {test_pool::step(1, 1000)});
   CHECK(pool.round().empty());
   pool.add_worker("w2");
@@ -775,7 +775,7 @@
   for (std::uint32_t percent = 1; pool.now <= lost.lease_end; ++percent) {
     pool.report("w2", {{}, 1, {reported_run_of(starts[0], percent)}, {}});
     observe_worker_entry(&pool.state, wrong, pool.now);
-    observe_worker_replaced(&pool.state, "w1", 1, wrong.address);
+    observe_worker_replaced(&pool.state, "w1", 1, wrong.address, pool.now);
     REQUIRE(pool.round().empty());
     pool.advance(milliseconds(500));
   }
@@ -859,7 +859,7 @@
       observe_start(&pool.state, starts[1], start_outcome::other_incarnation,
                     pool.now);
     } else {
-      observe_worker_replaced(&pool.state, "w1", 1, "127.0.0.1:1");
+      observe_worker_replaced(&pool.state, "w1", 1, "127.0.0.1:1", pool.now);
     }
     starts = pool.round();
     REQUIRE(starts.size() == 2);
@@ -883,9 +883,9 @@
   REQUIRE(starts.size() == 1);
   pool.confirm(starts);
   pool.add_worker("w2");
-  observe_worker_replaced(&pool.state, "w1", 1, "127.0.0.1:1");
+  observe_worker_replaced(&pool.state, "w1", 1, "127.0.0.1:1", pool.now);
   CHECK(pool.round().empty());
-  observe_worker_replaced(&pool.state, "w1", 2, "127.0.0.1:1");
+  observe_worker_replaced(&pool.state, "w1", 2, "127.0.0.1:1", pool.now);
   CHECK(pool.round().size() == 1);
 }
 
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -322,7 +322,8 @@
 // fencing token, so these runs are kept until the next report.
 void begin_incarnation(pool_state* pool, worker* worker,
                        std::int64_t incarnation_ms, const std::string& source,
-                       steady_time now) {
+                       bool planned, steady_time now) {
+  record_crash(pool, *worker, "new_incarnation", planned, now);
   std::int64_t previous = worker->entry.incarnation_ms;
   std::uint64_t last_end = worker->last_end;
   worker->entry.incarnation_ms = incarnation_ms;
@@ -332,6 +333,7 @@
   worker->acked_end = 0;
   worker->consecutive_failures = 0;
   std::vector<std::pair<task_key, std::uint32_t>> to_drop;
+  std::vector<std::string> losses;
   for (placement& placed : worker->placements) {
     // Repeated starts without a reply may still reach the new incarnation.
     bool may_arrive = placed.phase == phase::sent || placed.starts_sent > 1;
@@ -342,14 +344,17 @@
       placed.stop_sent_at = {};
     } else if (placed.phase == phase::running && placed.reported) {
       to_drop.emplace_back(placed.task, placed.run);
+      losses.push_back(describe_loss(*worker, placed));
     }
     placed.reported = false;
   }
-  for (const std::pair<task_key, std::uint32_t>& each : to_drop) {
+  for (std::size_t i = 0; i < to_drop.size(); ++i) {
+    const std::pair<task_key, std::uint32_t>& each = to_drop[i];
     ++pool->counters.lost_runs;
-    add_job_event(
-        pool, job_event_kind::run_lost, each.first.job, worker->entry.id,
-        describe(each.first, each.second) + " reason=new_incarnation");
+    add_job_event(pool, job_event_kind::run_lost, each.first.job,
+                  worker->entry.id,
+                  describe(each.first, each.second) +
+                      " reason=new_incarnation " + losses[i]);
     drop_placement(pool, worker, each.first, each.second);
   }
   // Orders to the former incarnation may have given the new one a lease.
@@ -448,12 +453,17 @@
 }
 
 void drop_all(pool_state* pool, worker* worker, const std::string& reason) {
+  std::vector<std::string> losses;
+  for (const placement& placed : worker->placements) {
+    losses.push_back(describe_loss(*worker, placed));
+  }
   while (!worker->placements.empty()) {
     placement last = worker->placements.back();
     ++pool->counters.lost_runs;
     add_job_event(pool, job_event_kind::run_lost, last.task.job,
                   worker->entry.id,
-                  describe(last.task, last.run) + " reason=" + reason);
+                  describe(last.task, last.run) + " reason=" + reason + " " +
+                      losses[worker->placements.size() - 1]);
     drop_placement(pool, worker, last.task, last.run);
   }
 }
@@ -482,6 +492,7 @@
                          " address=" + entry.address);
     return false;
   }
+  bool was_draining = worker.entry.draining;
   worker.entry = entry;
   worker.described_incarnation_ms = entry.incarnation_ms;
   if (!worker.listed) worker.last_reply = now;
@@ -490,7 +501,8 @@
     worker.replied_at.clear();
     // It takes the former incarnation from the entry.
     worker.entry.incarnation_ms = incarnation;
-    begin_incarnation(pool, &worker, entry.incarnation_ms, "entry", now);
+    begin_incarnation(pool, &worker, entry.incarnation_ms, "entry",
+                      was_draining, now);
   }
   return true;
 }
@@ -539,7 +551,8 @@
   if (worker == nullptr) return;
   if (report.incarnation_ms < worker->entry.incarnation_ms) return;
   if (report.incarnation_ms > worker->entry.incarnation_ms) {
-    begin_incarnation(pool, worker, report.incarnation_ms, "report", now);
+    begin_incarnation(pool, worker, report.incarnation_ms, "report",
+                      worker->entry.draining, now);
   }
   if (token == fencing_token(*pool, id)) {
     worker->knows_token = true;
@@ -572,7 +585,7 @@
 
 bool observe_worker_replaced(pool_state* pool, const std::string& id,
                              std::int64_t incarnation_ms,
-                             const std::string& address) {
+                             const std::string& address, steady_time now) {
   worker* worker = find_worker(pool, id);
   if (worker == nullptr) return true;
   // Runs of a later incarnation are not affected.
@@ -585,6 +598,7 @@
       worker->replied_at.empty() || worker->replied_at == address;
   if (!had_address) return true;
   worker->listed = false;
+  record_crash(pool, *worker, "address_reused", worker->entry.draining, now);
   drop_all(pool, worker, "address_reused");
   return true;
 }
@@ -613,7 +627,7 @@
     case start_outcome::other_incarnation:
       if (worker->entry.incarnation_ms == order.incarnation_ms) {
         observe_worker_replaced(pool, order.worker, order.incarnation_ms,
-                                order.address);
+                                order.address, now);
         placed = find_placement(worker, order.task, order.run);
         if (placed == nullptr) return;
       }
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -388,6 +388,9 @@
   append_value(text, "ebonygrade_pool_worker_restarts_total", "counter",
                "Workers that began another incarnation under their id.",
                state.counters.worker_restarts);
+  append_value(text, "ebonygrade_pool_worker_crashes_total", "counter",
+               "Workers that ended with runs and without draining.",
+               state.counters.worker_crashes);
   append_value(text, "ebonygrade_pool_unexpected_runs_total", "counter",
                "Reported runs without a valid order.",
                state.counters.unexpected_runs);
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -306,7 +306,7 @@
       std::uint64_t lost_before = pool_.counters.lost_runs;
       std::string address = links_.at(worker)->address();
       bool replaced = pool::observe_worker_replaced(
-          &pool_, worker, request.incarnation_ms, address);
+          &pool_, worker, request.incarnation_ms, address, clock_.now());
       events::emit(events::id::worker_rebooted, "hold", worker,
                    "its address belongs to another worker: address={} "
                    "incarnation={} dropped={}",
@@ -465,6 +465,10 @@
         events::emit(events::id::worker_entry_outdated, "observe", each.worker,
                      "{}", each.detail);
         break;
+      case pool::worker_event_kind::crashed:
+        events::emit(events::id::worker_crashed, "observe", each.worker, "{}",
+                     each.detail);
+        break;
     }
   }
 }
