Add failing tests: tasks that crash their workers, capacities that change

The simulation has tasks that crash each worker that starts them, workers that come back under another id at the same address, and capacities that shrink and grow, with entries that are read again later.

--- a/src/pool/simulated_cell.cpp
+++ b/src/pool/simulated_cell.cpp
@@ -18,6 +18,7 @@
 constexpr milliseconds kAppendTimeout{200};
 constexpr milliseconds kTakeoverDelay{2000};
 constexpr double kSlowClock = 0.98;
+constexpr resources kCapacity{4000, 4000, 0};
 
 wire::step_definition make_step(std::uint32_t count, std::uint32_t cpu_milli,
                                 bool gang) {
@@ -40,7 +41,11 @@
           a.leases_passed + b.leases_passed,
           a.jumps + b.jumps,
           a.resubmitted_after_end + b.resubmitted_after_end,
-          a.accepted_again + b.accepted_again};
+          a.accepted_again + b.accepted_again,
+          a.deadly_crashes + b.deadly_crashes,
+          a.deadly_given_up + b.deadly_given_up,
+          a.sound_given_up + b.sound_given_up,
+          a.resizes + b.resizes};
 }
 
 simulated_cell::simulated_cell(const cell_options& options)
@@ -53,17 +58,16 @@
   policy.stretch = 2;
   policy.target = milliseconds(1000);
   queues_[kQueue] = policy;
-  simulated_worker::behaviour behaviour;
-  behaviour.failure_rate = options.failure_rate;
-  behaviour.task_time = options.task_time;
-  behaviour.reports_progress = options.reports_progress;
+  behaviour_.failure_rate = options.failure_rate;
+  behaviour_.task_time = options.task_time;
+  behaviour_.reports_progress = options.reports_progress;
   for (std::size_t i = 0; i < options.workers; ++i) {
     std::string id = "w" + std::to_string(i);
     bool slow = options.slow_workers && i % 2 == 1;
-    behaviour.clock_rate = slow ? kSlowClock : 1;
+    behaviour_.clock_rate = slow ? kSlowClock : 1;
     workers_[id] = std::make_unique<simulated_worker>(
-        id, resources{4000, 4000, 0}, behaviour, &ledger_, &gangs_,
-        options.seed + i);
+        id, kCapacity, behaviour_, &ledger_, &gangs_, options.seed + i);
+    announced_[id] = workers_[id]->incarnation_ms();
   }
   submit_jobs();
   begin_owner(false);
@@ -74,17 +78,7 @@
   };
   std::function<void()> crashes = [this] {
     if (!faulty()) return;
-    std::size_t which = random_() % workers_.size();
-    std::next(workers_.begin(), static_cast<std::ptrdiff_t>(which))
-        ->second->crash(now_);
-    at(random_delay(200, 1500), [this, which] {
-      worker_entry entry =
-          std::next(workers_.begin(), static_cast<std::ptrdiff_t>(which))
-              ->second->entry();
-      arrive(owner_, [this, owner = owner_, entry] {
-        observe_worker_entry(&owner->state, entry, time_of(*owner));
-      });
-    });
+    crash_one();
     at(options_.crash_every, repeating_events_[1]);
   };
   std::function<void()> outages = [this] {
@@ -110,7 +104,13 @@
     resubmit();
     at(options_.resubmit_every, repeating_events_[5]);
   };
-  repeating_events_ = {claims, crashes, outages, lapses, jumps, resubmissions};
+  std::function<void()> resizes = [this] {
+    if (!faulty()) return;
+    resize_one();
+    at(options_.resize_every, repeating_events_[6]);
+  };
+  repeating_events_ = {claims, crashes,       outages, lapses,
+                       jumps,  resubmissions, resizes};
   if (options.takeover_every.count() > 0) at(options.takeover_every, claims);
   if (options.crash_every.count() > 0) at(options.crash_every, crashes);
   if (options.outage_every.count() > 0) at(options.outage_every, outages);
@@ -118,11 +118,86 @@
     at(lapse_delay(1000, 8000), lapses);
   }
   if (options.jump_every.count() > 0) at(options.jump_every, jumps);
+  if (options.resize_every.count() > 0) at(options.resize_every, resizes);
   if (options.resubmit_every.count() > 0) {
     at(options.resubmit_every, resubmissions);
   }
 }
 
+void simulated_cell::crash_one() {
+  std::size_t which = random_() % workers_.size();
+  simulated_worker* worker =
+      std::next(workers_.begin(), static_cast<std::ptrdiff_t>(which))
+          ->second.get();
+  if (worker->is_down(now_)) return;
+  worker->crash(now_);
+  announced_[worker->entry().id] = worker->incarnation_ms();
+  at(random_delay(200, 1500),
+     [this, worker] { announce(worker->entry(), milliseconds(0)); });
+}
+
+void simulated_cell::announce(const worker_entry& entry, milliseconds delay) {
+  at(delay, [this, entry] {
+    arrive(owner_, [this, owner = owner_, entry] {
+      observe_worker_entry(&owner->state, entry, time_of(*owner));
+    });
+  });
+}
+
+void simulated_cell::resize_one() {
+  std::map<std::string, std::unique_ptr<simulated_worker>>::iterator chosen =
+      std::next(workers_.begin(),
+                lapse_delay(0, std::ssize(workers_) - 1).count());
+  if (chosen->second->is_down(now_)) return;
+  ++reached_.resizes;
+  // Not below what the largest task needs, or its job would never start.
+  std::int64_t share = lapse_delay(2, 4).count();
+  resources size{kCapacity.cpu_milli * share / 4,
+                 kCapacity.memory_mb * share / 4, kCapacity.gpus};
+  if (lapse_chance(options_.stale_entries)) {
+    announce(chosen->second->entry(), lapse_delay(1500, 6000));
+  }
+  chosen->second->resize(size, now_);
+  announce(chosen->second->entry(), lapse_delay(100, 1500));
+}
+
+void simulated_cell::watch_crashes() {
+  std::vector<std::string> crashed;
+  for (const std::pair<const std::string, std::unique_ptr<simulated_worker>>&
+           each : workers_) {
+    if (is_replaced(each.first)) continue;
+    if (announced_[each.first] != each.second->incarnation_ms()) {
+      crashed.push_back(each.first);
+    }
+  }
+  for (const std::string& id : crashed) {
+    ++reached_.deadly_crashes;
+    simulated_worker* worker = workers_[id].get();
+    announced_[id] = worker->incarnation_ms();
+    if (lapse_delay(0, 1).count() == 0) {
+      replace(id);
+    } else {
+      announce(worker->entry(), behaviour_.down_time + lapse_delay(0, 1000));
+    }
+  }
+}
+
+void simulated_cell::replace(const std::string& crashed) {
+  workers_[crashed]->retire();
+  resources capacity = workers_[crashed]->capacity();
+  at(behaviour_.down_time, [this, crashed, capacity] {
+    replaced_.insert(crashed);
+    std::string id = crashed + "'";
+    workers_[id] = std::make_unique<simulated_worker>(
+        id, capacity, behaviour_, &ledger_, &gangs_, options_.seed);
+    announced_[id] = workers_[id]->incarnation_ms();
+    announce(workers_[id]->entry(), milliseconds(0));
+    at(milliseconds(0), [this, id] {
+      arrive(owner_, [this, owner = owner_, id] { poll(owner, id); });
+    });
+  });
+}
+
 void simulated_cell::at(milliseconds delay, event what) {
   events_.emplace(now_ + delay, std::move(what));
 }
@@ -308,6 +383,14 @@
       *job.add_steps() = second;
     }
     ledger_.add_job(id, job, kAttempts);
+    if (options_.deadly_share > 0 && lapse_chance(options_.deadly_share)) {
+      std::uint32_t step = static_cast<std::uint32_t>(
+          lapse_delay(0, job.steps_size() - 1).count());
+      std::uint32_t count = job.steps(static_cast<int>(step)).count();
+      ledger_.add_deadly_task(
+          {id, 0, step,
+           static_cast<std::uint32_t>(lapse_delay(0, count - 1).count())});
+    }
     submissions_[id] = job.SerializeAsString();
     milliseconds delay = options_.submit_every * static_cast<std::int64_t>(i);
     if (delay.count() == 0) {
@@ -360,6 +443,7 @@
   owner_ = result;
   for (const std::pair<const std::string, std::unique_ptr<simulated_worker>>&
            each : workers_) {
+    if (is_replaced(each.first)) continue;
     observe_worker_entry(&result->state, each.second->entry(), now_);
     poll(result, each.first);
   }
@@ -452,6 +536,7 @@
 void simulated_cell::carry_out(const owner& owner, const std::string& worker,
                                const std::function<void()>& call) {
   const simulated_worker& target = *workers_[worker];
+  if (target.is_down(now_)) return;
   worker_time lease = target.lease();
   std::uint64_t starts = ledger_.starts();
   call();
@@ -486,7 +571,8 @@
      [this, owner, worker, connected_to, call = std::move(call),
       answered = std::move(answered), unanswered = std::move(unanswered)] {
        // A crash resets the connections.
-       if (workers_[worker]->incarnation_ms() != connected_to) {
+       if (workers_[worker]->incarnation_ms() != connected_to ||
+           workers_[worker]->is_down(now_)) {
          return arrive(owner, unanswered);
        }
        carry_out(*owner, worker, call);
@@ -504,6 +590,14 @@
                           const std::string& worker) {
   if (!owner->alive || owner->state.superseded) return;
   steady_time sent = time_of(*owner);
+  if (is_replaced(worker)) {
+    std::int64_t known = owner->state.workers[worker].entry.incarnation_ms;
+    return arrive_in(random_delay(1, 40), owner, [this, owner, worker, known] {
+      observe_worker_replaced(&owner->state, worker, known,
+                              workers_[worker]->entry().address,
+                              time_of(*owner));
+    });
+  }
   std::int64_t incarnation = workers_[worker]->incarnation_ms();
   std::int64_t& answered_by = owner->answered_by[worker];
   bool connected = std::exchange(answered_by, 0) == incarnation;
@@ -582,6 +676,17 @@
   return open;
 }
 
+std::vector<std::string> simulated_cell::wrongly_failed() const {
+  std::vector<std::string> wrong;
+  for (const std::pair<const std::string, jobs::entry>& each : table_.jobs) {
+    bool failed = each.second.progress.outcome() == wire::FAILED;
+    if (failed && !ledger_.may_be_given_up(each.first)) {
+      wrong.push_back(each.first);
+    }
+  }
+  return wrong;
+}
+
 std::vector<std::string> simulated_cell::wrongly_complete() const {
   std::vector<std::string> wrong;
   for (const std::pair<const std::string, jobs::entry>& each : table_.jobs) {
@@ -614,6 +719,15 @@
          workers_) {
       each.second->tick(now_);
     }
+    if (options_.deadly_share > 0) watch_crashes();
+  }
+  for (const std::pair<const std::string, jobs::entry>& each : table_.jobs) {
+    if (each.second.progress.outcome() != wire::FAILED) continue;
+    if (ledger_.has_deadly_task(each.first)) {
+      ++reached_.deadly_given_up;
+    } else {
+      ++reached_.sound_given_up;
+    }
   }
 }
 
--- a/src/pool/simulated_cell.h
+++ b/src/pool/simulated_cell.h
@@ -59,6 +59,13 @@
   double cut_workers = 0;
   // Interval of jumps of the owner's time of day; 0: none.
   milliseconds jump_every{0};
+  // Share of jobs with a task that crashes each worker that starts it. The
+  // worker is back after 3 s, half of them under another id at the same
+  // address.
+  double deadly_share = 0;
+  // Interval at which a worker's capacity changes; 0: never.
+  milliseconds resize_every{0};
+  double stale_entries = 0;  // Share of entries that are read again later.
   // Interval of repeated submissions while jobs are visible; 0: none.
   milliseconds resubmit_every{0};
 };
@@ -74,6 +81,10 @@
   std::size_t jumps = 0;
   std::size_t resubmitted_after_end = 0;
   std::size_t accepted_again = 0;  // Of them, taken as new jobs.
+  std::size_t deadly_crashes = 0;
+  std::size_t deadly_given_up = 0;  // Jobs with a deadly task.
+  std::size_t sound_given_up = 0;   // Jobs that could be done.
+  std::size_t resizes = 0;
 };
 situations operator+(const situations& a, const situations& b);
 
@@ -91,6 +102,8 @@
   // acknowledged.
   std::vector<std::string> open_jobs() const;
   std::vector<std::string> wrongly_complete() const;
+  // Jobs that are recorded as failed without cause.
+  std::vector<std::string> wrongly_failed() const;
 
  private:
   using event = std::function<void()>;
@@ -161,6 +174,18 @@
   milliseconds random_delay(std::int64_t low, std::int64_t high);
   bool faulty() const { return now_ - begin_ < options_.faults_for; }
 
+  void crash_one();
+  void resize_one();
+  // Lets the workers go on that a deadly task has crashed.
+  void watch_crashes();
+  // Another worker takes the address of one that has crashed.
+  void replace(const std::string& crashed);
+  // The present owner reads the entry after `delay`.
+  void announce(const worker_entry& entry, milliseconds delay);
+  // The cell has such a worker, and no other has taken its address.
+  bool is_replaced(const std::string& worker) const {
+    return replaced_.count(worker) > 0;
+  }
   void submit_jobs();
   void submit(const std::string& id);
   void resubmit();
@@ -200,7 +225,11 @@
   steady_time now_ = begin_;
   unix_time wall_ = unix_time(milliseconds(1'800'000'000'000));
   std::multimap<steady_time, event> events_;
+  simulated_worker::behaviour behaviour_;
   std::map<std::string, std::unique_ptr<simulated_worker>> workers_;
+  std::set<std::string> replaced_;
+  // The incarnations whose entries are on their way or have been read.
+  std::map<std::string, std::int64_t> announced_;
   jobs::table table_;
   std::map<std::string, std::string> submissions_;
   std::map<std::string, steady_time> ended_;
--- a/src/pool/simulated_worker.cpp
+++ b/src/pool/simulated_worker.cpp
@@ -6,6 +6,14 @@
 
 namespace {
 
+// A smaller capacity counts this long after it was set: an entry is written
+// every 1.5 s, and it may take 3 s until its owner can have read it.
+constexpr milliseconds kResizeNotice{4500};
+// A deadly task may be started this often after so many crashes under it.
+constexpr std::uint32_t kCrashesAllowed = 3;
+constexpr std::uint32_t kStartsAfterCrashes = 2;
+constexpr std::uint32_t kCrashesToGiveUp = 2;
+
 std::string name_of(const task_key& task, std::uint32_t run) {
   return task.job + "." + std::to_string(task.step) + "." +
          std::to_string(task.index) + " run " + std::to_string(run);
@@ -64,6 +72,35 @@
   }
 }
 
+bool ledger::has_deadly_task(const std::string& job) const {
+  return std::any_of(deadly_.begin(), deadly_.end(),
+                     [&](const task_key& each) { return each.job == job; });
+}
+
+std::uint32_t ledger::crashes(const task_key& task) const {
+  std::map<task_key, std::uint32_t>::const_iterator found = crashes_.find(task);
+  return found == crashes_.end() ? 0 : found->second;
+}
+
+bool ledger::may_be_given_up(const std::string& job) const {
+  std::uint32_t attempts = jobs_.at(job).attempts;
+  for (const std::pair<const task_key, std::set<std::uint32_t>>& each :
+       failed_) {
+    if (each.first.job == job && each.second.size() >= attempts) return true;
+  }
+  for (const std::pair<const task_key, std::uint32_t>& each : crashes_) {
+    if (each.first.job == job && each.second >= kCrashesToGiveUp) return true;
+  }
+  return false;
+}
+
+void ledger::check_crashes(const task_key& task, std::uint32_t run) {
+  if (!is_deadly(task) || crashes(task) < kCrashesAllowed) return;
+  if (++starts_after_crashes_[task] <= kStartsAfterCrashes) return;
+  report_violation("started too often after three crashes: " +
+                   name_of(task, run));
+}
+
 void ledger::record_start(const std::string& worker, const task_key& task,
                           std::uint32_t run) {
   ++starts_;
@@ -89,6 +126,7 @@
   }
   before_starts_[task].push_back(failed_[task]);
   check_attempts(task, job->second.attempts);
+  check_crashes(task, run);
   alive.insert({worker, run});
 }
 
@@ -166,7 +204,7 @@
                                    behaviour behaviour, ledger* ledger,
                                    gang_registry* gangs, std::uint64_t seed)
     : id_(std::move(id)),
-      capacity_(capacity),
+      capacities_({{steady_time(), capacity}}),
       behaviour_(behaviour),
       ledger_(ledger),
       gangs_(gangs),
@@ -177,7 +215,7 @@
   entry.id = id_;
   entry.service = "service-a";
   entry.address = "127.0.0.1:1";
-  entry.capacity = capacity_;
+  entry.capacity = capacity();
   entry.incarnation_ms = incarnation_ms_;
   return entry;
 }
@@ -252,7 +290,26 @@
   return names;
 }
 
+resources simulated_worker::counted_capacity(steady_time now) const {
+  resources most = capacity();
+  for (std::size_t i = 1; i < capacities_.size(); ++i) {
+    if (now - capacities_[i].first > kResizeNotice) continue;
+    const resources& former = capacities_[i - 1].second;
+    most.cpu_milli = std::max(most.cpu_milli, former.cpu_milli);
+    most.memory_mb = std::max(most.memory_mb, former.memory_mb);
+    most.gpus = std::max(most.gpus, former.gpus);
+  }
+  return most;
+}
+
+void simulated_worker::resize(resources capacity, steady_time now) {
+  capacities_.emplace_back(now, capacity);
+}
+
 void simulated_worker::tick(steady_time now) {
+  for (const std::pair<const task_key, active_run>& each : runs_) {
+    if (each.second.crashes_at <= now) return crash(now, behaviour_.down_time);
+  }
   bool lease_expired = clock(now) > lease_;
   for (const std::pair<task_key, std::uint32_t>& each : active_runs()) {
     std::map<task_key, active_run>::iterator found = runs_.find(each.first);
@@ -274,8 +331,9 @@
   if (lease_expired) lapsed_end_ = next_end_ - 1;
 }
 
-void simulated_worker::crash(steady_time now) {
+void simulated_worker::crash(steady_time now, milliseconds down) {
   for (const std::pair<const task_key, active_run>& each : runs_) {
+    ledger_->record_crash(each.first);
     ledger_->record_end(id_, each.first, each.second.run, end_kind::stopped);
   }
   std::map<task_key, active_run> ended = std::exchange(runs_, {});
@@ -296,7 +354,7 @@
   fence_ = 0;
   polled_token_ = 0;
   lease_ = worker_time(0);
-  born_ = now;
+  born_ = now + down;
   ++incarnation_ms_;
 }
 
@@ -344,12 +402,15 @@
   for (const std::pair<const task_key, active_run>& each : runs_) {
     used = used + each.second.need;
   }
-  if (!fits(used, capacity_)) {
+  if (!fits(used, counted_capacity(now))) {
     ledger_->report_violation(
         "over capacity: " + name_of(order.task, order.run) + " on " + id_);
   }
   result.gang = step.gang();
   result.began = now;
+  if (ledger_->is_deadly(order.task)) {
+    result.crashes_at = now + behaviour_.crash_after;
+  }
   if (result.gang) {
     gangs_->join(this, order.task, order.run, step.count(), now,
                  behaviour_.task_time);
--- a/src/pool/simulated_worker.h
+++ b/src/pool/simulated_worker.h
@@ -23,6 +23,16 @@
   // Adds a job that may run.
   void add_job(const std::string& id, const wire::job_submission& job,
                std::uint32_t attempts);
+  // The task crashes each worker that starts it.
+  void add_deadly_task(const task_key& task) { deadly_.insert(task); }
+  bool is_deadly(const task_key& task) const { return deadly_.count(task) > 0; }
+  bool has_deadly_task(const std::string& job) const;
+  // A worker has crashed under the task.
+  void record_crash(const task_key& task) { ++crashes_[task]; }
+  std::uint32_t crashes(const task_key& task) const;
+  // Whether the job may be given up: a task has used up its attempts, or two
+  // workers have crashed under it.
+  bool may_be_given_up(const std::string& job) const;
   void record_start(const std::string& worker, const task_key& task,
                     std::uint32_t run);
   void record_end(const std::string& worker, const task_key& task,
@@ -58,6 +68,7 @@
     std::uint32_t attempts = 1;
   };
   void check_attempts(const task_key& task, std::uint32_t attempts);
+  void check_crashes(const task_key& task, std::uint32_t run);
   bool step_done(const std::string& id, std::uint32_t step) const;
 
   std::map<std::string, known_job> jobs_;
@@ -72,6 +83,10 @@
   std::map<task_key, std::set<std::uint32_t>> failed_acknowledged_;
   // The failed runs before each start of a task.
   std::map<task_key, std::vector<std::set<std::uint32_t>>> before_starts_;
+  std::set<task_key> deadly_;
+  std::map<task_key, std::uint32_t> crashes_;
+  // Starts of a deadly task after the last crash that is allowed.
+  std::map<task_key, std::uint32_t> starts_after_crashes_;
   std::vector<std::string> violations_;
   std::uint64_t starts_ = 0;
 };
@@ -113,6 +128,9 @@
     milliseconds gang_wait{3000};  // Timeout for missing members.
     double clock_rate = 1;
     bool reports_progress = false;  // Else all runs are at 50%.
+    // Until a deadly task crashes the worker, and until that is back.
+    milliseconds crash_after{10};
+    milliseconds down_time{3000};
   };
 
   simulated_worker(std::string id, resources capacity, behaviour behaviour,
@@ -126,7 +144,13 @@
   std::vector<std::pair<task_key, std::uint32_t>> active_runs() const;
   // Ends the tasks that are due and those whose lease has expired.
   void tick(steady_time now);
-  void crash(steady_time now);
+  // The worker is back, as another incarnation, after `down`.
+  void crash(steady_time now, milliseconds down = milliseconds(0));
+  bool is_down(steady_time now) const { return now < born_; }
+  // Another worker has its machine, and this one never comes back.
+  void retire() { born_ = steady_time::max(); }
+  void resize(resources capacity, steady_time now);
+  resources capacity() const { return capacities_.back().second; }
   // Ends a gang member because another member has ended.
   void end_member(const task_key& task, std::uint32_t run, end_kind kind);
 
@@ -146,6 +170,7 @@
     bool stopping = false;
     bool gang = false;
     steady_time began;
+    steady_time crashes_at = steady_time::max();
   };
 
   worker_time clock(steady_time now) const;
@@ -156,9 +181,13 @@
   bool accept_fence(std::uint64_t fence);
   void extend_lease(worker_time until, steady_time now);
   end_kind outcome();
+  // The most that has counted as its capacity lately. An owner can't know at
+  // once that it has shrunk.
+  resources counted_capacity(steady_time now) const;
 
   std::string id_;
-  resources capacity_;
+  // With the time from which each holds; the last one is the present one.
+  std::vector<std::pair<steady_time, resources>> capacities_;
   behaviour behaviour_;
   ledger* ledger_;
   gang_registry* gangs_;
--- a/src/pool/simulation_test.cpp
+++ b/src/pool/simulation_test.cpp
@@ -30,6 +30,10 @@
   }
   CHECK(cell.open_jobs().empty());
   CHECK(cell.wrongly_complete().empty());
+  for (const std::string& each : cell.wrongly_failed()) {
+    UNSCOPED_INFO("given up without cause: " << each);
+  }
+  CHECK(cell.wrongly_failed().empty());
   CHECK(cell.run_ledger().starts() > 0);
   return cell.reached();
 }
@@ -173,6 +177,53 @@
   CHECK(reached.resubmitted_after_end > seed_count());
 }
 
+// Deadly tasks among sound ones, on workers that run several tasks at a time.
+cell_options deadly_tasks() {
+  cell_options options;
+  options.workers = 16;
+  options.jobs = 100;
+  options.submit_every = milliseconds(150);
+  options.deadly_share = 0.1;
+  options.faults_for = milliseconds(40000);
+  return options;
+}
+
+void check_deadly(const cell_options& options) {
+  situations reached = check_seeds(options);
+  CHECK(reached.deadly_crashes > 2 * seed_count());
+  CHECK(reached.deadly_given_up > seed_count());
+  CHECK(reached.sound_given_up == 0);
+}
+
+// Guards against tasks that take down worker after worker.
+TEST_CASE("a task that crashes each worker that starts it is given up",
+          "[!shouldfail]") {
+  check_deadly(deadly_tasks());
+}
+
+TEST_CASE("a task that crashes its workers is given up in spite of takeovers",
+          "[!shouldfail]") {
+  cell_options options = deadly_tasks();
+  options.takeover_every = milliseconds(3000);
+  options.reply_loss = 0.05;
+  check_deadly(options);
+}
+
+// Guards against starts on a worker whose capacity has shrunk.
+TEST_CASE("capacities that shrink and grow are kept to", "[!shouldfail]") {
+  cell_options options;
+  options.workers = 6;
+  options.jobs = 60;
+  options.submit_every = milliseconds(300);
+  options.resize_every = milliseconds(300);
+  options.takeover_every = milliseconds(5000);
+  options.stale_entries = 0.2;
+  options.message_loss = 0.05;
+  options.faults_for = milliseconds(20000);
+  situations reached = check_seeds(options);
+  CHECK(reached.resizes > seed_count());
+}
+
 TEST_CASE("jobs survive all faults together") {
   cell_options options;
   options.message_loss = 0.05;
