--- a/src/pool/advice.cpp
+++ b/src/pool/advice.cpp
@@ -201,6 +201,13 @@
       find_options(round, candidate, ticket_mode::ignored, count);
   if (options.empty()) return {};
   sort_by_preference(round, candidate, &options);
+  // Preference is for workers in use, and trials need idle ones.
+  if (awaits_trial(*candidate.step)) {
+    std::stable_partition(options.begin(), options.end(),
+                          [](const placement_option& each) {
+                            return each.worker->placements.empty();
+                          });
+  }
   std::vector<std::string> names;
   std::uint32_t slots = 0;
   for (const placement_option& each : options) {
--- a/src/pool/trials.cpp
+++ b/src/pool/trials.cpp
@@ -11,7 +11,8 @@
 // How long a suspected task waits for a worker to itself. Most runs end within
 // this time.
 constexpr milliseconds kTrialWait{2000};
-// After this time it may also run beside gangs and lasting tasks.
+// After this time it may also run beside gangs and lasting tasks, and when many
+// workers are on trial.
 constexpr milliseconds kLongTrialWait{4000};
 // Trials take at most one in this many of the available workers.
 constexpr std::size_t kTrialWorkersDivisor = 2;
@@ -76,10 +77,11 @@
   if (step.long_running()) return least_used(round, false, options);
   const worker* emptied = find_worker(round.pool, task->emptied_worker);
   if (emptied != nullptr && is_emptied(*emptied, round.now)) return nullptr;
-  std::size_t limit = round.available.size() / kTrialWorkersDivisor;
-  if (count_trial_workers(*round.pool, round.now) >= limit) return nullptr;
   milliseconds waited = std::chrono::duration_cast<milliseconds>(
       round.now - task->suspected_since);
+  std::size_t limit = round.available.size() / kTrialWorkersDivisor;
+  bool full = count_trial_workers(*round.pool, round.now) >= limit;
+  if (full && waited < kLongTrialWait) return nullptr;
   placement_option* chosen =
       least_used(round, waited < kLongTrialWait, options);
   if (chosen == nullptr || waited >= kTrialWait) return chosen;
