--- a/src/pool/crash_test.cpp
+++ b/src/pool/crash_test.cpp
@@ -144,6 +144,23 @@
   CHECK(task.crashed_runs.size() == (has_run ? 0 : 1));
 }
 
+// A start without a reply may still arrive after a restart, so its run is kept.
+TEST_CASE("a run that is kept over two restarts of its worker counts once") {
+  crash_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  REQUIRE(pool.round().size() == 1);
+  worker_entry entry = pool.state.workers.at("w1").entry;
+  for (std::int64_t incarnation : {2, 3}) {
+    pool.advance(milliseconds(10));
+    entry.incarnation_ms = incarnation;
+    observe_worker_entry(&pool.state, entry, pool.now);
+  }
+  const task& task =
+      pool.state.jobs.at(kJob).occurrences.at(0).at(0).tasks.at(0);
+  CHECK(task.crashed_runs.size() + task.vanished_runs.size() == 1);
+}
+
 // All replies to its starts are lost in the crashes.
 TEST_CASE("a task whose starts are never confirmed is given up as well") {
   constexpr int kMostStarts = 5;
--- a/src/pool/crashes.cpp
+++ b/src/pool/crashes.cpp
@@ -92,7 +92,13 @@
   if (task.done || !current) return;
   // The start came too late, or never arrived.
   if (!has_begun(lost.run) && !lost.young) return;
-  (lost.crashed ? task.crashed_runs : task.vanished_runs).insert(lost.run.run);
+  // A run may be kept over several restarts of its worker; it counts once.
+  if (lost.crashed) {
+    task.vanished_runs.erase(lost.run.run);
+    task.crashed_runs.insert(lost.run.run);
+  } else if (task.crashed_runs.count(lost.run.run) == 0) {
+    task.vanished_runs.insert(lost.run.run);
+  }
   pool->changed_jobs.insert(ref.job->id);
   std::string evidence =
       describe(lost.run.task, lost.run.run) +
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -106,7 +106,7 @@
 // The worker is silent, its leases have expired, and service discovery no
 // longer has it, so it may have crashed.
 void record_vanished(pool_state* pool, const worker& worker, steady_time now);
-// The worker has reported the run.
+// The worker has reported the run: it goes on, and passes a trial in time.
 void observe_sound_run(pool_state* pool, worker* worker, placement* placed);
 // Ends the jobs of tasks that crash their workers.
 void give_up_jobs(pool_state* pool, unix_time wall);
