Don't suspect a task whose worker has left without a word

Such a loss tells nothing of a crash: it counts, and the task isn't suspected for the first one. Trials also wait for 1 s and 2 s at most, instead of 2 s and 4 s.

--- a/src/pool/crash_test.cpp
+++ b/src/pool/crash_test.cpp
@@ -200,6 +200,22 @@
   CHECK(pool.state.jobs.at(kJob).outcome == wire::OPEN);
 }
 
+// Guards against a wait for a trial after each change of owner: the runs of
+// workers that have left meanwhile are freed by their leases.
+TEST_CASE("a task whose worker has left without a word isn't suspected yet") {
+  crash_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  REQUIRE(pool.start_all().size() == 1);
+  pool.take_over();
+  pool.advance(max_previous_owner_lease(pool.state.limits) + milliseconds(1));
+  observe_journal_write(&pool.state, pool.now);
+  pool.add_worker("w2");
+  pool.submit(kOtherJob, {test_pool::step(1, 1000)});
+  CHECK(pool.round().size() == 2);
+  CHECK(pool.state.counters.suspicions == 0);
+}
+
 // Starts on a worker that has crashed stay without a reply until it is back.
 TEST_CASE("a worker whose connection broke gets no starts and keeps its runs") {
   crash_pool pool;
--- a/src/pool/crashes.cpp
+++ b/src/pool/crashes.cpp
@@ -71,6 +71,7 @@
   bool crashed = false;  // The run was at work when its worker crashed.
   bool alone = false;
   bool young = false;
+  bool vanished = false;  // Nothing is known of a crash.
 };
 
 bool is_deadly(const task& task, const loss& lost) {
@@ -91,7 +92,7 @@
                  task.placed_run == lost.run.run;
   if (task.done || !current) return;
   // The start came too late, or never arrived.
-  if (!has_begun(lost.run) && !lost.young) return;
+  if (!lost.vanished && !has_begun(lost.run) && !lost.young) return;
   // A run may be kept over several restarts of its worker; it counts once.
   if (lost.crashed) {
     task.vanished_runs.erase(lost.run.run);
@@ -199,10 +200,11 @@
   if (worker.entry.draining) return;
   for (const placement& placed : worker.placements) {
     if (placed.phase == phase::recording) continue;
-    record_loss(pool, worker,
-                {placed, known_run_time(worker, placed), false, false,
-                 is_young(worker, placed)},
-                now);
+    loss lost;
+    lost.run = placed;
+    lost.known_time = known_run_time(worker, placed);
+    lost.vanished = true;
+    record_loss(pool, worker, lost, now);
   }
 }
 
--- a/src/pool/trials.cpp
+++ b/src/pool/trials.cpp
@@ -8,12 +8,11 @@
 
 namespace {
 
-// How long a suspected task waits for a worker to itself. Most runs end within
-// this time.
-constexpr milliseconds kTrialWait{2000};
+// How long a suspected task waits for a worker to itself.
+constexpr milliseconds kTrialWait{1000};
 // After this time it may also run beside gangs and lasting tasks, and when many
 // workers are on trial.
-constexpr milliseconds kLongTrialWait{4000};
+constexpr milliseconds kLongTrialWait{2000};
 // Trials take at most one in this many of the available workers.
 constexpr std::size_t kTrialWorkersDivisor = 2;
 
