Use one check for a task's current run, and look a reported run up once

Found when reading the change again; behaviour stays. The check whether a placement is its task's current run stood three times: it is one function now. A reported run was looked up by observe_sound_run and again for its checkpoint, for each row of each report: apply_running does it once. The lines of lost runs no longer need a second list beside the dropped runs, and the count of workers on trial scans the workers only when it is used. The text of a crash has a function of its own, and two comments said something wrong.

--- a/src/pool/crashes.cpp
+++ b/src/pool/crashes.cpp
@@ -88,8 +88,7 @@
   if (ref.step == nullptr || ref.job->outcome != wire::OPEN) return;
   if (lost.run.task.index >= ref.step->tasks.size()) return;
   task& task = ref.step->tasks[lost.run.task.index];
-  bool current = task.placed && task.worker == worker.entry.id &&
-                 task.placed_run == lost.run.run;
+  bool current = is_current_run(task, lost.run, worker.entry.id);
   if (task.done || !current) return;
   // The start came too late, or never arrived.
   if (!lost.vanished && !has_begun(lost.run) && !lost.young) return;
@@ -136,17 +135,17 @@
                                        worker.last_reply - placed.phase_since));
 }
 
-std::string describe_loss(const worker& worker, const placement& placed) {
+std::string describe_loss(const worker& worker, const placement& placed,
+                          std::size_t beside) {
   return "began=" + std::to_string(static_cast<int>(has_begun(placed))) +
          " known_ms=" + std::to_string(known_run_time(worker, placed).count()) +
-         " beside=" + std::to_string(worker.placements.size() - 1);
+         " beside=" + std::to_string(beside);
 }
 
-void record_crash(pool_state* pool, worker* crashed, const std::string& reason,
-                  bool same_id, bool planned, steady_time now) {
-  const worker& worker = *crashed;
-  if (planned || worker.placements.empty()) return;
-  ++pool->counters.worker_crashes;
+namespace {
+
+std::string describe_crash(const worker& worker, const std::string& reason,
+                           steady_time now) {
   std::size_t began = 0;
   const placement* newest = nullptr;
   for (const placement& placed : worker.placements) {
@@ -169,7 +168,18 @@
             " newest_job=" + newest->task.job + " " +
             describe(newest->task, newest->run);
   }
-  add_worker_event(pool, worker_event_kind::crashed, worker.entry.id, text);
+  return text;
+}
+
+}  // namespace
+
+void record_crash(pool_state* pool, worker* crashed, const std::string& reason,
+                  bool same_id, bool planned, steady_time now) {
+  const worker& worker = *crashed;
+  if (planned || worker.placements.empty()) return;
+  ++pool->counters.worker_crashes;
+  add_worker_event(pool, worker_event_kind::crashed, worker.entry.id,
+                   describe_crash(worker, reason, now));
   bool alone = count_possible_causes(worker) == 1;
   for (placement& placed : crashed->placements) {
     if (placed.phase == phase::recording) continue;
@@ -208,11 +218,8 @@
   }
 }
 
-void observe_sound_run(pool_state* pool, worker* worker, placement* placed) {
-  task_ref ref = find_task(pool, placed->task);
-  if (ref.step == nullptr || placed->task.index >= ref.step->tasks.size()) {
-    return;
-  }
+void observe_sound_run(pool_state* pool, worker* worker, placement* placed,
+                       const task_ref& ref) {
   task& task = ref.step->tasks[placed->task.index];
   placed->crash_unsettled = false;
   // The run that was taken as lost may have begun in a later incarnation.
@@ -225,8 +232,7 @@
     task.crashed_runs.clear();
     task.vanished_runs.clear();
   }
-  bool current = task.placed && task.worker == worker->entry.id &&
-                 task.placed_run == placed->run;
+  bool current = is_current_run(task, *placed, worker->entry.id);
   milliseconds trial_time =
       count_losses(task) >= kLossesForLongTrial ? kLongTrialTime : kTrialTime;
   bool passed = task.suspected && current && known >= trial_time;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -233,7 +233,7 @@
   job_ended,
   worker_avoided,
   suspected,  // A task may have crashed its worker.
-  cleared,    // It hasn't: its next run went on, or ended well.
+  cleared,    // It hasn't: its next run went on.
   given_up,   // It crashes its workers; the job fails.
 };
 
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -51,6 +51,9 @@
   step_state* step = nullptr;
 };
 task_ref find_task(pool_state* pool, const task_key& task);
+// Whether the placement on the worker is the run by which the task is placed.
+bool is_current_run(const task& task, const placement& placed,
+                    const std::string& worker);
 worker* find_worker(pool_state* pool, const std::string& id);
 placement* find_placement(worker* worker, const task_key& task,
                           std::uint32_t run);
@@ -84,7 +87,8 @@
 milliseconds known_run_time(const worker& worker, const placement& placed);
 // "key=value" pairs that tell what may have caused the loss of a run: its own
 // age, and how many runs were beside it.
-std::string describe_loss(const worker& worker, const placement& placed);
+std::string describe_loss(const worker& worker, const placement& placed,
+                          std::size_t beside);
 // The worker's incarnation has ended with the runs that are placed on it.
 // `planned`: it was draining.
 //
@@ -107,7 +111,9 @@
 // longer has it, so it may have crashed.
 void record_vanished(pool_state* pool, const worker& worker, steady_time now);
 // The worker has reported the run: it goes on, and passes a trial in time.
-void observe_sound_run(pool_state* pool, worker* worker, placement* placed);
+// `ref` is its task, which must exist.
+void observe_sound_run(pool_state* pool, worker* worker, placement* placed,
+                       const task_ref& ref);
 // Ends the jobs of tasks that crash their workers.
 void give_up_jobs(pool_state* pool, unix_time wall);
 
--- a/src/pool/simulated_cell.h
+++ b/src/pool/simulated_cell.h
@@ -184,7 +184,7 @@
   void replace(const std::string& crashed);
   // The present owner reads the entry after `delay`.
   void announce(const worker_entry& entry, milliseconds delay);
-  // The cell has such a worker, and no other has taken its address.
+  // Whether another worker has taken the worker's address.
   bool is_replaced(const std::string& worker) const {
     return replaced_.count(worker) > 0;
   }
--- a/src/pool/trials.cpp
+++ b/src/pool/trials.cpp
@@ -78,11 +78,12 @@
   if (emptied != nullptr && is_emptied(*emptied, round.now)) return nullptr;
   milliseconds waited = std::chrono::duration_cast<milliseconds>(
       round.now - task->suspected_since);
+  bool waited_long = waited >= kLongTrialWait;
   std::size_t limit = round.available.size() / kTrialWorkersDivisor;
-  bool full = count_trial_workers(*round.pool, round.now) >= limit;
-  if (full && waited < kLongTrialWait) return nullptr;
-  placement_option* chosen =
-      least_used(round, waited < kLongTrialWait, options);
+  if (!waited_long && count_trial_workers(*round.pool, round.now) >= limit) {
+    return nullptr;
+  }
+  placement_option* chosen = least_used(round, !waited_long, options);
   if (chosen == nullptr || waited >= kTrialWait) return chosen;
   chosen->worker->emptied_until = task->suspected_since + kTrialWait;
   task->emptied_worker = chosen->worker->entry.id;
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -24,11 +24,6 @@
 // For a worker that replies that it is unhealthy.
 constexpr milliseconds kUnhealthyAvoidTime{1000};
 
-bool is_current_run(const task& task, const placement& placed,
-                    const std::string& worker) {
-  return task.placed && task.worker == worker && task.placed_run == placed.run;
-}
-
 milliseconds with_clock_drift(milliseconds lease) {
   return milliseconds(static_cast<std::int64_t>(
       static_cast<double>(lease.count()) * kClockDrift));
@@ -270,17 +265,17 @@
     placed->phase = phase::running;
     placed->phase_since = now;
   }
-  observe_sound_run(pool, worker, placed);
+  task_ref ref = find_task(pool, row.task);
+  job* job = ref.job;
+  step_state* step = ref.step;
+  bool known = step != nullptr && row.task.index < step->tasks.size();
+  if (known) observe_sound_run(pool, worker, placed, ref);
   if (!placed->reported || placed->percent != row.percent) {
     placed->percent = row.percent;
     placed->last_progress = worker->clock;
   }
   placed->reported = true;
-  if (row.checkpoint.empty()) return;
-  task_ref ref = find_task(pool, row.task);
-  job* job = ref.job;
-  step_state* step = ref.step;
-  if (step == nullptr || row.task.index >= step->tasks.size()) return;
+  if (!known || row.checkpoint.empty()) return;
   if (definition(*job, *step).gang()) {
     for (task& member : step->tasks) member.checkpoint = row.checkpoint;
   } else {
@@ -335,8 +330,8 @@
   worker->last_end = 0;
   worker->acked_end = 0;
   worker->consecutive_failures = 0;
-  std::vector<std::pair<task_key, std::uint32_t>> to_drop;
-  std::vector<std::string> losses;
+  std::vector<placement> to_drop;
+  std::size_t beside = worker->placements.size() - 1;
   for (placement& placed : worker->placements) {
     // Repeated starts without a reply may still reach the new incarnation.
     bool may_arrive = placed.phase == phase::sent || placed.starts_sent > 1;
@@ -346,19 +341,17 @@
       placed.stop_confirmed = false;
       placed.stop_sent_at = {};
     } else if (placed.phase == phase::running && placed.reported) {
-      to_drop.emplace_back(placed.task, placed.run);
-      losses.push_back(describe_loss(*worker, placed));
+      to_drop.push_back(placed);
     }
     placed.reported = false;
   }
-  for (std::size_t i = 0; i < to_drop.size(); ++i) {
-    const std::pair<task_key, std::uint32_t>& each = to_drop[i];
+  for (const placement& lost : to_drop) {
     ++pool->counters.lost_runs;
-    add_job_event(pool, job_event_kind::run_lost, each.first.job,
+    add_job_event(pool, job_event_kind::run_lost, lost.task.job,
                   worker->entry.id,
-                  describe(each.first, each.second) +
-                      " reason=new_incarnation " + losses[i]);
-    drop_placement(pool, worker, each.first, each.second);
+                  describe(lost.task, lost.run) + " reason=new_incarnation " +
+                      describe_loss(*worker, lost, beside));
+    drop_placement(pool, worker, lost.task, lost.run);
   }
   // Orders to the former incarnation may have given the new one a lease.
   extend_lease(worker, now + with_clock_drift(pool->limits.lease), false);
@@ -374,6 +367,11 @@
 
 }  // namespace
 
+bool is_current_run(const task& task, const placement& placed,
+                    const std::string& worker) {
+  return task.placed && task.worker == worker && task.placed_run == placed.run;
+}
+
 void raise_token(pool_state* pool, worker* worker) {
   ++pool->raised_tokens[worker->entry.id];
   worker->knows_token = false;
@@ -458,17 +456,14 @@
 }
 
 void drop_all(pool_state* pool, worker* worker, const std::string& reason) {
-  std::vector<std::string> losses;
-  for (const placement& placed : worker->placements) {
-    losses.push_back(describe_loss(*worker, placed));
-  }
+  std::size_t beside = worker->placements.size() - 1;
   while (!worker->placements.empty()) {
     placement last = worker->placements.back();
     ++pool->counters.lost_runs;
     add_job_event(pool, job_event_kind::run_lost, last.task.job,
                   worker->entry.id,
                   describe(last.task, last.run) + " reason=" + reason + " " +
-                      losses[worker->placements.size() - 1]);
+                      describe_loss(*worker, last, beside));
     drop_placement(pool, worker, last.task, last.run);
   }
 }
