Don't give up a job after five starts that nothing ties to a crash

The limit of five guards BUDGET where the replies to all starts are lost in the crashes. It counted every run whose worker restarted, however weak the evidence. A task that crashes its workers looks different: its connections break within .3 s of the start.

Such runs are doubtful now, and the limit of five holds with at most one of them; after eight lost runs a task is given up whatever is known. The record of a task has a new field for them, so they outlast a change of owner.

--- a/src/pool/crash_test.cpp
+++ b/src/pool/crash_test.cpp
@@ -178,6 +178,30 @@
   CHECK(pool.state.jobs.at(kJob).outcome == wire::FAILED);
 }
 
+// Starts without a reply may not have arrived at the workers that restart.
+TEST_CASE(
+    "a task isn't given up after five starts that nothing ties to a crash") {
+  constexpr int kMostStarts = 8;
+  crash_pool pool;
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  bool takes_over = GENERATE(false, true);
+  CAPTURE(takes_over);
+  for (int i = 1; i <= kMostStarts; ++i) {
+    std::string id = "w" + std::to_string(i);
+    pool.add_worker(id);
+    REQUIRE(pool.round().size() == 1);
+    pool.advance(milliseconds(1000));
+    pool.replace(id);
+    if (takes_over && i < kMostStarts) {
+      pool.round();
+      pool.take_over();
+    }
+  }
+  pool.add_worker("w9");
+  CHECK(pool.round().empty());
+  CHECK(pool.state.jobs.at(kJob).outcome == wire::FAILED);
+}
+
 // Guards against the loss of a lasting task that has seen many crashes in its
 // life.
 TEST_CASE("a lasting task that has run for long starts with a clean record") {
--- a/src/pool/crashes.cpp
+++ b/src/pool/crashes.cpp
@@ -26,10 +26,13 @@
 // Workers that must have crashed under a task before it is given up.
 constexpr std::size_t kMinCrashes = 2;
 // A task is given up without a proof after so many lost runs if these crashes
-// are among them, and after so many whatever is known of them: the replies to
-// its starts may all be lost in the crashes.
+// are among them, and after so many if at most one of them is in doubt: the
+// replies to its starts may all be lost in the crashes.
 constexpr std::size_t kMaxLosses = 4;
 constexpr std::size_t kMaxUnconfirmedLosses = 5;
+constexpr std::size_t kMaxDoubts = 1;
+// The limit whatever is known of the lost runs.
+constexpr std::size_t kMaxLossesInDoubt = 8;
 
 bool has_begun(const placement& placed) {
   return placed.phase == phase::running;
@@ -52,6 +55,14 @@
          worker.contact_lost_at - placed.placed_at < kStartTime;
 }
 
+// No connection broke, and the start got no reply or was confirmed long before.
+// What an earlier owner knew of its starts isn't in the journal.
+bool is_doubtful(const worker& worker, const placement& placed) {
+  if (placed.phase == phase::unverified) return false;
+  if (worker.contact_lost_at != steady_time()) return false;
+  return !has_begun(placed) || known_run_time(worker, placed) >= kYoungRun;
+}
+
 bool was_at_work(const worker& worker, const placement& placed) {
   return has_begun(placed) && worker.contact_lost_at != steady_time() &&
          is_young(worker, placed);
@@ -72,11 +83,14 @@
   bool alone = false;
   bool young = false;
   bool vanished = false;  // Nothing is known of a crash.
+  bool doubtful = false;
 };
 
 bool is_deadly(const task& task, const loss& lost) {
   std::size_t losses = count_losses(task);
-  if (losses >= kMaxUnconfirmedLosses) return true;
+  bool likely = task.doubtful_runs.size() <= kMaxDoubts;
+  if (losses >= kMaxUnconfirmedLosses && likely) return true;
+  if (losses >= kMaxLossesInDoubt) return true;
   if (task.crashed_runs.size() < kMinCrashes) return false;
   bool proven = lost.crashed && lost.run.trial && lost.alone;
   return proven || losses >= kMaxLosses;
@@ -93,17 +107,25 @@
   // The start came too late, or never arrived.
   if (!lost.vanished && !has_begun(lost.run) && !lost.young) return;
   // A run may be kept over several restarts of its worker; it counts once.
+  std::uint32_t run = lost.run.run;
   if (lost.crashed) {
-    task.vanished_runs.erase(lost.run.run);
-    task.crashed_runs.insert(lost.run.run);
-  } else if (task.crashed_runs.count(lost.run.run) == 0) {
-    task.vanished_runs.insert(lost.run.run);
+    task.vanished_runs.erase(run);
+    task.crashed_runs.insert(run);
+  } else if (task.crashed_runs.count(run) == 0) {
+    task.vanished_runs.insert(run);
+  }
+  bool doubtful = lost.doubtful && task.vanished_runs.count(run) > 0;
+  if (doubtful) {
+    task.doubtful_runs.insert(run);
+  } else {
+    task.doubtful_runs.erase(run);
   }
   pool->changed_jobs.insert(ref.job->id);
   std::string evidence =
-      describe(lost.run.task, lost.run.run) +
+      describe(lost.run.task, run) +
       " crashes=" + std::to_string(task.crashed_runs.size()) +
       " vanished=" + std::to_string(task.vanished_runs.size()) +
+      " doubtful=" + std::to_string(task.doubtful_runs.size()) +
       " known_ms=" + std::to_string(lost.known_time.count()) +
       " trial=" + std::to_string(static_cast<int>(lost.run.trial)) +
       " alone=" + std::to_string(static_cast<int>(lost.alone));
@@ -190,20 +212,26 @@
       placed.was_alone = alone;
       continue;
     }
-    record_loss(pool, worker,
-                {placed, known_run_time(worker, placed),
-                 was_at_work(worker, placed), alone, is_young(worker, placed)},
-                now);
+    loss lost;
+    lost.run = placed;
+    lost.known_time = known_run_time(worker, placed);
+    lost.crashed = was_at_work(worker, placed);
+    lost.alone = alone;
+    lost.young = is_young(worker, placed);
+    lost.doubtful = is_doubtful(worker, placed);
+    record_loss(pool, worker, lost, now);
   }
 }
 
 void settle_crash(pool_state* pool, const worker& worker,
                   const placement& placed, steady_time now) {
   if (!placed.crash_unsettled) return;
-  record_loss(
-      pool, worker,
-      {placed, milliseconds(0), placed.was_at_work, placed.was_alone, true},
-      now);
+  loss lost;
+  lost.run = placed;
+  lost.crashed = placed.was_at_work;
+  lost.alone = placed.was_alone;
+  lost.young = true;
+  record_loss(pool, worker, lost, now);
 }
 
 void record_vanished(pool_state* pool, const worker& worker, steady_time now) {
@@ -214,6 +242,7 @@
     lost.run = placed;
     lost.known_time = known_run_time(worker, placed);
     lost.vanished = true;
+    lost.doubtful = is_doubtful(worker, placed);
     record_loss(pool, worker, lost, now);
   }
 }
@@ -225,12 +254,14 @@
   // The run that was taken as lost may have begun in a later incarnation.
   std::size_t withdrawn = task.crashed_runs.erase(placed->run) +
                           task.vanished_runs.erase(placed->run);
+  task.doubtful_runs.erase(placed->run);
   milliseconds known = known_run_time(*worker, *placed);
   bool steady = definition(*ref.job, *ref.step).long_running() &&
                 known >= kSteadyTime && count_losses(task) > 0;
   if (steady) {
     task.crashed_runs.clear();
     task.vanished_runs.clear();
+    task.doubtful_runs.clear();
   }
   bool current = is_current_run(task, *placed, worker->entry.id);
   milliseconds trial_time =
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -53,6 +53,8 @@
                            saved.crashed_runs().end());
   task.vanished_runs.insert(saved.vanished_runs().begin(),
                             saved.vanished_runs().end());
+  task.doubtful_runs.insert(saved.doubtful_runs().begin(),
+                            saved.doubtful_runs().end());
   task.suspected = saved.suspected();
   task.suspected_since = now;
   task.checkpoint = saved.checkpoint();
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -33,6 +33,7 @@
     for (std::uint32_t run : task.failed_runs) saved->add_failed_runs(run);
     for (std::uint32_t run : task.crashed_runs) saved->add_crashed_runs(run);
     for (std::uint32_t run : task.vanished_runs) saved->add_vanished_runs(run);
+    for (std::uint32_t run : task.doubtful_runs) saved->add_doubtful_runs(run);
     saved->set_suspected(task.suspected);
     saved->set_checkpoint(task.checkpoint);
     saved->set_worker(task.worker);
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -160,6 +160,9 @@
   // Runs that may have been: their start wasn't confirmed, they may have ended
   // before, or their worker has left without a word.
   std::set<std::uint32_t> vanished_runs;
+  // Of these, the ones that nothing ties to a crash: their start may not have
+  // arrived, or they were known to run for a while before.
+  std::set<std::uint32_t> doubtful_runs;
   // It may have caused the last of these crashes, so its next run is a trial.
   bool suspected = false;
   steady_time suspected_since;
