Wait for the late orders of an earlier owner on all workers

The bound for orders of an earlier owner was kept with the workers that had its runs, and the next grant of this owner replaced it: a late poll of the earlier one could extend the lease of a run that this owner had started itself, 3 s past the bound. It follows from the time of the takeover now, for every worker.

Two tests of a long-lived owner now begin past that time.

--- a/src/pool/crashes.cpp
+++ b/src/pool/crashes.cpp
@@ -55,8 +55,9 @@
          worker.contact_lost_at - placed.placed_at < kStartTime;
 }
 
-// No connection broke, and the start got no reply or was confirmed long before.
-// What an earlier owner knew of its starts isn't in the journal.
+// Nothing ties the loss to a crash: no connection broke, and the start got no
+// reply, or the run was known to go on for a while. What an earlier owner knew
+// of its starts isn't in the journal.
 bool is_doubtful(const worker& worker, const placement& placed) {
   if (placed.phase == phase::unverified) return false;
   if (worker.contact_lost_at != steady_time()) return false;
@@ -83,7 +84,7 @@
   bool alone = false;
   bool young = false;
   bool vanished = false;  // Nothing is known of a crash.
-  bool doubtful = false;
+  bool doubtful = false;  // See is_doubtful().
 };
 
 bool is_deadly(const task& task, const loss& lost) {
--- a/src/pool/incarnation_test.cpp
+++ b/src/pool/incarnation_test.cpp
@@ -11,6 +11,8 @@
 
 constexpr char kJob[] = "00000000000000aa";
 constexpr milliseconds kTicketValidity{2000};
+// An order may be carried out this long after it was sent.
+constexpr milliseconds kLatestOrder{12000};
 
 worker_report report_of(std::int64_t incarnation_ms) {
   worker_report report;
@@ -212,7 +214,8 @@
   pool.add_worker("w1");
   pool.submit(kJob, {test_pool::step(1, 1000)});
   REQUIRE(pool.round().size() == 1);
-  pool.advance(milliseconds(13000));
+  pool.advance(isolation_limit(pool.state.limits) + kLatestOrder +
+               milliseconds(1000));
   worker_entry entry = pool.state.workers.at("w1").entry;
   entry.incarnation_ms = 2;
   observe_worker_entry(&pool.state, entry, pool.now);
@@ -225,12 +228,11 @@
   CHECK(pool.round().size() == 1);
 }
 
-// An order may be carried out this long after it was sent.
-constexpr milliseconds kLatestOrder{12000};
-
 // A run on w1, which no longer replies. Only w2 can take its task.
 struct silent_worker : test_pool {
   silent_worker() {
+    // Past the latest order of an earlier owner.
+    advance(isolation_limit(state.limits) + 2 * kLatestOrder);
     add_worker("w1");
     submit(kJob, {step(1, 1000)});
     starts = round();
@@ -265,18 +267,18 @@
   CHECK(pool.is_placed_within(milliseconds(1500)));
 }
 
-TEST_CASE(
-    "a late start of an earlier owner is waited for in a new incarnation") {
+TEST_CASE("late orders of an earlier owner are waited for") {
   silent_worker pool;
   pool.take_over();
-  worker_entry entry;
-  entry.id = "w1";
-  entry.service = kService;
-  entry.address = "127.0.0.1:1";
-  entry.capacity = {4000, 10000, 0};
-  entry.incarnation_ms = 2;
-  observe_worker_entry(&pool.state, entry, pool.now);
-  // The earlier owner may have sent starts until then.
+  // Of this owner's own start, the earlier one's late polls extend the lease.
+  bool own_start = GENERATE(false, true);
+  CAPTURE(own_start);
+  if (own_start) {
+    pool.add_worker("w1");
+    REQUIRE(pool.round().size() == 1);
+  }
+  pool.restart();
+  // The earlier owner may have sent orders until then.
   milliseconds latest_sent = isolation_limit(pool.state.limits);
   CHECK_FALSE(pool.is_placed_within(latest_sent + kLatestOrder +
                                     pool.state.limits.lease));
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -68,7 +68,6 @@
   worker.entry.incarnation_ms =
       std::max(worker.entry.incarnation_ms, saved.incarnation_ms());
   extend_lease(&worker, now + max_previous_owner_lease(pool->limits), false);
-  worker.last_lease_sent = now + isolation_limit(pool->limits);
   placement placed;
   placed.task = {job->id, step->occurrence, step->step, saved.index()};
   placed.run = saved.last_run();
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -123,10 +123,8 @@
   steady_time contact_lost_at;
   worker_time clock{0};  // The worker's clock at clock_read_at.
   steady_time clock_read_at;
-  steady_time lease_end;  // No leased run continues after this.
-  // When the last order with a lease was sent, or at the latest may have been
-  // sent by an earlier owner.
-  steady_time last_lease_sent;
+  steady_time lease_end;        // No leased run continues after this.
+  steady_time last_lease_sent;  // In an order of this owner.
   // Whether lease_end follows from a lease that this owner sent, rather than
   // from what earlier owners may have sent. For logs only.
   bool lease_granted = false;
@@ -322,8 +320,8 @@
 
 // Use pool_time() and continue_pool_time().
 struct pool_time_state {
-  milliseconds base{0};  // The pool time at `base_at`.
-  steady_time base_at;
+  milliseconds base{0};     // The pool time at `base_at`.
+  steady_time base_at;      // When this owner took over.
   milliseconds written{0};  // Last one that was put into a batch.
 };
 
--- a/src/pool/simulation_test.cpp
+++ b/src/pool/simulation_test.cpp
@@ -170,8 +170,8 @@
   check_seeds(options);
 }
 
-// Five starts of a task that got no reply look like those of a task that
-// crashes its workers before they reply.
+// Starts that got no reply look like those of a task that crashes its workers
+// before they reply.
 TEST_CASE("no sound job is given up while many calls are lost or late") {
   check_seeds(crashes_and_lost_calls());
 }
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -32,6 +32,11 @@
       static_cast<double>(lease.count()) * kClockDrift));
 }
 
+// It may have granted leases until it was isolated.
+steady_time last_order_of_previous_owner(const pool_state& pool) {
+  return pool.time.base_at + isolation_limit(pool.limits);
+}
+
 void record_failure(worker* worker, steady_time now) {
   ++worker->consecutive_failures;
   if (worker->consecutive_failures < kMinFailuresToAvoid) return;
@@ -359,9 +364,11 @@
   if (!worker->placements.empty()) {
     // The clock of the new incarnation starts anew, so an order to the former
     // one gives it the longest lease from when it is carried out.
-    steady_time latest_order =
-        std::max(now, worker->last_lease_sent + kMaxOrderDelay);
-    extend_lease(worker, latest_order + with_clock_drift(pool->limits.lease),
+    steady_time last_sent =
+        std::max(worker->last_lease_sent, last_order_of_previous_owner(*pool));
+    extend_lease(worker,
+                 std::max(now, last_sent + kMaxOrderDelay) +
+                     with_clock_drift(pool->limits.lease),
                  false);
   }
   ++pool->counters.worker_restarts;
