--- a/src/pool/crash_test.cpp
+++ b/src/pool/crash_test.cpp
@@ -130,9 +130,7 @@
   REQUIRE(starts.size() == 1);
   pool.advance(milliseconds(10));
   observe_contact_lost(&pool.state, "w1", pool.now);
-  worker_entry restarted = pool.state.workers.at("w1").entry;
-  restarted.incarnation_ms = 2;
-  observe_worker_entry(&pool.state, restarted, pool.now);
+  pool.read_restart("w1");
   pool.advance(milliseconds(100));
   bool has_run = GENERATE(true, false);
   worker_report report;
@@ -150,11 +148,9 @@
   pool.add_worker("w1");
   pool.submit(kJob, {test_pool::step(1, 1000)});
   REQUIRE(pool.round().size() == 1);
-  worker_entry entry = pool.state.workers.at("w1").entry;
   for (std::int64_t incarnation : {2, 3}) {
     pool.advance(milliseconds(10));
-    entry.incarnation_ms = incarnation;
-    observe_worker_entry(&pool.state, entry, pool.now);
+    pool.read_restart("w1", incarnation);
   }
   const task& task =
       pool.state.jobs.at(kJob).occurrences.at(0).at(0).tasks.at(0);
--- a/src/pool/incarnation_test.cpp
+++ b/src/pool/incarnation_test.cpp
@@ -25,9 +25,7 @@
 void restart(test_pool* pool, const std::string& id,
              std::int64_t incarnation_ms) {
   pool->report(id, report_of(incarnation_ms));
-  worker_entry entry = pool->state.workers.at(id).entry;
-  entry.incarnation_ms = incarnation_ms;
-  observe_worker_entry(&pool->state, entry, pool->now);
+  pool->read_restart(id, incarnation_ms);
   pool->report(id, report_of(incarnation_ms));
 }
 
@@ -112,9 +110,7 @@
   bool by_entry = GENERATE(true, false);
   CAPTURE(by_entry);
   if (by_entry) {
-    worker_entry entry = pool.state.workers.at("w1").entry;
-    entry.incarnation_ms = 2;
-    observe_worker_entry(&pool.state, entry, pool.now);
+    pool.read_restart("w1");
     CHECK(pool.round().empty());
     pool.advance(milliseconds(100));
   }
@@ -216,9 +212,7 @@
   REQUIRE(pool.round().size() == 1);
   pool.advance(isolation_limit(pool.state.limits) + kLatestOrder +
                milliseconds(1000));
-  worker_entry entry = pool.state.workers.at("w1").entry;
-  entry.incarnation_ms = 2;
-  observe_worker_entry(&pool.state, entry, pool.now);
+  pool.read_restart("w1");
   pool.add_worker("w2");
   pool.advance(pool.state.limits.lease);
   pool.report("w2", {});
@@ -237,11 +231,6 @@
     submit(kJob, {step(1, 1000)});
     starts = round();
   }
-  void restart() {
-    worker_entry entry = state.workers.at("w1").entry;
-    entry.incarnation_ms = 2;
-    observe_worker_entry(&state, entry, now);
-  }
   // Whether the task is placed again within `time`.
   bool is_placed_within(milliseconds time) {
     constexpr milliseconds kStep{500};
@@ -262,7 +251,7 @@
 TEST_CASE("a start that a new incarnation may carry out late is waited for") {
   silent_worker pool;
   pool.advance(milliseconds(100));
-  pool.restart();
+  pool.read_restart("w1");
   CHECK_FALSE(pool.is_placed_within(kLatestOrder + pool.state.limits.lease));
   CHECK(pool.is_placed_within(milliseconds(1500)));
 }
@@ -277,7 +266,7 @@
     pool.add_worker("w1");
     REQUIRE(pool.round().size() == 1);
   }
-  pool.restart();
+  pool.read_restart("w1");
   // The earlier owner may have sent orders until then.
   milliseconds latest_sent = isolation_limit(pool.state.limits);
   CHECK_FALSE(pool.is_placed_within(latest_sent + kLatestOrder +
--- a/src/pool/simulation_test.cpp
+++ b/src/pool/simulation_test.cpp
@@ -2,6 +2,7 @@
 // of the workers' runs.
 #include <catch2/catch.hpp>
 #include <cstdlib>
+#include <string_view>
 
 #include "pool/simulated_cell.h"
 
@@ -119,20 +120,25 @@
   check_mass_restarts(mass_restarts_and_takeovers());
 }
 
-// How many runs the owners took as over since their leases had passed, while
-// the runs went on.
-std::size_t count_passed_too_early(cell_options options) {
+// How many violations of all the seeds begin with `kind`.
+std::size_t count_violations(cell_options options, std::string_view kind) {
   std::size_t found = 0;
   for (options.seed = 1; options.seed <= seed_count(); ++options.seed) {
     simulated_cell cell(options);
     cell.run(kLimit);
     for (const std::string& each : cell.run_ledger().violations()) {
-      if (each.find("taken as over while it runs") == 0) ++found;
+      if (each.find(kind) == 0) ++found;
     }
   }
   return found;
 }
 
+// How many runs the owners took as over since their leases had passed, while
+// the runs went on.
+std::size_t count_passed_too_early(const cell_options& options) {
+  return count_violations(options, "taken as over while it runs");
+}
+
 // A late start has a whole lease in a new incarnation, whose clock starts anew.
 TEST_CASE("a late start in a new incarnation isn't taken as over") {
   cell_options options = mass_restarts();
@@ -238,13 +244,7 @@
 TEST_CASE("the simulation finds leases that leave out a suspension") {
   cell_options options = lapses(pause_kind::suspension);
   options.clock_counts_suspension = false;
-  std::size_t violations = 0;
-  for (options.seed = 1; options.seed <= seed_count(); ++options.seed) {
-    simulated_cell cell(options);
-    cell.run(kLimit);
-    violations += cell.run_ledger().violations().size();
-  }
-  CHECK(violations > 0);
+  CHECK(count_violations(options, "") > 0);
 }
 
 // Guards against ended jobs that are kept by the time of day.
--- a/src/pool/test_pool.h
+++ b/src/pool/test_pool.h
@@ -73,6 +73,13 @@
     report(id, {});
   }
 
+  // The worker has restarted under its id, and its entry is read.
+  void read_restart(const std::string& id, std::int64_t incarnation_ms = 2) {
+    worker_entry entry = state.workers.at(id).entry;
+    entry.incarnation_ms = incarnation_ms;
+    observe_worker_entry(&state, entry, now);
+  }
+
   void report(const std::string& id, worker_report report) {
     report.clock = worker_time(now.time_since_epoch() / milliseconds(1));
     if (report.incarnation_ms == 0) report.incarnation_ms = 1;
