--- a/review/standin/cell.h
+++ b/review/standin/cell.h
@@ -108,11 +108,13 @@
     platform_.put("keyed.op", "config", json::serialize(manifest));
   }
 
-  void add_executor(const std::string& id, std::int64_t cpu) {
+  void add_executor(const std::string& id, std::int64_t cpu,
+                    const std::string& kind = "a") {
     executor::description about;
     about.id = id;
     about.service = kService;
     about.cpu = cpu;
+    about.kind = kind;
     about.rack = "r1-1";
     executors_.push_back(std::make_unique<executor>(context_, about, &platform_,
                                                     log_, &facts_, &gangs_));
--- a/review/standin/executor.h
+++ b/review/standin/executor.h
@@ -84,6 +84,7 @@
     std::string service;
     std::int64_t cpu = 0;
     std::int64_t memory_mb = 65536;
+    std::string kind;
     std::string rack;
   };
 
@@ -124,7 +125,7 @@
       entry["coldLeftMs"] = 0;
       entry["capacity"] = {
           {"cpu", about_.cpu}, {"memMb", about_.memory_mb}, {"gpu", 0}};
-      entry["labels"] = {"a", about_.rack};
+      entry["labels"] = {about_.kind, about_.rack};
       entry["clockMs"] = clock_ms();
       entry["seq"] = ++sequence_;
       entry["born"] = born_;
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -32,6 +32,7 @@
   int estimate_ms = 1000;
   bool gang = false;
   bool lasting = false;
+  std::string label{};  // Empty: any executor.
 };
 
 // A job of one step.
@@ -43,6 +44,7 @@
   row["estMs"] = step.estimate_ms;
   if (step.gang) row["gang"] = true;
   if (step.lasting) row["longRunning"] = true;
+  if (!step.label.empty()) row["requiredLabel"] = step.label;
   json::object job;
   job["spec"] = spec;
   job["steps"] = json::array();
@@ -305,12 +307,63 @@
   co_return complete == static_cast<int>(accepted.size()) ? kHeld : kBroken;
 }
 
+// ---- A long task ------------------------------------------------------------
+
+// A task takes minutes. Only one of the executors has the label that it needs.
+asio::awaitable<int> run_long_task(cell* all, bool trouble) {
+  constexpr std::int64_t kWatchMs = 75000;
+  constexpr std::int64_t kLostMs = 3000;
+  int work_ms = trouble ? 420000 : 105000;
+  all->put_manifest({{"batch", "/batch/", 1, 3}});
+  all->add_executor("i-00000001", 16000);
+  all->add_executor("i-00000002", 16000);
+  all->add_executor("i-00000003", 16000, "b");
+  all->start_daemons(3);
+  if (!co_await all->all_ready(kReadyWithin)) co_return kCannotRun;
+  co_await pause(kCalmStart);
+  std::string job = job_id(1);
+  step_text step{1, 1000, 64, work_ms};
+  step.label = "b";
+  std::string body =
+      json::serialize(make_job("work=" + std::to_string(work_ms), step));
+  if (!co_await all->submit("/batch/" + job, body)) co_return kCannotRun;
+  // finish_s after the traffic.
+  co_await pause(milliseconds(14000));
+  std::int64_t until = all->log().now_ms() + kWatchMs;
+  std::int64_t idle_since = -1;
+  int stretches = 0;
+  while (all->log().now_ms() < until) {
+    co_await pause(milliseconds(20));
+    std::int64_t now = all->log().now_ms();
+    if (all->executors().back()->running() > 0) {
+      if (idle_since >= 0 && now - idle_since >= kLostMs) ++stretches;
+      idle_since = -1;
+    } else if (idle_since < 0) {
+      idle_since = now;
+    }
+  }
+  std::string state = state_of(co_await all->read("/batch/" + job, 0));
+  std::size_t stopped = 0;
+  for (const run_fact& each : all->facts()) {
+    if (each.how == "stopped") ++stopped;
+  }
+  all->log().line("check: state " + state + "; of " +
+                  std::to_string(all->facts().size()) + " runs " +
+                  std::to_string(stopped) + " were stopped; " +
+                  std::to_string(stretches) +
+                  " times nothing of the job ran for 3 s or more, with its "
+                  "executor idle");
+  if (state.empty() || all->facts().empty()) co_return kCannotRun;
+  co_return stretches > 0 ? kBroken : kHeld;
+}
+
 int run_case(const std::string& name, const std::string& path) {
   const std::map<std::string, std::function<asio::awaitable<int>(cell*, bool)>>
       cases = {{"occurrences", run_occurrences},
                {"lasting-gang", run_lasting_gang},
                {"many-ends", run_many_ends},
-               {"large-job", run_large_job}};
+               {"large-job", run_large_job},
+               {"long-task", run_long_task}};
   if (cases.count(name) == 0) return kCannotRun;
   const char* told = std::getenv("TROUBLE");
   bool trouble = told == nullptr || std::string(told) != "0";
