Open the occurrences again that had not begun at a takeover

Cause: the progress record leaves out steps in which nothing has begun. A new owner set next_occurrence behind the highest occurrence in the record, so open ones below it were never opened again, and occurrences_done can't pass them.

Ruled out: a lost or old record, two owners (see the postmortem). Writing all open occurrences to the record was weighed: an owner whose time of day is behind would open them before their time.

Why it works: all occurrences below next_occurrence are open or done by construction, so going on from occurrences_done and leaving out the restored ones opens each exactly once, when it is due.

--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -83,13 +83,13 @@
   job->placed = saved.started() || saved.steps_size() > 0;
   job->started = saved.started();
   job->occurrences_done = saved.occurrences_done();
+  // Occurrences that have not begun aren't in the record, also those before the
+  // ones that have. They are opened again when they are due.
   job->next_occurrence = saved.occurrences_done();
   for (const wire::step_progress& each : saved.steps()) {
     std::vector<step_state>& steps = job->occurrences[each.occurrence()];
     if (steps.empty()) steps = make_steps(*job->submission, each.occurrence());
     if (each.step() >= steps.size()) continue;
-    job->next_occurrence =
-        std::max(job->next_occurrence, each.occurrence() + 1);
     step_state& step = steps[each.step()];
     for (std::uint32_t index : each.done()) {
       if (index >= step.tasks.size() || step.tasks[index].done) continue;
@@ -336,6 +336,7 @@
     bool opened = false;
     while (next_occurrence_is_due(*job, wall)) {
       std::uint32_t number = job->next_occurrence++;
+      if (job->occurrences.count(number) > 0) continue;  // Restored.
       job->occurrences[number] = make_steps(*job->submission, number);
       opened = true;
     }
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -201,7 +201,8 @@
   // of the job; critical_path is the longest of the whole job.
   std::vector<milliseconds> remaining_paths;
   milliseconds critical_path{0};
-  // Open occurrences.
+  // Open occurrences. All below next_occurrence are open or done. After a
+  // takeover later ones may be open too, which an earlier owner had begun.
   std::map<std::uint32_t, std::vector<step_state>> occurrences;
   std::uint32_t occurrences_done = 0;
   std::uint32_t next_occurrence = 0;
--- a/src/pool/simulated_cell.cpp
+++ b/src/pool/simulated_cell.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds kAppendTimeout{200};
 constexpr milliseconds kTakeoverDelay{2000};
 constexpr double kSlowClock = 0.98;
+constexpr milliseconds kOccurrenceInterval{250};
 constexpr resources kCapacity{4000, 4000, 0};
 
 wire::step_definition make_step(std::uint32_t count, std::uint32_t cpu_milli,
@@ -408,6 +409,11 @@
       second.add_after(0);
       *job.add_steps() = second;
     }
+    if (options_.repeats > 0) {
+      job.set_repeats(options_.repeats);
+      job.set_first_due_ms(accepted.time_since_epoch().count());
+      job.set_interval_ms(kOccurrenceInterval.count());
+    }
     ledger_.add_job(id, job, kAttempts);
     if (options_.deadly_share > 0 && lapse_chance(options_.deadly_share)) {
       std::uint32_t step = static_cast<std::uint32_t>(
--- a/src/pool/simulated_cell.h
+++ b/src/pool/simulated_cell.h
@@ -46,6 +46,8 @@
   milliseconds outage_every{0};    // Interval of 3 s journal outages; 0: none.
   milliseconds faults_for{15000};  // No faults after this time.
   milliseconds submit_every{0};    // Interval of the jobs; 0: all at the begin.
+  // Occurrences of each job, 250 ms apart; 0: the jobs aren't scheduled.
+  std::uint32_t repeats = 0;
   // Average run time of tasks, and whether workers report how far they are. An
   // owner stops runs of more than 3.5 s that make no progress.
   milliseconds task_time{1000};
--- a/src/pool/simulated_worker.cpp
+++ b/src/pool/simulated_worker.cpp
@@ -15,8 +15,9 @@
 constexpr std::uint32_t kCrashesToGiveUp = 2;
 
 std::string name_of(const task_key& task, std::uint32_t run) {
-  return task.job + "." + std::to_string(task.step) + "." +
-         std::to_string(task.index) + " run " + std::to_string(run);
+  return task.job + "." + std::to_string(task.occurrence) + "." +
+         std::to_string(task.step) + "." + std::to_string(task.index) +
+         " run " + std::to_string(run);
 }
 
 }  // namespace
@@ -28,32 +29,40 @@
   jobs_[id] = {job, attempts};
 }
 
-bool ledger::step_done(const std::string& id, std::uint32_t step) const {
+std::uint32_t ledger::occurrences(const std::string& id) const {
+  return std::max<std::uint32_t>(1, jobs_.at(id).submission.repeats());
+}
+
+bool ledger::step_done(const std::string& id, std::uint32_t occurrence,
+                       std::uint32_t step) const {
   const wire::step_definition& definition =
       jobs_.at(id).submission.steps(static_cast<int>(step));
   for (std::uint32_t i = 0; i < definition.count(); ++i) {
-    if (!is_done({id, 0, step, i})) return false;
+    if (!is_done({id, occurrence, step, i})) return false;
   }
   return true;
 }
 
 bool ledger::job_done(const std::string& id) const {
   const known_job& job = jobs_.at(id);
-  for (int i = 0; i < job.submission.steps_size(); ++i) {
-    if (!step_done(id, static_cast<std::uint32_t>(i))) return false;
+  for (std::uint32_t occurrence = 0; occurrence < occurrences(id);
+       ++occurrence) {
+    for (int i = 0; i < job.submission.steps_size(); ++i) {
+      std::uint32_t step = static_cast<std::uint32_t>(i);
+      if (!step_done(id, occurrence, step)) return false;
+    }
   }
   return true;
 }
 
 bool ledger::job_acknowledged(const std::string& id) const {
   const wire::job_submission& job = jobs_.at(id).submission;
-  for (int step = 0; step < job.steps_size(); ++step) {
-    for (std::uint32_t i = 0; i < job.steps(step).count(); ++i) {
-      task_key task{id, 0, static_cast<std::uint32_t>(step), i};
-      if (done_acknowledged_.count(task) == 0) return false;
-    }
-  }
-  return true;
+  std::size_t tasks = 0;
+  for (const wire::step_definition& step : job.steps()) tasks += step.count();
+  std::ptrdiff_t acknowledged =
+      std::count_if(done_acknowledged_.begin(), done_acknowledged_.end(),
+                    [&](const task_key& each) { return each.job == id; });
+  return acknowledged == static_cast<std::ptrdiff_t>(tasks * occurrences(id));
 }
 
 // Only failures that are acknowledged, at that time or later, count as
@@ -85,14 +94,15 @@
 bool ledger::may_be_given_up(const std::string& job) const {
   const known_job& known = jobs_.at(job);
   // A gang fails as a whole.
-  std::map<std::uint32_t, std::set<std::uint32_t>> failed_gangs;
+  std::map<std::pair<std::uint32_t, std::uint32_t>, std::set<std::uint32_t>>
+      failed_gangs;  // By occurrence and step.
   for (const std::pair<const task_key, std::set<std::uint32_t>>& each :
        failed_) {
     if (each.first.job != job) continue;
     if (each.second.size() >= known.attempts) return true;
     std::uint32_t step = each.first.step;
     if (!known.submission.steps(static_cast<int>(step)).gang()) continue;
-    std::set<std::uint32_t>& runs = failed_gangs[step];
+    std::set<std::uint32_t>& runs = failed_gangs[{each.first.occurrence, step}];
     runs.insert(each.second.begin(), each.second.end());
     if (runs.size() >= known.attempts) return true;
   }
@@ -128,7 +138,7 @@
   const wire::step_definition& step =
       job->second.submission.steps(static_cast<int>(task.step));
   for (std::uint32_t earlier : step.after()) {
-    if (!step_done(task.job, earlier))
+    if (!step_done(task.job, task.occurrence, earlier))
       report_violation("started before its dependencies: " +
                        name_of(task, run));
   }
@@ -162,7 +172,7 @@
 
 gang_registry::name gang_registry::name_of(const task_key& task,
                                            std::uint32_t run) {
-  return {task.job, task.step, run};
+  return {task.job, task.occurrence, task.step, run};
 }
 
 void gang_registry::join(simulated_worker* worker, const task_key& task,
--- a/src/pool/simulated_worker.h
+++ b/src/pool/simulated_worker.h
@@ -69,7 +69,9 @@
   };
   void check_attempts(const task_key& task, std::uint32_t attempts);
   void check_crashes(const task_key& task, std::uint32_t run);
-  bool step_done(const std::string& id, std::uint32_t step) const;
+  std::uint32_t occurrences(const std::string& id) const;
+  bool step_done(const std::string& id, std::uint32_t occurrence,
+                 std::uint32_t step) const;
 
   std::map<std::string, known_job> jobs_;
   std::set<std::string> started_jobs_;
@@ -112,7 +114,9 @@
     std::uint32_t count = 0;
     steady_time ends_at = steady_time::max();
   };
-  using name = std::tuple<std::string, std::uint32_t, std::uint32_t>;
+  // Job, occurrence, step and run.
+  using name =
+      std::tuple<std::string, std::uint32_t, std::uint32_t, std::uint32_t>;
   static name name_of(const task_key& task, std::uint32_t run);
 
   std::map<name, gang> gangs_;
--- a/src/pool/simulation_test.cpp
+++ b/src/pool/simulation_test.cpp
@@ -190,6 +190,17 @@
   check_seeds(options);
 }
 
+// Guards against occurrences that a takeover loses: their jobs never ended.
+TEST_CASE("scheduled jobs survive takeovers") {
+  cell_options options;
+  options.jobs = 6;
+  options.repeats = 8;
+  options.failure_rate = 0.05;
+  options.takeover_every = milliseconds(1500);
+  options.surviving_owner = 0.5;
+  check_seeds(options);
+}
+
 TEST_CASE("orders of superseded owners are harmless") {
   cell_options options;
   options.message_loss = 0.05;
