Rank occurrences of a scheduled job by their own due times

What callers would see: of 24 occurrences that wait, numbers 12, 23, 22 and 21 begin first, and an occurrence of a job that was accepted some objectives ago ranks behind all other work, as if nothing could be earned with it any more.

Cause: the deadline of a step was counted from the acceptance of its job, so all occurrences of a job rank equal and std::sort() puts them into any order.

Two tests in occurrence_test.cpp failed before the change. Ties are now decided by the sorted waiting steps (stable sort), where the order was unspecified.

--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -51,13 +51,14 @@
   candidate_step result;
   milliseconds target = objective(*job, policy);
   result.priority = policy.priority;
-  result.deadline = job->accepted + target;
+  unix_time due = due_time(*job, step->occurrence);
+  result.deadline = due + target;
   result.job = job;
   result.step = step;
   result.policy = &policy;
   unix_time earliest_end = wall + shortest_rest(*job, *step);
   if (earliest_end > result.deadline) result.tier = tier::late;
-  result.value_ends = job->accepted + kValueEndFactor * target;
+  result.value_ends = due + kValueEndFactor * target;
   if (earliest_end > result.value_ends) result.tier = tier::no_value;
   return result;
 }
@@ -72,7 +73,8 @@
     if (step == nullptr) continue;
     found.push_back(make_candidate(job, step, policy_of(*pool, *job), wall));
   }
-  std::sort(found.begin(), found.end(), precedes);
+  // The waiting steps are sorted by job and occurrence, which decides ties.
+  std::stable_sort(found.begin(), found.end(), precedes);
   return found;
 }
 
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -131,10 +131,7 @@
   if (job.next_occurrence >= total) return false;
   if (submission.repeats() == 0) return true;
   if (job.occurrences.size() >= kMaxOpenOccurrences) return false;
-  unix_time due = from_unix(submission.first_due_ms() +
-                            static_cast<std::int64_t>(job.next_occurrence) *
-                                submission.interval_ms());
-  return wall >= due;
+  return wall >= due_time(job, job.next_occurrence);
 }
 
 }  // namespace
@@ -144,6 +141,14 @@
   return job.submission->steps(static_cast<int>(step.step));
 }
 
+unix_time due_time(const job& job, std::uint32_t occurrence) {
+  const wire::job_submission& submission = *job.submission;
+  if (submission.repeats() == 0) return job.accepted;
+  return from_unix(submission.first_due_ms() +
+                   static_cast<std::int64_t>(occurrence) *
+                       submission.interval_ms());
+}
+
 resources resources_needed(const wire::step_definition& step) {
   // Steps that fill use CPU time that others leave over, so they reserve none.
   return {step.fills() ? 0 : step.cpu_milli(), step.memory_mb(), step.gpus()};
--- a/src/pool/occurrence_test.cpp
+++ b/src/pool/occurrence_test.cpp
@@ -1,7 +1,7 @@
 // Tests of scheduled jobs over takeovers, and of the order in which their
 // occurrences begin.
+#include <algorithm>
 #include <catch2/catch.hpp>
-#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,6 +15,8 @@
 constexpr char kScheduled[] = "00000000000000aa";
 constexpr milliseconds kInterval{250};
 
+using occurrences = std::vector<std::uint32_t>;
+
 // One worker, and a scheduled job of one task an occurrence.
 struct scheduled_pool : test_pool {
   scheduled_pool(std::uint32_t repeats, std::int64_t cpu_milli) {
@@ -49,7 +51,7 @@
     std::vector<start_order> starts = round();
     confirm(starts);
     for (start_order& each : starts) {
-      ++runs[each.task.occurrence];
+      begun.push_back(each.task.occurrence);
       running.push_back(std::move(each));
     }
   }
@@ -71,7 +73,7 @@
   }
 
   std::vector<start_order> running;
-  std::map<std::uint32_t, int> runs;  // Starts of each occurrence.
+  occurrences begun;  // Occurrences, by start.
   std::uint64_t ends = 0;
 };
 
@@ -104,7 +106,7 @@
   pool.advance_intervals(4);
   pool.grant(3);
   pool.start();
-  REQUIRE(pool.runs == std::map<std::uint32_t, int>{{3, 1}});
+  REQUIRE(pool.begun == occurrences{3});
   pool.policy.needs_advice = false;
   pool.replace_owner();
   for (int i = 0; i < 4; ++i) {
@@ -113,11 +115,8 @@
     pool.end_all();
   }
   pool.round();
-  CHECK(pool.runs.size() == kRepeats);
-  for (const std::pair<const std::uint32_t, int>& each : pool.runs) {
-    CAPTURE(each.first);
-    CHECK(each.second == 1);
-  }
+  std::sort(pool.begun.begin(), pool.begun.end());
+  CHECK(pool.begun == occurrences{0, 1, 2, 3, 4, 5});
   CHECK(pool.job_state(kScheduled) == jobs::state::complete);
 }
 
@@ -129,15 +128,43 @@
   pool.wall += kAhead;
   pool.grant(3);
   pool.start();
-  REQUIRE(pool.runs == std::map<std::uint32_t, int>{{3, 1}});
+  REQUIRE(pool.begun == occurrences{3});
   pool.wall -= kAhead;
   pool.policy.needs_advice = false;
   pool.replace_owner();
   pool.start();
-  CHECK(pool.runs == std::map<std::uint32_t, int>{{0, 1}, {3, 1}});
+  CHECK(pool.begun == occurrences{3, 0});
   pool.advance_intervals(1);
   pool.start();
-  CHECK(pool.runs == std::map<std::uint32_t, int>{{0, 1}, {1, 1}, {3, 1}});
+  CHECK(pool.begun == occurrences{3, 0, 1});
+}
+
+// Guards against occurrences that wait while later ones begin.
+TEST_CASE("occurrences that wait begin in the order of their due times") {
+  constexpr int kRepeats = 24;
+  scheduled_pool pool(kRepeats, 4000);
+  pool.policy.target = milliseconds(60000);
+  set_queues(&pool.state, {{kQueue, pool.policy}});
+  pool.advance_intervals(kRepeats);
+  pool.start();
+  CHECK(pool.begun == occurrences{0, 1, 2, 3});
+}
+
+// Guards against occurrences that rank as without value since their job was
+// accepted long ago.
+TEST_CASE("an occurrence is late by its own due time") {
+  constexpr int kRepeats = 100;
+  constexpr char kBatch[] = "00000000000000ab";
+  scheduled_pool pool(kRepeats, 1000);
+  for (int i = 1; i < kRepeats; ++i) {
+    pool.start();
+    pool.advance_intervals(1);
+    pool.end_all();
+  }
+  pool.submit(kBatch, {test_pool::step(1, 1000)});
+  pool.start();
+  CHECK(pool.begun.size() == kRepeats);
+  CHECK(pool.running.front().task.job == kScheduled);
 }
 
 }  // namespace
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -37,6 +37,10 @@
                       const std::string& worker, std::string detail);
 std::string describe(const task_key& task, std::uint32_t run);
 
+// When the work of the occurrence was asked for: the acceptance of a job that
+// isn't scheduled.
+unix_time due_time(const job& job, std::uint32_t occurrence);
+
 // Zero if the job was accepted in the future by this clock.
 milliseconds time_since_accepted(const job& job, unix_time wall);
 
