Keep the runs whose ends a worker hasn't listed yet

Cause: a worker returns 500 unacknowledged ends at a time. drop_unreported() took a run that is neither listed as running nor as ended for lost, also when the list of ends was cut.

Evidence: in the record of the case on the tasks that started again are just those with the ends 501 to 700.

Ruled out: a lapsed lease (none in the record), ends that were listed and not read (see the numbers).

Why it works: a full list may be a part, so no run is dropped by it; once the listed ends are acknowledged the worker lists the next ones, and the last report is below the limit. Runs that wait so are neither hung nor slow.

--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -78,7 +78,7 @@
 bool is_hung(pool_state* pool, const worker& worker, const placement& placed,
              steady_time now) {
   if (placed.phase != phase::running || placed.stop_wanted) return false;
-  if (!placed.reported) return false;
+  if (!placed.reported || !worker.has_all_ends) return false;
   if (now - worker.last_reply > kUnresponsiveAfter) return false;
   // The worker's clock, as this owner may have been paused between two reports.
   milliseconds since_report = std::min(
@@ -143,7 +143,9 @@
         !placed.stop_wanted && placed.phase_since + milliseconds(1) < now) {
       retry_start(pool, worker, &placed, out, now);
     }
-    update_speed_if_overdue(pool, worker, &placed, now);
+    if (worker->has_all_ends) {
+      update_speed_if_overdue(pool, worker, &placed, now);
+    }
     if (is_hung(pool, *worker, placed, now)) {
       placed.stop_wanted = true;
       worker->avoid_until = now + kAvoidAfterHang;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -130,6 +130,9 @@
   bool lease_granted = false;
   std::uint64_t last_end = 0;   // Highest end number that was applied.
   std::uint64_t acked_end = 0;  // Highest end whose effect is in the journal.
+  // Of the last report. Without all ends, a run that isn't reported may have
+  // ended in any way.
+  bool has_all_ends = true;
   std::vector<placement> placements;
   resources used;
   std::uint32_t consecutive_failures = 0;
--- a/src/pool/simulated_cell.cpp
+++ b/src/pool/simulated_cell.cpp
@@ -65,6 +65,7 @@
   behaviour_.failure_rate = options.failure_rate;
   behaviour_.task_time = options.task_time;
   behaviour_.reports_progress = options.reports_progress;
+  behaviour_.ends_per_report = options.ends_per_report;
   for (std::size_t i = 0; i < options.workers; ++i) {
     std::string id = "w" + std::to_string(i);
     bool slow = options.slow_workers && i % 2 == 1;
--- a/src/pool/simulated_cell.h
+++ b/src/pool/simulated_cell.h
@@ -52,6 +52,7 @@
   // owner stops runs of more than 3.5 s that make no progress.
   milliseconds task_time{1000};
   bool reports_progress = false;
+  std::size_t ends_per_report = 500;
   bool slow_workers = false;  // Half of the worker clocks are 2% slow.
   // Interval at which the owner loses touch: it is paused for 3 to 10 s, cut
   // from the journal, or both, and another owner claims the pool; 0: never.
--- a/src/pool/simulated_worker.cpp
+++ b/src/pool/simulated_worker.cpp
@@ -475,7 +475,10 @@
                             {},
                             percent(each.first, each.second, now)});
   }
-  out->ended = ends_;
+  std::size_t listed = std::min(ends_.size(), behaviour_.ends_per_report);
+  out->ended.assign(ends_.begin(),
+                    ends_.begin() + static_cast<std::ptrdiff_t>(listed));
+  out->has_all_ends = listed < behaviour_.ends_per_report;
   return true;
 }
 
--- a/src/pool/simulated_worker.h
+++ b/src/pool/simulated_worker.h
@@ -132,6 +132,7 @@
     milliseconds gang_wait{3000};  // Timeout for missing members.
     double clock_rate = 1;
     bool reports_progress = false;  // Else all runs are at 50%.
+    std::size_t ends_per_report = 500;
     // Until a deadly task crashes the worker, and until that is back.
     milliseconds crash_after{10};
     milliseconds down_time{3000};
--- a/src/pool/simulation_test.cpp
+++ b/src/pool/simulation_test.cpp
@@ -190,6 +190,20 @@
   check_seeds(options);
 }
 
+// Guards against a second run of tasks whose ends were behind those that a
+// worker returns at a time.
+TEST_CASE("no task runs twice while workers list only some of their ends") {
+  cell_options options;
+  options.jobs = 24;
+  options.ends_per_report = 2;
+  options.outage_every = milliseconds(5000);
+  check_seeds(options);
+  options.takeover_every = milliseconds(2500);
+  options.surviving_owner = 0.5;
+  options.failure_rate = 0.05;
+  check_seeds(options);
+}
+
 // Guards against occurrences that a takeover loses: their jobs never ended.
 TEST_CASE("scheduled jobs survive takeovers") {
   cell_options options;
--- a/src/pool/types.h
+++ b/src/pool/types.h
@@ -160,6 +160,9 @@
   std::int64_t incarnation_ms = 0;
   std::vector<reported_run> running;
   std::vector<reported_end> ended;
+  // Whether these are all ends that wait for their acknowledgement. A worker
+  // returns only so many at a time, and later ones once these are acknowledged.
+  bool has_all_ends = true;
 };
 
 struct ticket {
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -301,6 +301,8 @@
 // Drops runs that the worker would report if it had them.
 void drop_unreported(pool_state* pool, worker* worker,
                      const worker_report& report, steady_time sent) {
+  // Their ends may be among those that aren't listed yet.
+  if (!report.has_all_ends) return;
   std::vector<std::pair<task_key, std::uint32_t>> to_drop;
   for (const placement& placed : worker->placements) {
     if (reports_run(report, placed)) continue;
@@ -597,6 +599,7 @@
   worker->contact_lost_at = {};
   worker->clock = report.clock;
   worker->clock_read_at = now;
+  worker->has_all_ends = report.has_all_ends;
   for (const reported_end& end : report.ended) {
     if (end.number <= worker->last_end) continue;
     worker->last_end = end.number;
