--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -73,6 +73,12 @@
 void end_job(pool_state* pool, job* job, wire::job_outcome outcome,
              unix_time wall);
 
+// A worker has begun a run of the job, which no longer waits for its start.
+void mark_started(pool_state* pool, const std::string& job);
+// Applies an end that the worker lists for the first time.
+void apply_end(pool_state* pool, worker* worker, const reported_end& end,
+               steady_time now, unix_time wall);
+
 // Requests a stop of all runs of the job, or only of those of step `only`.
 void stop_runs(pool_state* pool, const std::string& job,
                const step_state* only);
@@ -83,6 +89,18 @@
 // current run.
 void drop_placement(pool_state* pool, worker* worker, const task_key& task,
                     std::uint32_t run);
+// Calls `visit` for every placement of the job's tasks.
+template <typename Visit>
+void for_each_placement(pool_state* pool, const job& job, Visit visit) {
+  for (const std::pair<const std::string, std::size_t>& each : job.workers) {
+    worker* at = find_worker(pool, each.first);
+    if (at == nullptr) continue;
+    for (placement& placed : at->placements) {
+      if (placed.task.job == job.id) visit(&placed);
+    }
+  }
+}
+
 // Orders to the worker get a higher fencing token from now on.
 void raise_token(pool_state* pool, worker* worker);
 
