Restart a lasting gang however its runs end

Cause: apply_gang_end() counted failed runs and completed the gang without the exception for lasting steps that apply_task_end() had.

Two tests failed before the change: after two failed runs under one owner, and under three owners in turn.

Ruled out: the limit for tasks that crash their workers, and failed runs counted over several owners (the first test has neither).

Why it works: one function now applies an end to a task or to all members of its gang, by one table of what each kind of end means; lasting tasks start again for each.

--- a/src/pool/ends.cpp
+++ b/src/pool/ends.cpp
@@ -30,37 +30,56 @@
   ++step->done;
 }
 
-// A gang ends as a whole: if one member completes, all have completed.
-void apply_gang_end(pool_state* pool, job* job, step_state* step,
-                    const reported_end& end, std::uint32_t attempts,
-                    unix_time wall) {
-  if (end.kind == end_kind::done) {
-    for (std::uint32_t i = 0; i < step->tasks.size(); ++i) mark_done(step, i);
-    return;
-  }
-  if (!end.checkpoint.empty()) {
-    for (task& member : step->tasks) member.checkpoint = end.checkpoint;
+// What the end of a run means for its task.
+//
+//                    task that ends   task that lasts
+//   done             completes        starts again
+//   failed           uses an attempt  starts again
+//   stopped, lapsed  starts again     starts again
+//   broken, alone    starts again     starts again
+//
+// A gang ends as a whole: one such end of a member stands for all. A task that
+// lasts runs until its job is cancelled, however often it ends. Runs that are
+// lost with their worker aren't among these; crashes.cpp counts them the same
+// way for all tasks.
+enum class end_effect { completes, uses_attempt, starts_again };
+
+end_effect effect_of(end_kind kind, const wire::step_definition& step) {
+  if (step.long_running()) return end_effect::starts_again;
+  switch (kind) {
+    case end_kind::done:
+      return end_effect::completes;
+    case end_kind::failed:
+      return end_effect::uses_attempt;
+    case end_kind::stopped:
+    case end_kind::lapsed:
+    case end_kind::broken:
+    case end_kind::alone:
+      break;
   }
-  if (end.kind != end_kind::failed) return;
-  std::set<std::uint32_t>& failed = step->tasks.front().failed_runs;
-  failed.insert(end.run);
-  if (failed.size() >= attempts) end_job(pool, job, wire::FAILED, wall);
+  return end_effect::starts_again;
 }
 
-void apply_task_end(pool_state* pool, job* job, step_state* step,
+void apply_to_tasks(pool_state* pool, job* job, step_state* step,
                     const reported_end& end, const std::string& worker,
-                    std::uint32_t attempts, unix_time wall) {
-  task& task = step->tasks[end.task.index];
-  bool long_running = definition(*job, *step).long_running();
-  if (end.kind == end_kind::done && !long_running) {
-    mark_done(step, end.task.index);
-    return;
+                    unix_time wall) {
+  const wire::step_definition& spec = definition(*job, *step);
+  end_effect effect = effect_of(end.kind, spec);
+  std::uint32_t size = static_cast<std::uint32_t>(step->tasks.size());
+  std::uint32_t first = spec.gang() ? 0 : end.task.index;
+  std::uint32_t last = spec.gang() ? size : first + 1;
+  for (std::uint32_t i = first; i < last; ++i) {
+    if (effect == end_effect::completes) {
+      mark_done(step, i);
+    } else if (!end.checkpoint.empty()) {
+      step->tasks[i].checkpoint = end.checkpoint;
+    }
   }
-  if (!end.checkpoint.empty()) task.checkpoint = end.checkpoint;
-  if (end.kind != end_kind::failed || long_running || task.done) return;
-  task.failed_runs.insert(end.run);
-  task.last_failed_worker = worker;
-  if (task.failed_runs.size() >= attempts) {
+  if (effect != end_effect::uses_attempt) return;
+  task& counted = step->tasks[first];
+  counted.failed_runs.insert(end.run);
+  if (!spec.gang()) counted.last_failed_worker = worker;
+  if (counted.failed_runs.size() >= policy_of(*pool, *job).attempts) {
     end_job(pool, job, wire::FAILED, wall);
   }
 }
@@ -120,17 +139,14 @@
   drop_placement(pool, worker, end.task, end.run);
   mark_started(pool, end.task.job);
   if (!is_relevant) return;
-  std::uint32_t attempts = policy_of(*pool, *job).attempts;
   pool->changed_jobs.insert(job->id);
-  if (definition(*job, *step).gang()) {
-    bool is_last_run = end.run == step->tasks.front().last_run;
-    apply_gang_end(pool, job, step, end, attempts, wall);
-    if (is_last_run || end.kind == end_kind::done) {
-      stop_runs(pool, job->id, step);
-    }
-  } else {
-    apply_task_end(pool, job, step, end, worker->entry.id, attempts, wall);
-    if (step->tasks[end.task.index].done) stop_other_runs(pool, *job, end.task);
+  bool is_last_run = end.run == step->tasks.front().last_run;
+  apply_to_tasks(pool, job, step, end, worker->entry.id, wall);
+  bool done = step->tasks[end.task.index].done;
+  if (!definition(*job, *step).gang()) {
+    if (done) stop_other_runs(pool, *job, end.task);
+  } else if (is_last_run || done) {
+    stop_runs(pool, job->id, step);
   }
   if (step->done == step->tasks.size()) {
     add_job_event(pool, job_event_kind::step_done, job->id, worker->entry.id,
