Reject entries of workers with values out of range

What callers would see: another writer leaves one entry under the id of a worker in use, with a number too large. With `born` of 2^63-1 the runs of the worker counted as lost, its replies and later entries as outdated, and it was never used again: of 12 tasks 4 ran, the jobs stayed open (LOST). With a `cpu` of 2^63-1 two tasks more than fit were started at once (LIMIT). With a `seq` of 2^63-1 later entries of the worker would be taken for older ones.

Cause: the adapter took any whole number, and any text as an address.

It is taken out of use until its next sound entry; its runs go on. The failure names the field.

--- /dev/null
+++ b/src/poold/odd_entry_test.cpp
@@ -0,0 +1,116 @@
+// Entries that another writer leaves among those of the workers, over loopback.
+// The ledger of the workers' runs judges the daemon.
+#include <catch2/catch.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "poold/test_cell.h"
+
+namespace ebonygrade::poold {
+
+namespace {
+
+constexpr char kEntries[] = "keyed.servers";
+constexpr std::uint32_t kTasks = 6;
+constexpr std::uint32_t kRoom = 4;  // Tasks that the worker has room for.
+constexpr milliseconds kLongTask{1500};
+
+struct odd_entry_cell : cell {
+  odd_entry_cell() {
+    store.put("keyed.op", "config", kManifest);
+    add_worker("w1", kLongTask);
+    sound_entry = store.records(kEntries).back().value;
+  }
+
+  void start() {
+    add_node("n1");
+    REQUIRE(wait_until([&] { return nodes[0]->owns_pool(); }));
+  }
+
+  // The worker's entry with another value of the field.
+  std::string with(const std::string& field, const std::string& value) const {
+    std::string entry = sound_entry;
+    std::string name = "\"" + field + "\":";
+    std::size_t begin = entry.find(name) + name.size();
+    std::size_t end = entry.find_first_of(",}", begin);
+    return entry.replace(begin, end - begin, value);
+  }
+
+  void put_and_wait(const std::string& key, const std::string& value) {
+    std::uint64_t before = store.reads_with_records(kEntries);
+    store.put(kEntries, key, value);
+    REQUIRE(wait_until(
+        [&] { return store.reads_with_records(kEntries) > before; }));
+  }
+
+  void submit(const std::string& id) {
+    wire::job_submission job;
+    job.add_steps()->set_count(kTasks);
+    ledger.add_job(id, job, 2);
+    submitted_tasks += kTasks;
+    std::string body = R"({"spec":"s","steps":[{"count":)" +
+                       std::to_string(kTasks) +
+                       R"(,"cpu":1000,"memMb":1,"estMs":1500}]})";
+    REQUIRE(call(0, http::verb::post, "/q/" + id, body).first == 200);
+  }
+
+  void check_completes(const std::string& id) {
+    CHECK(wait_until([&] {
+      return call(0, http::verb::get, "/q/" + id).second ==
+             R"({"state":"complete"})";
+    }));
+    for (const std::string& each : ledger.violations()) UNSCOPED_INFO(each);
+    CHECK(ledger.violations().empty());
+    CHECK(ledger.starts() == submitted_tasks);
+  }
+
+  std::string sound_entry;
+  std::uint64_t submitted_tasks = 0;
+};
+
+// Guards against an entry with a number too large, or an address that can't be
+// called, under the id of a worker in use: its runs counted as lost and its
+// later entries as outdated, or its room as unlimited.
+TEST_CASE("an odd entry under a used worker's id loses none of its runs") {
+  const std::vector<std::pair<std::string, std::string>> odd_fields = {
+      {"born", "9223372036854775807"},
+      {"born", "1e400"},
+      {"seq", "9223372036854775807"},
+      {"cpu", "9223372036854775807"},
+      {"memMb", "9.3e18"},
+      {"cpu", "-1"},
+      {"addr", "\"127.0.0.1:99999\""},
+      {"addr", "\"127.0.0.1:0\""},
+      {"addr", "\"\""}};
+  for (const std::pair<std::string, std::string>& odd : odd_fields) {
+    CAPTURE(odd.first, odd.second);
+    odd_entry_cell cell;
+    std::string entry = cell.with(odd.first, odd.second);
+    REQUIRE(entry != cell.sound_entry);
+    cell.start();
+    cell.submit("00000000000000ab");
+    REQUIRE(cell.wait_until([&] { return cell.ledger.starts() > 0; }));
+    cell.put_and_wait("w1", entry);
+    cell.context.run_for(std::chrono::milliseconds(300));
+    CHECK(cell.ledger.starts() <= kRoom);
+    cell.put_and_wait("w1", cell.sound_entry);
+    cell.check_completes("00000000000000ab");
+    cell.submit("00000000000000ac");
+    cell.check_completes("00000000000000ac");
+  }
+}
+
+// Guards against a list of workers that can't be read any more.
+TEST_CASE("an entry whose key isn't text hides no other entry") {
+  odd_entry_cell cell;
+  cell.store.put(kEntries, "\xff\xfe", cell.sound_entry);
+  cell.store.put(kEntries, "", "\xff");
+  cell.start();
+  cell.submit("00000000000000ab");
+  cell.check_completes("00000000000000ab");
+}
+
+}  // namespace
+
+}  // namespace ebonygrade::poold
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -232,11 +232,13 @@
 }
 
 void owner::on_discovery_record(const jobs::record& record) {
-  std::optional<pool::worker_entry> entry;
-  if (!record.value.empty()) {
-    entry = platform::decode_worker_entry(record.key, record.value);
+  if (record.value.empty()) {
+    pool::observe_worker_removed(&pool_, record.key);
+    return;
   }
-  if (!entry) {
+  error::result<pool::worker_entry> entry =
+      platform::decode_worker_entry(record.key, record.value);
+  if (entry.has_error()) {
     pool::observe_worker_removed(&pool_, record.key);
     return;
   }
--- a/standin/pool/worker_host.cpp
+++ b/standin/pool/worker_host.cpp
@@ -84,6 +84,7 @@
 
 void worker_host::crash() {
   worker_.crash(clock::boot_clock::now());
+  announcements_ = 0;
   server_.reset();
   if (kept_answer_) kept_answer_->drop();
   kept_answer_.reset();
@@ -110,6 +111,7 @@
                        {"memMb", kCapacity.memory_mb}};
   entry["labels"] = {"a", "r1"};
   entry["born"] = worker_.incarnation_ms();
+  entry["seq"] = ++announcements_;
   store_->put("keyed.servers", id_, json::serialize(entry));
 }
 
--- a/standin/pool/worker_host.h
+++ b/standin/pool/worker_host.h
@@ -83,6 +83,7 @@
   clock::timer timer_;
   std::set<std::string> dropped_;
   std::uint64_t dropped_calls_ = 0;
+  std::uint64_t announcements_ = 0;  // Of this incarnation.
   std::string target_to_keep_;
   std::optional<http::request> kept_call_;
   std::optional<http::responder> kept_answer_;
