Log and count entries of workers that can't be read

No log line named such an entry, so an operator couldn't see that one is there, nor why a worker gets no starts. Event 853 names the key and the field, once for each key until its entry can be read or is gone (at most 50 lines a second, as for all events); the gauge ebonygrade_pool_unreadable_entries counts them.

poold_test "entries that can't be read are counted until they are gone" covers records, removals and sound entries that follow.

--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -70,6 +70,7 @@
   task_suspected = 850,
   task_cleared = 851,
   job_given_up = 852,
+  worker_entry_unreadable = 853,
 };
 
 struct definition {
@@ -221,6 +222,10 @@
     definition{id::job_given_up, "job_given_up", level::warning,
                "A task crashes the workers that start it; its job fails.",
                "none"},
+    definition{id::worker_entry_unreadable, "worker_entry_unreadable",
+               level::warning,
+               "An entry among those of the workers names no worker to use.",
+               "worker"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -355,6 +355,9 @@
   const pool::pool_state& state = owner_->state();
   append_value(text, "ebonygrade_pool_workers", "gauge",
                "Workers known to the owner.", state.workers.size());
+  append_value(text, "ebonygrade_pool_unreadable_entries", "gauge",
+               "Entries of workers that can't be used.",
+               owner_->unreadable_entries());
   append_value(text, "ebonygrade_pool_waiting_steps", "gauge",
                "Steps with tasks that wait for a place.",
                state.waiting_steps.size());
--- a/src/poold/odd_entry_test.cpp
+++ b/src/poold/odd_entry_test.cpp
@@ -111,6 +111,24 @@
   cell.check_completes("00000000000000ab");
 }
 
+// Guards against entries that no operator can see.
+TEST_CASE("entries that can't be read are counted until they are gone") {
+  odd_entry_cell cell;
+  cell.store.put(kEntries, "odd-1", "[[[");
+  cell.start();
+  std::function<bool(int)> counts = [&](int entries) {
+    return cell.has_metric(
+        0, "ebonygrade_pool_unreadable_entries " + std::to_string(entries));
+  };
+  CHECK(cell.wait_until([&] { return counts(1); }));
+  cell.store.put(kEntries, "odd-2", R"({"service":7})");
+  CHECK(cell.wait_until([&] { return counts(2); }));
+  cell.store.put(kEntries, "odd-1", "");
+  CHECK(cell.wait_until([&] { return counts(1); }));
+  cell.store.put(kEntries, "odd-2", cell.sound_entry);
+  CHECK(cell.wait_until([&] { return counts(0); }));
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -227,26 +227,36 @@
         pool::observe_worker_removed(&pool_, each.first);
       }
     }
+    std::erase_if(unreadable_entries_,
+                  [&](const std::string& key) { return seen.count(key) == 0; });
   }
   schedule_round();
 }
 
 void owner::on_discovery_record(const jobs::record& record) {
   if (record.value.empty()) {
+    unreadable_entries_.erase(record.key);
     pool::observe_worker_removed(&pool_, record.key);
     return;
   }
   error::result<pool::worker_entry> entry =
       platform::decode_worker_entry(record.key, record.value);
-  if (entry.has_error()) {
-    pool::observe_worker_removed(&pool_, record.key);
-    return;
-  }
+  if (entry.has_error()) return on_unreadable_entry(record.key, entry.error());
+  unreadable_entries_.erase(record.key);
   if (pool::observe_worker_entry(&pool_, *entry, clock_.now())) {
     open_link(entry->id, entry->address);
   }
 }
 
+void owner::on_unreadable_entry(const std::string& key,
+                                const error::failure& cause) {
+  if (unreadable_entries_.insert(key).second) {
+    events::emit(events::id::worker_entry_unreadable, "observe", key, "{}",
+                 cause.detail);
+  }
+  pool::observe_worker_removed(&pool_, key);
+}
+
 void owner::open_link(const std::string& worker, const std::string& address) {
   std::shared_ptr<worker_link>& link = links_[worker];
   if (link && link->address() == address) return;
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -79,6 +79,8 @@
   bool journal_reachable() const;
   std::uint64_t epoch() const { return epoch_; }
   const pool::pool_state& state() const { return pool_; }
+  // Entries of service discovery that name no worker to use.
+  std::size_t unreadable_entries() const { return unreadable_entries_.size(); }
 
  private:
   struct caller_write {
@@ -91,6 +93,7 @@
   void start_maintenance();
   void on_discovery_records(const std::vector<jobs::record>& records, bool all);
   void on_discovery_record(const jobs::record& record);
+  void on_unreadable_entry(const std::string& key, const error::failure& cause);
   void open_link(const std::string& worker, const std::string& address);
   void close_link(const std::string& worker);
   void on_worker_poll(const platform::worker_poll_request& request,
@@ -151,6 +154,8 @@
   // Null if the settings have no machines address.
   std::shared_ptr<maintenance_runner> maintenance_;
   std::unordered_map<std::string, std::shared_ptr<worker_link>> links_;
+  // Keys of entries that can't be read. Each is logged once.
+  std::unordered_set<std::string> unreadable_entries_;
   clock::timer round_timer_;
   clock::timer flush_timer_;
   bool flush_scheduled_ = false;
--- a/src/poold/test_cell.h
+++ b/src/poold/test_cell.h
@@ -127,13 +127,18 @@
     return {reply->result_int(), reply->body()};
   }
 
-  // Whether the daemon has loaded a copy of the journal.
-  bool has_copy(std::size_t node_index) {
+  // Whether the daemon's metrics show this line.
+  bool has_metric(std::size_t node_index, const std::string& line) {
     caller_addresses.push_back(peer_addresses.at(node_index));
     std::string text =
         call(caller_addresses.size() - 1, http::verb::get, "/metrics").second;
     caller_addresses.pop_back();
-    return text.find("\nebonygrade_pool_standby 1\n") != std::string::npos;
+    return text.find("\n" + line + "\n") != std::string::npos;
+  }
+
+  // Whether the daemon has loaded a copy of the journal.
+  bool has_copy(std::size_t node_index) {
+    return has_metric(node_index, "ebonygrade_pool_standby 1");
   }
 
   // Adds two daemons that know of no owner, so that both load the journal.
