Judge hung runs by their estimate and their own pace

Cause: is_hung() allowed 3.5 s at one percent, whatever the length of the task.

Why it works: a sound run on a slow worker stays below 16 times its estimated time a percent, or below three times its own longest; if the estimate is wrong, the doubling reaches the true time after few runs.

--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -16,13 +16,6 @@
 constexpr milliseconds kStopRetryInterval{500};
 // A confirmed stop is repeated if the run is still reported after this time.
 constexpr milliseconds kConfirmedStopTimeout{2000};
-// A run without progress for this long is stopped. Progress is reported in
-// percent: a 20 s task at a sixth of its speed still advances by 1% within this
-// time.
-constexpr milliseconds kNoProgressTimeout{3500};
-// Longest time between the reports of a worker without ended runs.
-constexpr milliseconds kMaxReportInterval{1100};
-constexpr std::uint32_t kFullProgressPercent = 100;
 constexpr milliseconds kAvoidAfterHang{5000};
 
 start_order make_start(pool_state* pool, worker* worker, placement* placed,
@@ -75,27 +68,6 @@
   out->repeated_starts.push_back(std::move(order));
 }
 
-bool is_hung(pool_state* pool, const worker& worker, const placement& placed,
-             steady_time now) {
-  if (placed.phase != phase::running || placed.stop_wanted) return false;
-  if (!placed.reported || !worker.has_all_ends) return false;
-  if (now - worker.last_reply > kUnresponsiveAfter) return false;
-  // The worker's clock, as this owner may have been paused between two reports.
-  milliseconds since_report = std::min(
-      std::chrono::duration_cast<milliseconds>(now - worker.clock_read_at),
-      kMaxReportInterval);
-  milliseconds without_progress =
-      worker.clock + since_report - placed.last_progress;
-  if (without_progress < kNoProgressTimeout) return false;
-  task_ref ref = find_task(pool, placed.task);
-  job* job = ref.job;
-  step_state* step = ref.step;
-  if (step == nullptr || definition(*job, *step).long_running()) return false;
-  // A gang member with all its work done waits for the others.
-  return !definition(*job, *step).gang() ||
-         placed.percent < kFullProgressPercent;
-}
-
 void send_stop_if_due(const pool_state& pool, worker* worker, placement* placed,
                       decisions* out, steady_time now) {
   if (placed->phase == phase::recording) return;
@@ -147,13 +119,8 @@
       update_speed_if_overdue(pool, worker, &placed, now);
     }
     if (is_hung(pool, *worker, placed, now)) {
-      placed.stop_wanted = true;
       worker->avoid_until = now + kAvoidAfterHang;
-      add_job_event(
-          pool, job_event_kind::worker_avoided, placed.task.job,
-          worker->entry.id,
-          describe(placed.task, placed.run) +
-              " reason=no_progress at=" + std::to_string(placed.percent));
+      stop_hung_run(pool, *worker, &placed);
     }
     if (placed.stop_wanted) send_stop_if_due(*pool, worker, &placed, out, now);
   }
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -82,6 +82,7 @@
   std::string ticket;
   std::uint32_t percent = 0;
   worker_time last_progress{0};  // Worker's clock when `percent` last changed.
+  milliseconds longest_per_percent{0};  // Of this run so far.
   bool resumed = false;          // Started from a checkpoint.
   bool overdue = false;          // Counted as slow before it ended.
   bool reported = false;         // By the worker's current incarnation.
@@ -156,6 +157,7 @@
   std::uint32_t placed_run = 0;  // While placed; may be before last_run.
   std::int64_t incarnation_ms = 0;
   std::string last_failed_worker;
+  std::uint32_t hung_runs = 0;  // Stopped under this owner.
   // Runs that were at work when their worker crashed.
   std::set<std::uint32_t> crashed_runs;
   // Runs that may have been: their start wasn't confirmed, they may have ended
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -75,6 +75,14 @@
 
 // A worker has begun a run of the job, which no longer waits for its start.
 void mark_started(pool_state* pool, const std::string& job);
+// Notes how far the worker has just reported the run to be.
+void observe_progress(const worker& worker, std::uint32_t percent,
+                      placement* placed);
+// Whether the run has made no progress for longer than a sound one would.
+bool is_hung(pool_state* pool, const worker& worker, const placement& placed,
+             steady_time now);
+// Requests a stop of the run, whose task must exist.
+void stop_hung_run(pool_state* pool, const worker& worker, placement* placed);
 // Applies an end that the worker lists for the first time.
 void apply_end(pool_state* pool, worker* worker, const reported_end& end,
                steady_time now, unix_time wall);
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -130,10 +130,7 @@
   step_state* step = ref.step;
   bool known = step != nullptr && row.task.index < step->tasks.size();
   if (known) observe_sound_run(pool, worker, placed, ref);
-  if (!placed->reported || placed->percent != row.percent) {
-    placed->percent = row.percent;
-    placed->last_progress = worker->clock;
-  }
+  observe_progress(*worker, row.percent, placed);
   placed->reported = true;
   if (!known || row.checkpoint.empty()) return;
   if (definition(*job, *step).gang()) {
