Restart lasting tasks before work that was accepted later

What callers would see: a service's task that has failed waits behind all other work of any priority, once three objectives have passed since its job was accepted; on a full pool it doesn't start again (LOST).

Cause: make_candidate() ranks by the time left until the result is late, as if a lasting task had a result.

lasting_test "a lasting task restarts before work that was accepted later" failed before. A lasting task now ranks in time, by its priority and acceptance.

--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -53,12 +53,14 @@
   result.priority = policy.priority;
   unix_time due = due_time(*job, step->occurrence);
   result.deadline = due + target;
+  result.value_ends = due + kValueEndFactor * target;
   result.job = job;
   result.step = step;
   result.policy = &policy;
+  // What lasts has value whenever it runs.
+  if (definition(*job, *step).long_running()) return result;
   unix_time earliest_end = wall + shortest_rest(*job, *step);
   if (earliest_end > result.deadline) result.tier = tier::late;
-  result.value_ends = due + kValueEndFactor * target;
   if (earliest_end > result.value_ends) result.tier = tier::no_value;
   return result;
 }
--- a/src/pool/lasting_test.cpp
+++ b/src/pool/lasting_test.cpp
@@ -110,6 +110,29 @@
   CHECK(pool.job_state(kJob) == jobs::state::cancelled);
 }
 
+// Guards against lasting tasks that wait behind all other work, since their job
+// was accepted many objectives ago.
+TEST_CASE("a lasting task restarts before work that was accepted later") {
+  test_pool pool;
+  pool.add_worker("w1", 1000);
+  wire::step_definition lasting = test_pool::step(1, 1000);
+  lasting.set_long_running(true);
+  pool.submit(kJob, {lasting});
+  std::vector<start_order> starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  pool.confirm(starts);
+  for (int i = 0; i < 60; ++i) {
+    pool.advance(milliseconds(1000));
+    pool.report("w1", {{}, 1, {reported_run_of(starts[0])}, {}});
+  }
+  pool.submit("00000000000000ab", {test_pool::step(1, 1000)});
+  pool.report("w1",
+              {{}, 1, {}, {reported_end_of(1, starts[0], end_kind::failed)}});
+  starts = pool.round();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].task.job == kJob);
+}
+
 // Its members end `done` together, and one such end stands for all.
 TEST_CASE("a gang that doesn't last completes and uses up its attempts") {
   for (end_kind kind : {end_kind::done, end_kind::failed}) {
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -83,11 +83,11 @@
   std::uint32_t percent = 0;
   worker_time last_progress{0};  // Worker's clock when `percent` last changed.
   milliseconds longest_per_percent{0};  // Of this run so far.
-  bool resumed = false;          // Started from a checkpoint.
-  bool overdue = false;          // Counted as slow before it ended.
-  bool reported = false;         // By the worker's current incarnation.
-  bool unexpected = false;       // Reported without a valid order.
-  bool trial = false;            // Of a suspected task, and not passed yet.
+  bool resumed = false;                 // Started from a checkpoint.
+  bool overdue = false;                 // Counted as slow before it ended.
+  bool reported = false;                // By the worker's current incarnation.
+  bool unexpected = false;              // Reported without a valid order.
+  bool trial = false;  // Of a suspected task, and not passed yet.
   // The worker has restarted since the run was confirmed, and hasn't told
   // whether it has the run.
   bool crash_unsettled = false;
