--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "pool/pool.h"
 
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "clock/timer.h"
