Read tenants, keys and quotas from the manifest and the settings

Cause: deployments with tenants name them in the manifest, with keys, a weight and a quota, and the daemon read none of it.

--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -137,6 +137,11 @@
 
 }  // namespace
 
+const std::string& tenant_of(const entry& job) {
+  // The submission of an ended job is deleted.
+  return job.submission ? job.submission->tenant() : job.progress.tenant();
+}
+
 change apply(table* table, const record& record) {
   if (record.key == kOwnerKey) return apply_owner(table, record);
   if (record.key == kPoolTimeKey) {
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -37,6 +37,9 @@
   bool cancelled = false;             // A caller requested the cancellation.
 };
 
+// Name of the job's tenant; empty for a job without one.
+const std::string& tenant_of(const entry& job);
+
 // State of a job as reported to callers.
 enum class state { pending, running, complete, failed, cancelled };
 
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -47,6 +47,7 @@
   wire::job_progress out;
   out.set_outcome(job.outcome);
   out.set_started(job.started);
+  out.set_tenant(job.submission->tenant());
   out.set_occurrences_done(job.occurrences_done);
   if (job.outcome != wire::OPEN) out.set_ended_pool_time_ms(ended.count());
   for (const std::pair<const std::uint32_t, std::vector<step_state>>& each :
--- a/src/pool/manifest.h
+++ b/src/pool/manifest.h
@@ -18,11 +18,25 @@
   std::string host;
   std::string path_prefix;
   queue_policy policy;
+  // Callers must present a key of a tenant, where the deployment has tenants.
+  bool needs_key = true;
+};
+
+// A customer with keys of its own, a quota and a share of the pool.
+struct tenant {
+  std::string name;
+  std::vector<std::string> api_keys;
+  std::uint32_t priority = 0;  // 0 is the highest.
+  // Share of the pool when it is full, relative to those of other tenants, and
+  // the number of jobs a second up to which jobs count as within the share.
+  double weight = 1;
+  resources quota;  // Of all its runs together; 0: no limit.
 };
 
 struct manifest {
   std::uint64_t version = 0;
   std::vector<queue_route> routes;
+  std::vector<tenant> tenants;  // Empty: callers need no keys.
   std::size_t max_header_bytes = 16 << 10;
   std::size_t max_body_bytes = 256 << 10;
 };
--- a/src/poold/settings.cpp
+++ b/src/poold/settings.cpp
@@ -80,6 +80,17 @@
     *out = parsed;
   }
 
+  // Reads true or false. Keeps the default if the key is missing.
+  void flag(const char* section, const char* key, bool* out) {
+    std::optional<std::string> value = find(section, key);
+    if (!value) return;
+    if (*value != "true" && *value != "false") {
+      return add_problem(name(section, key),
+                         "expected true or false, found '" + *value + "'");
+    }
+    *out = *value == "true";
+  }
+
   void report_unknown() {
     CSimpleIniA::TNamesDepend sections;
     ini_.GetAllSections(sections);
@@ -131,6 +142,10 @@
   ini.duration("workers", "lease", &out.lease);
   ini.duration("shutdown", "grace", &out.drain_grace);
   ini.duration("jobs", "status_time", &out.status_time);
+  ini.flag("tenants", "required", &out.tenants_required);
+  ini.flag("tenants", "strict_revoke", &out.strict_revoke);
+  ini.duration("tenants", "revoke_time", &out.revoke_time);
+  ini.number("tenants", "quota_excess", &out.quota_excess);
   if (std::optional<std::string> level = ini.find("log", "level")) {
     out.log_level = *level;
   }
--- a/src/poold/settings.h
+++ b/src/poold/settings.h
@@ -28,6 +28,13 @@
   milliseconds lease{6000};        // Longest lease that workers accept.
   milliseconds drain_grace{6000};  // From SIGTERM to SIGKILL.
   milliseconds status_time{120000};  // Retention of ended jobs.
+  // Callers need keys even while the manifest in force has no tenants.
+  bool tenants_required = false;
+  // Whether a daemon refuses callers while it can't confirm that its manifest
+  // is the newest, for longer than revoke_time.
+  bool strict_revoke = false;
+  milliseconds revoke_time{5000};
+  double quota_excess = 0;  // Share by which a tenant may exceed its quota.
   std::string log_level = "info";
 };
 
