Check the API keys of callers and the tenant of their jobs

Cause: deployments with tenants give each tenant keys, and the daemon served every caller, whoever's job it asked for.

The submission record has the tenant. With strict_revoke a manifest that hasn't been confirmed for revoke_time serves nobody (503). A job's tenant doesn't change with a repeated submission.

--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -138,8 +138,11 @@
 }  // namespace
 
 const std::string& tenant_of(const entry& job) {
-  // The submission of an ended job is deleted.
-  return job.submission ? job.submission->tenant() : job.progress.tenant();
+  // The submission of an ended job is deleted, and another tenant's submission
+  // of the same id may follow it in the journal.
+  bool told = !job.progress.tenant().empty() || !job.submission ||
+              job.progress.outcome() != wire::OPEN;
+  return told ? job.progress.tenant() : job.submission->tenant();
 }
 
 change apply(table* table, const record& record) {
@@ -219,6 +222,15 @@
          find(table, std::string_view(record.key).substr(1)) != nullptr;
 }
 
+bool names_other_tenant(const table& table, const record& record) {
+  if (!is_repeated_submission(table, record)) return false;
+  const entry* known = find(table, std::string_view(record.key).substr(1));
+  wire::job_submission repeated;
+  return !tenant_of(*known).empty() &&
+         (!repeated.ParseFromString(record.value) ||
+          repeated.tenant() != tenant_of(*known));
+}
+
 const entry* find(const table& table, std::string_view id) {
   std::unordered_map<std::string, entry>::const_iterator found =
       table.jobs.find(std::string(id));
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -87,6 +87,10 @@
 // has no effect.
 bool is_repeated_submission(const table& table, const record& record);
 
+// Whether the record is a repeated submission by another caller than the
+// tenant that the known job is of. False for a known job without a tenant.
+bool names_other_tenant(const table& table, const record& record);
+
 // Returns null if the job is unknown.
 const entry* find(const table& table, std::string_view id);
 
--- a/src/jobs/job_table_test.cpp
+++ b/src/jobs/job_table_test.cpp
@@ -106,6 +106,30 @@
   CHECK(state_of(*find(table, kJob)) == state::running);
 }
 
+// Guards against a job that changes hands: an append by a daemon that doesn't
+// know the job may follow its end.
+TEST_CASE("a repeated submission doesn't change the tenant of a job") {
+  auto with_tenant = [](const std::string& tenant) {
+    wire::job_submission job;
+    job.set_tenant(tenant);
+    return record{submission_key(kJob), job.SerializeAsString(), 0};
+  };
+  table table;
+  apply(&table, with_tenant("a"));
+  CHECK(names_other_tenant(table, with_tenant("b")));
+  CHECK_FALSE(names_other_tenant(table, with_tenant("a")));
+  apply(&table, with_tenant("b"));
+  CHECK(tenant_of(*find(table, kJob)) == "a");
+  wire::job_progress ended;
+  ended.set_outcome(wire::COMPLETE);
+  ended.set_tenant("a");
+  apply(&table, {progress_key(kJob), ended.SerializeAsString(), 1});
+  apply(&table, {submission_key(kJob), "", 2});
+  CHECK(tenant_of(*find(table, kJob)) == "a");
+  apply(&table, with_tenant("b"));
+  CHECK(tenant_of(*find(table, kJob)) == "a");
+}
+
 TEST_CASE("jobs without a record in a load are removed") {
   table table;
   record submission = submission_record();
--- a/src/pool/manifest.cpp
+++ b/src/pool/manifest.cpp
@@ -1,5 +1,7 @@
 #include "pool/manifest.h"
 
+#include <algorithm>
+
 namespace ebonygrade::pool {
 
 const queue_route* find_route(const manifest& manifest, std::string_view host,
@@ -15,6 +17,13 @@
   return best;
 }
 
+const tenant* find_tenant(const manifest& manifest, std::string_view name) {
+  std::vector<tenant>::const_iterator found =
+      std::find_if(manifest.tenants.begin(), manifest.tenants.end(),
+                   [&](const tenant& each) { return each.name == name; });
+  return found == manifest.tenants.end() ? nullptr : &*found;
+}
+
 std::unordered_map<std::string, queue_policy> policies(
     const manifest& manifest) {
   std::unordered_map<std::string, queue_policy> result;
--- a/src/pool/manifest.h
+++ b/src/pool/manifest.h
@@ -36,7 +36,10 @@
 struct manifest {
   std::uint64_t version = 0;
   std::vector<queue_route> routes;
-  std::vector<tenant> tenants;  // Empty: callers need no keys.
+  std::vector<tenant> tenants;
+  // Callers need keys. True without a readable tenant if there are rows of
+  // tenants that can't be read.
+  bool has_tenants = false;
   std::size_t max_header_bytes = 16 << 10;
   std::size_t max_body_bytes = 256 << 10;
 };
@@ -46,6 +49,9 @@
 const queue_route* find_route(const manifest& manifest, std::string_view host,
                               std::string_view path);
 
+// Returns null without a tenant of that name.
+const tenant* find_tenant(const manifest& manifest, std::string_view name);
+
 std::unordered_map<std::string, queue_policy> policies(
     const manifest& manifest);
 
--- a/src/poold/job_api.cpp
+++ b/src/poold/job_api.cpp
@@ -7,6 +7,7 @@
 
 #include "events/events.h"
 #include "platform/callers.h"
+#include "poold/job_replies.h"
 
 namespace ebonygrade::poold {
 
@@ -20,7 +21,6 @@
 // Retry-After: enough to bridge a store restart, and short relative to every
 // latency target.
 constexpr milliseconds kRetryPeriod{90};
-constexpr char kRetryAfterSeconds[] = "1";
 // A caller whose record may or may not be written gets a 504 after this time,
 // so that it can try another daemon, which may reach the store.
 constexpr milliseconds kUnknownOutcomeTimeout{1000};
@@ -29,23 +29,9 @@
 constexpr milliseconds kOwnerWriteTimeout{900};
 // Limit for the journal read that precedes a reply about an unknown job.
 constexpr milliseconds kCurrentReadTimeout{1000};
-// Limits how long a call about a job waits while no owner serves it. Covers a
-// takeover by a standby.
-constexpr milliseconds kForwardPeriod{1500};
-constexpr milliseconds kForwardTimeout{600};
-constexpr milliseconds kForwardRetryInterval{100};
-// Further calls are refused at once.
-constexpr std::size_t kMaxUnservedQueries = 256;
 constexpr milliseconds kDeadlineCheckInterval{50};
 constexpr char kDeadlineHeader[] = "X-Deadline-Ms";
 
-http::response retry_later(std::string_view reason) {
-  http::response reply =
-      http::error_response(http::status::service_unavailable, reason);
-  reply.set(boost::beast::http::field::retry_after, kRetryAfterSeconds);
-  return reply;
-}
-
 milliseconds reply_time_limit(const http::request& request) {
   boost::beast::string_view text = request[kDeadlineHeader];
   std::int64_t value = 0;
@@ -82,6 +68,7 @@
       table_(table),
       owner_(std::move(owner)),
       measurements_(measurements),
+      access_(clock, measurements),
       deadline_timer_(context) {
   // Keeps the sequence numbers apart from those of earlier processes of this
   // daemon. The time of day may repeat.
@@ -94,6 +81,7 @@
 
 void job_api::set_manifest(std::shared_ptr<const pool::manifest> manifest) {
   manifest_ = std::move(manifest);
+  access_.set_manifest(manifest_);
 }
 
 void job_api::set_journal(std::shared_ptr<topic_follower> journal) {
@@ -108,6 +96,8 @@
 
 void job_api::handle(http::request&& request, http::responder respond) {
   if (!manifest_) return respond(retry_later("no manifest yet"));
+  std::optional<http::response> refused = access_.check_manifest();
+  if (refused) return respond(std::move(*refused));
   std::string_view host(request[boost::beast::http::field::host].data(),
                         request[boost::beast::http::field::host].size());
   std::string_view path = path_of(request);
@@ -117,6 +107,8 @@
         http::error_response(http::status::not_found, "no such queue"));
   }
   job_request call;
+  refused = access_.check_key(request, *route, &call.caller);
+  if (refused) return respond(std::move(*refused));
   call.method = request.method();
   call.queue = route->name;
   call.id = path.substr(route->path_prefix.size());
@@ -171,7 +163,12 @@
 
 void job_api::submit(const job_request& request, const pool::queue_route& route,
                      const std::string& body, http::responder respond) {
-  if (jobs::find(table_, request.id) != nullptr) {
+  const call_subject subject{"submit", request.id, request.queue};
+  std::optional<http::response> refused;
+  if (const jobs::entry* known = jobs::find(table_, request.id)) {
+    refused =
+        access_.check_tenant(subject, request.caller, jobs::tenant_of(*known));
+    if (refused) return respond(std::move(*refused));
     return respond(http::json_response(http::status::ok, "{}"));
   }
   error::result<wire::job_submission> job = platform::decode_submission(body);
@@ -181,7 +178,10 @@
     return respond(
         http::error_response(http::status::bad_request, job.error().detail));
   }
+  refused = access_.check_quota(subject, request.caller, *job);
+  if (refused) return respond(std::move(*refused));
   job->set_queue(request.queue);
+  job->set_tenant(request.caller.tenant);
   job->set_service(route.policy.service);
   *job->mutable_terms() = pool::to_terms(route.policy);
   job->set_accepted_ms(unix_ms(clock_));
@@ -192,7 +192,8 @@
           clock_.now(),
           request.deadline,
           request.id,
-          request.queue});
+          request.queue,
+          request.caller.tenant});
   write(std::move(pending));
 }
 
@@ -205,6 +206,10 @@
     if (found == nullptr) {
       return respond(http::error_response(http::status::gone, "no such job"));
     }
+    std::optional<http::response> refused =
+        self->access_.check_tenant({"read state", request.id, request.queue},
+                                   request.caller, jobs::tenant_of(*found));
+    if (refused) return respond(std::move(*refused));
     respond(http::json_response(
         http::status::ok, platform::encode_job_state(jobs::state_of(*found))));
   };
@@ -222,6 +227,10 @@
     if (known == nullptr) {
       return respond(http::error_response(http::status::gone, "no such job"));
     }
+    std::optional<http::response> refused =
+        access_.check_tenant({"cancel", request.id, request.queue},
+                             request.caller, jobs::tenant_of(*known));
+    if (refused) return respond(std::move(*refused));
     if (known->cancelled || known->progress.outcome() != wire::OPEN) {
       return respond(http::json_response(http::status::ok, "{}"));
     }
@@ -234,99 +243,13 @@
         request.deadline,
         request.id,
         request.queue,
+        request.caller.tenant,
         true}));
   };
   if (jobs::find(table_, request.id) != nullptr) return then();
   when_current(request.deadline, std::move(respond), std::move(then));
 }
 
-// ---- Forwarding to the owner ------------------------------------------------
-
-void job_api::answer_query(const wire::job_query& query,
-                           http::responder respond) {
-  job_request request;
-  request.method = query.cancels() ? http::verb::delete_ : http::verb::get;
-  request.queue = query.queue();
-  request.id = query.job();
-  request.deadline = clock_.now() + milliseconds(query.time_left_ms());
-  if (query.cancels()) return cancel(request, std::move(respond));
-  read_state(request, std::move(respond));
-}
-
-void job_api::forward(const job_request& request, http::responder respond) {
-  steady_time now = clock_.now();
-  wire::job_query query;
-  query.set_job(request.id);
-  query.set_queue(request.queue);
-  query.set_cancels(request.method == http::verb::delete_);
-  send_query(std::make_shared<forwarded_query>(forwarded_query{
-      std::move(query), now, std::min(request.deadline, now + kForwardPeriod),
-      std::move(respond)}));
-}
-
-void job_api::send_query(std::shared_ptr<forwarded_query> call) {
-  milliseconds left =
-      std::chrono::duration_cast<milliseconds>(call->deadline - clock_.now());
-  milliseconds timeout = std::min(left, kForwardTimeout);
-  call->query.set_time_left_ms(static_cast<std::uint32_t>(timeout.count()));
-  owner_.forward(call->query, timeout,
-                 [self = shared_from_this(), call](forward_result result) {
-                   if (self->stopped_) return;
-                   self->on_query_result(call, std::move(result));
-                 });
-}
-
-void job_api::on_query_result(std::shared_ptr<forwarded_query> call,
-                              forward_result result) {
-  if (result.reply) {
-    if (call->query.cancels() && result.reply->result() == http::status::ok) {
-      events::emit(events::id::job_cancelled, "forward", "", "job={} queue={}",
-                   call->query.job(), call->query.queue());
-    }
-    return call->respond(std::move(*result.reply));
-  }
-  call->maybe_served |= result.maybe_served;
-  bool full = unserved_queries_.size() >= kMaxUnservedQueries;
-  if (full || clock_.now() + kForwardRetryInterval >= call->deadline) {
-    return refuse_query(*call);
-  }
-  call->retry_at = clock_.now() + kForwardRetryInterval;
-  unserved_queries_.push_back(std::move(call));
-  arm_timer();
-}
-
-void job_api::retry_queries(steady_time now) {
-  std::vector<std::shared_ptr<forwarded_query>> calls =
-      std::exchange(unserved_queries_, {});
-  for (std::shared_ptr<forwarded_query>& each : calls) {
-    if (each->retry_at > now) {
-      unserved_queries_.push_back(std::move(each));
-    } else if (each->deadline <= now) {
-      refuse_query(*each);
-    } else {
-      send_query(std::move(each));
-    }
-  }
-}
-
-void job_api::refuse_query(const forwarded_query& call) {
-  // A cancellation that an owner has received may be in the journal.
-  bool unknown = call.query.cancels() && call.maybe_served;
-  events::emit(
-      events::id::job_refused, "forward", "",
-      "job={} queue={} status={} cancels={} waited_ms={} "
-      "reason=\"no owner serves the call\"",
-      call.query.job(), call.query.queue(), unknown ? 504 : 503,
-      call.query.cancels(),
-      std::chrono::duration_cast<milliseconds>(clock_.now() - call.received)
-          .count());
-  if (unknown) {
-    return call.respond(http::error_response(http::status::gateway_timeout,
-                                             "the owner has not answered"));
-  }
-  call.respond(retry_later("the pool has no owner"));
-}
-
 // ---- Current reads ----------------------------------------------------------
 
 void job_api::when_current(steady_time deadline, http::responder respond,
@@ -359,6 +282,9 @@
                  if (reply == owner_reply::written) {
                    return self->confirm(*pending);
                  }
+                 if (reply == owner_reply::other_tenant) {
+                   return self->refuse_other_tenant(*pending);
+                 }
                  // Appends of every daemon in addition to the owner's would
                  // only slow the store further.
                  if (reply == owner_reply::unavailable) {
@@ -415,6 +341,12 @@
       });
 }
 
+void job_api::refuse_other_tenant(pending_write& pending) {
+  if (std::exchange(pending.answered, true)) return;
+  pending.respond(access_.refuse_other_tenant(
+      {"submit", pending.job, pending.queue}, pending.tenant, ""));
+}
+
 void job_api::refuse(pending_write& pending, std::string_view reason) {
   if (std::exchange(pending.answered, true)) return;
   record_latency(pending);
--- a/src/poold/job_api.h
+++ b/src/poold/job_api.h
@@ -19,10 +19,12 @@
 #include "jobs/job_table.h"
 #include "pool/manifest.h"
 #include "poold/appender.h"
+#include "poold/call_access.h"
 #include "poold/owner.h"
 #include "poold/queue_length.h"
 #include "poold/store_client.h"
 #include "poold/topic_follower.h"
+#include "tenants/access.h"
 #include "wire/journal.pb.h"
 
 namespace ebonygrade::poold {
@@ -77,6 +79,11 @@
   // Replies to a call that another daemon forwarded. Requires a copy of the
   // journal.
   void answer_query(const wire::job_query& query, http::responder respond);
+  // Settings of the checks of keys, see call_access::configure().
+  void set_access(const access_settings& settings,
+                  std::function<steady_time()> confirmed_at) {
+    access_.configure(settings, std::move(confirmed_at));
+  }
   void set_manifest(std::shared_ptr<const pool::manifest> manifest);
   void handle(http::request&& request, http::responder respond);
   // Called after each read of the journal.
@@ -91,6 +98,7 @@
     steady_time deadline;
     std::string job;
     std::string queue;
+    std::string tenant;
     bool is_cancellation = false;
     bool answered = false;
     bool maybe_written = false;  // A write through the owner may have worked.
@@ -102,6 +110,7 @@
     std::string queue;  // Name of the route.
     std::string id;
     steady_time deadline;
+    tenants::caller caller;
   };
 
   // A call that waits for the owner's reply.
@@ -144,6 +153,8 @@
   void flush();
   // Replies with 503, or with 504 if the owner may have written the record.
   void refuse(pending_write& pending, std::string_view reason);
+  // The owner says that the id is of another tenant's job.
+  void refuse_other_tenant(pending_write& pending);
   void refuse_queue(std::string_view reason);
   void on_written(const write_list& batch, write_outcome outcome);
   void check_deadlines();
@@ -163,6 +174,7 @@
   owner_calls owner_;
   measurements& measurements_;
   std::shared_ptr<const pool::manifest> manifest_;
+  call_access access_;
   std::shared_ptr<appender> appender_;
   write_list queued_;     // For the next append.
   write_list in_flight_;  // In the current append.
--- a/src/poold/measurements.cpp
+++ b/src/poold/measurements.cpp
@@ -57,6 +57,19 @@
   }
 }
 
+void refusal_counter::append_text(std::string* text) const {
+  constexpr char kName[] = "ebonygrade_pool_refused_calls_total";
+  metrics::append_header(text, kName, "counter",
+                         "Calls refused for their key, tenant or quota.");
+  for (tenants::refusal reason : tenants::kRefusals) {
+    std::map<tenants::refusal, std::uint64_t>::const_iterator found =
+        counts_.find(reason);
+    text->append(fmt::format("{}{{reason=\"{}\"}} {}\n", kName,
+                             tenants::to_string(reason),
+                             found == counts_.end() ? 0 : found->second));
+  }
+}
+
 void append_value(std::string* text, std::string_view name,
                   std::string_view kind, std::string_view help,
                   std::uint64_t value) {
--- a/src/poold/measurements.h
+++ b/src/poold/measurements.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "clock/clock.h"
+#include "tenants/access.h"
 
 namespace ebonygrade::poold {
 
@@ -47,7 +48,18 @@
   std::map<std::string, double> sums_;  // Seconds, by queue.
 };
 
+// Refused calls of callers, by reason.
+class refusal_counter {
+ public:
+  void add(tenants::refusal reason) { ++counts_[reason]; }
+  void append_text(std::string* text) const;
+
+ private:
+  std::map<tenants::refusal, std::uint64_t> counts_;
+};
+
 struct measurements {
+  refusal_counter refused_calls;
   latency_histogram reply_times{
       "ebonygrade_pool_answer_seconds",
       "Time from a caller's submission or cancellation to its answer."};
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -46,6 +46,19 @@
   return options;
 }
 
+// The manifest counts as confirmed since the send time of a read, so that a
+// short limit for its age needs short reads.
+follower_options operator_options(const node_settings& settings) {
+  constexpr int kReadsPerLimit = 4;
+  follower_options options{std::string(platform::kOperatorTopic), kOperatorWait,
+                           kOperatorReadInterval};
+  if (!settings.strict_revoke) return options;
+  milliseconds longest = settings.revoke_time / kReadsPerLimit;
+  options.max_wait = std::min(options.max_wait, longest);
+  options.read_interval = std::min(options.read_interval, longest);
+  return options;
+}
+
 }  // namespace
 
 node::node(boost::asio::io_context& context, const clock::clock& clock,
@@ -104,9 +117,11 @@
   };
   job_api_ = std::make_shared<job_api>(context_, store_, clock_, settings_.id,
                                        table_, std::move(calls), measurements_);
+  job_api_->set_access({settings_.tenants_required, settings_.strict_revoke,
+                        settings_.revoke_time, settings_.quota_excess},
+                       [this] { return operator_->current_as_of(); });
   follow_directory();
-  operator_ = follow({std::string(platform::kOperatorTopic), kOperatorWait,
-                      kOperatorReadInterval},
+  operator_ = follow(operator_options(settings_),
                      [this](const std::vector<jobs::record>& records) {
                        on_operator_records(records);
                      });
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -123,6 +123,8 @@
       return owner_reply::written;
     case http::status::conflict:
       return owner_reply::refused;
+    case http::status::forbidden:
+      return owner_reply::other_tenant;
     case http::status::service_unavailable:
       return owner_reply::unavailable;
     default:
@@ -159,6 +161,10 @@
                                         "not the owner of this epoch"));
   }
   jobs::record record{message.key(), message.value(), 0};
+  if (jobs::names_other_tenant(table_, record)) {
+    return respond(
+        http::error_response(http::status::forbidden, "another tenant's job"));
+  }
   if (jobs::is_repeated_submission(table_, record)) {
     return respond(http::text_response(http::status::ok, "text/plain", ""));
   }
@@ -320,6 +326,7 @@
   measurements_.reply_times.append_text(&text);
   measurements_.first_start_times.append_text(&text);
   measurements_.job_times.append_text(&text);
+  measurements_.refused_calls.append_text(&text);
   append_value(&text, "ebonygrade_pool_owner", "gauge",
                "1 while this daemon owns the pool.", owner_ ? 1 : 0);
   append_value(&text, "ebonygrade_pool_standby", "gauge",
--- a/src/poold/node_test.cpp
+++ b/src/poold/node_test.cpp
@@ -494,43 +494,6 @@
       [&] { return cell.call(standby, http::verb::get, path).first == 410; }));
 }
 
-// A cell that is too large for a copy of the journal in every daemon.
-struct large_cell : cell {
-  static constexpr std::size_t kDaemons = 12;
-  // The owner and two standbys, as all daemons are in one region.
-  static constexpr std::size_t kCopies = 3;
-
-  large_cell() {
-    ledger.add_job(kJob, submission(), 2);
-    store.put("keyed.op", "config", kManifest);
-    add_worker("w1");
-    for (std::size_t i = 0; i < kDaemons; ++i) add_node(std::to_string(i));
-  }
-  std::size_t copies() const {
-    return static_cast<std::size_t>(std::count_if(
-        nodes.begin(), nodes.end(), [](const std::unique_ptr<node>& each) {
-          return each && each->follows_journal();
-        }));
-  }
-  bool all_ready() const {
-    return std::all_of(nodes.begin(), nodes.end(),
-                       [](const std::unique_ptr<node>& each) {
-                         return !each || each->is_ready();
-                       });
-  }
-  // Index of a daemon without a copy.
-  std::size_t daemon_without_copy() const {
-    for (std::size_t i = 0; i < nodes.size(); ++i) {
-      if (nodes[i] && !nodes[i]->follows_journal()) return i;
-    }
-    FAIL("every daemon has a copy of the journal");
-    return 0;
-  }
-  bool settles() {
-    return wait_until([&] { return copies() == kCopies && all_ready(); });
-  }
-};
-
 TEST_CASE("daemons without a copy of the journal serve through the owner") {
   large_cell cell;
   REQUIRE(cell.settles());
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -38,9 +38,10 @@
 // Result of a write request to the owner.
 enum class owner_reply {
   written,
-  refused,      // Not written; the daemon is not the owner or is unreachable.
-  unavailable,  // Not written; the store accepts no appends from the owner.
-  unknown,      // May have been written.
+  refused,       // Not written; the daemon is not the owner or is unreachable.
+  unavailable,   // Not written; the store accepts no appends from the owner.
+  unknown,       // May have been written.
+  other_tenant,  // Not written; the job's id is of another tenant's job.
 };
 
 class owner : public std::enable_shared_from_this<owner> {
--- a/src/poold/settings.cpp
+++ b/src/poold/settings.cpp
@@ -65,17 +65,21 @@
     *out = *parsed;
   }
 
-  // Reads a positive number. Keeps the default if the key is missing.
-  void number(const char* section, const char* key, double* out) {
+  // Reads a positive number, or one from 0 on. Keeps the default if the key is
+  // missing.
+  void number(const char* section, const char* key, double* out,
+              bool zero_allowed = false) {
     std::optional<std::string> value = find(section, key);
     if (!value) return;
     char* end = nullptr;
     double parsed = std::strtod(value->c_str(), &end);
-    bool valid = end == value->c_str() + value->size() && parsed > 0 &&
+    bool valid = end == value->c_str() + value->size() &&
+                 (parsed > 0 || (zero_allowed && parsed == 0)) &&
                  std::isfinite(parsed);
     if (!valid) {
-      return add_problem(name(section, key),
-                         "expected a number above 0, found '" + *value + "'");
+      std::string range = zero_allowed ? "of 0 or above" : "above 0";
+      return add_problem(name(section, key), "expected a number " + range +
+                                                 ", found '" + *value + "'");
     }
     *out = parsed;
   }
@@ -145,7 +149,7 @@
   ini.flag("tenants", "required", &out.tenants_required);
   ini.flag("tenants", "strict_revoke", &out.strict_revoke);
   ini.duration("tenants", "revoke_time", &out.revoke_time);
-  ini.number("tenants", "quota_excess", &out.quota_excess);
+  ini.number("tenants", "quota_excess", &out.quota_excess, true);
   if (std::optional<std::string> level = ini.find("log", "level")) {
     out.log_level = *level;
   }
--- a/src/poold/test_cell.h
+++ b/src/poold/test_cell.h
@@ -2,6 +2,7 @@
 // loopback.
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -17,6 +18,7 @@
 
 #include "clock/clock.h"
 #include "http/address.h"
+#include "platform/callers.h"
 #include "poold/node.h"
 #include "standin/pool/keyed_store.h"
 #include "standin/pool/worker_host.h"
@@ -46,6 +48,8 @@
   std::vector<std::string> peer_addresses;    // By node.
   std::string machines_address;
   std::string advice_address;
+  node_settings defaults;  // Of the nodes that are added.
+  std::string api_key;     // Of the calls that are made; empty: none.
   std::uint64_t submitted_tasks = 0;
 
   std::string free_address() {
@@ -59,14 +63,16 @@
   }
 
   void add_node(const std::string& id) {
-    node_settings settings;
+    node_settings settings = defaults;
     settings.id = id;
     settings.zone = "zone-a";
     settings.region = "region-a";
     settings.client_address = free_address();
     settings.ready_address = free_address();
     settings.peer_address = free_address();
-    settings.store_address = store.address();
+    if (settings.store_address.empty()) {
+      settings.store_address = store.address();
+    }
     settings.machines_address = machines_address;
     settings.advice_address = advice_address;
     caller_addresses.push_back(settings.client_address);
@@ -93,6 +99,7 @@
     bool done = false;
     http::request request{method, path, http::kHttpVersion11};
     request.body() = body;
+    if (!api_key.empty()) request.set(platform::kKeyHeader, api_key);
     request.prepare_payload();
     boost::beast::flat_buffer buffer;
     http::response reply;
@@ -209,4 +216,41 @@
   return job;
 }
 
+// A cell that is too large for a copy of the journal in every daemon.
+struct large_cell : cell {
+  static constexpr std::size_t kDaemons = 12;
+  // The owner and two standbys, as all daemons are in one region.
+  static constexpr std::size_t kCopies = 3;
+
+  large_cell() {
+    ledger.add_job(kJob, submission(), 2);
+    store.put("keyed.op", "config", kManifest);
+    add_worker("w1");
+    for (std::size_t i = 0; i < kDaemons; ++i) add_node(std::to_string(i));
+  }
+  std::size_t copies() const {
+    return static_cast<std::size_t>(std::count_if(
+        nodes.begin(), nodes.end(), [](const std::unique_ptr<node>& each) {
+          return each && each->follows_journal();
+        }));
+  }
+  bool all_ready() const {
+    return std::all_of(nodes.begin(), nodes.end(),
+                       [](const std::unique_ptr<node>& each) {
+                         return !each || each->is_ready();
+                       });
+  }
+  // Index of a daemon without a copy.
+  std::size_t daemon_without_copy() const {
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      if (nodes[i] && !nodes[i]->follows_journal()) return i;
+    }
+    FAIL("every daemon has a copy of the journal");
+    return 0;
+  }
+  bool settles() {
+    return wait_until([&] { return copies() == kCopies && all_ready(); });
+  }
+};
+
 }  // namespace ebonygrade::poold
