Keep tenants within their quotas, and order waiting steps by share

Cause: the manifest names tenants with quotas and weights, and nothing used them.

Change: the usage of each tenant follows its placements; starts are placed, and sent, only within quota x (1 + excess). A gang that its quota holds back accumulates headroom. Waiting steps are ordered by weighted dominant share.

--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -71,6 +71,7 @@
   task_cleared = 851,
   job_given_up = 852,
   worker_entry_unreadable = 853,
+  tenant_held = 862,
 };
 
 struct definition {
@@ -226,6 +227,8 @@
                level::warning,
                "An entry among those of the workers names no worker to use.",
                "worker"},
+    definition{id::tenant_held, "tenant_held", level::info,
+               "A tenant's quota begins or ends to hold work back.", "none"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -6,6 +6,7 @@
 
 #include "pool/pool_pvt.h"
 #include "pool/round_pvt.h"
+#include "pool/tenant_order.h"
 
 namespace ebonygrade::pool {
 
@@ -147,8 +148,9 @@
   return chosen;
 }
 
-void place_tasks(const scheduling_round& round,
-                 const candidate_step& candidate) {
+// Places at most `allowed` tasks.
+void place_tasks(const scheduling_round& round, const candidate_step& candidate,
+                 std::uint32_t allowed) {
   std::vector<placement_option> options =
       find_options(round, candidate, ticket_mode::required,
                    static_cast<std::uint32_t>(candidate.step->tasks.size()));
@@ -157,6 +159,7 @@
   for (std::uint32_t i = 0; i < candidate.step->tasks.size(); ++i) {
     task& task = candidate.step->tasks[i];
     if (task.done || task.placed) continue;
+    if (allowed == 0) break;
     placement_option* chosen =
         task.suspected ? choose_for_trial(
                              round, definition(*candidate.job, *candidate.step),
@@ -164,6 +167,7 @@
                        : choose_option(round, task, &options);
     if (chosen == nullptr) continue;
     place(round, candidate, i, task.last_run + 1, task.suspected, chosen);
+    --allowed;
     // Nothing starts beside a trial.
     chosen->slots = task.suspected ? 0 : chosen->slots - 1;
   }
@@ -321,6 +325,8 @@
 void place_waiting_steps(scheduling_round* round,
                          const std::vector<candidate_step>& candidates) {
   for (const candidate_step& each : candidates) {
+    std::uint32_t allowed = tasks_within_quota(*round, each);
+    if (allowed == 0) continue;
     bool gang = definition(*each.job, *each.step).gang();
     bool placed = true;
     std::size_t first = round->pool->unrecorded_starts.size();
@@ -328,10 +334,14 @@
     if (gang) {
       placed = place_gang(*round, each);
     } else {
-      place_tasks(*round, each);
+      place_tasks(*round, each, allowed);
     }
+    observe_starts(*round, each);
     record_placements(*round, each, first, had_placed);
-    if (each.policy->needs_advice && count_waiting_tasks(*each.step) > 0) {
+    // Tickets of tasks that a quota holds back would expire.
+    bool quota_left = round->pool->unrecorded_starts.size() - first < allowed;
+    if (each.policy->needs_advice && quota_left &&
+        count_waiting_tasks(*each.step) > 0) {
       request_advice(round, each);
       if (each.step->pending_advice > 0) {
         round->cpu_awaiting_advice +=
@@ -379,7 +389,12 @@
   give_up_jobs(pool, wall);
   scheduling_round round = begin_round(pool, &out, now, wall);
   std::vector<candidate_step> waiting = candidates(pool, wall);
+  if (pool->has_tenants) {
+    begin_tenant_round(&round, &waiting);
+    order_by_tenant(round, &waiting);
+  }
   place_waiting_steps(&round, waiting);
+  if (pool->has_tenants) end_tenant_round(&round);
   for (std::pair<const std::string, worker>& each : pool->workers) {
     each.second.held_for_gang = round.reserved.count(&each.second) > 0;
   }
--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -175,7 +175,10 @@
     if (placed == nullptr || placed->phase != phase::recording) continue;
     start_order order;
     bool restarted = worker->entry.incarnation_ms != key.incarnation_ms;
-    bool wanted = !placed->stop_wanted && !is_over_capacity(*worker);
+    // If a quota was lowered, the first member of a gang that is dropped here
+    // stops the others, and none of them is sent.
+    bool wanted = !placed->stop_wanted && !is_over_capacity(*worker) &&
+                  !is_over_quota(*pool, *placed);
     if (wanted && !restarted) order = make_start(pool, worker, placed, now);
     if (order.job == nullptr || order.until == worker_time(0)) {
       // The start was never sent, so no stop is needed.
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -38,6 +38,7 @@
 #include <vector>
 
 #include "jobs/job_table.h"
+#include "pool/tenant_usage.h"
 #include "pool/types.h"
 
 namespace ebonygrade::pool {
@@ -75,6 +76,7 @@
   task_key task;
   std::uint32_t run = 0;
   resources need;
+  std::string tenant;  // Whose usage has the need; in a pool with tenants.
   pool::phase phase = pool::phase::recording;
   steady_time phase_since;  // Or max(), while a start has no outcome.
   steady_time placed_at;
@@ -185,6 +187,9 @@
   std::vector<task> tasks;
   std::uint32_t done = 0;
   bool ready = false;  // All steps it depends on are done.
+  // When the quota of its tenant first held back tasks that still wait; default
+  // value: it doesn't.
+  steady_time held_by_quota_since;
   // Advice: the workers that may run the step, and the tickets that prove this.
   std::uint32_t pending_advice = 0;         // Requests without a reply.
   steady_time advice_retry_at;              // No request before this.
@@ -200,6 +205,8 @@
   wire::job_outcome outcome = wire::OPEN;
   bool placed = false;   // A task has been placed, maybe in vain.
   bool started = false;  // A worker has begun a task.
+  // Accepted when its tenant had used up its share; see take_share().
+  bool over_share = false;
   unix_time accepted;
   queue_policy accepted_policy;
   // Longest sum of estimates along the dependencies, from each step to the end
@@ -346,6 +353,8 @@
   std::unordered_map<std::string, std::uint64_t> raised_tokens;
   std::unordered_map<std::string, job> jobs;
   std::unordered_map<std::string, queue_policy> queues;
+  bool has_tenants = false;  // In the manifest in force; see set_tenants().
+  std::unordered_map<std::string, tenant_state> tenants;  // By name.
   std::set<queue_position> waiting_steps;
   // Jobs that have occurrences to open.
   std::unordered_set<std::string> scheduled_jobs;
@@ -374,6 +383,7 @@
   // Apart from the job events, which a mass of them must not push out. The
   // caller removes them; the later ones of a burst are counted only.
   std::vector<forgotten_job> forgotten_jobs;
+  std::vector<tenant_event> tenant_events;  // The caller removes them.
   pool::counters counters;
 };
 
@@ -405,6 +415,8 @@
                 std::unordered_map<std::string, queue_policy> queues);
 
 // Adds a job with its state from the journal. Does nothing for a known job.
+// In a pool with tenants, to be called in order of acceptance: a job is marked
+// as over its tenant's share by the jobs that were added before.
 void add_job(pool_state* pool, const std::string& id, const jobs::entry& entry,
              steady_time now);
 // Ends the job as cancelled and stops its runs.
--- a/src/pool/round_pvt.h
+++ b/src/pool/round_pvt.h
@@ -23,6 +23,10 @@
   pool::job* job = nullptr;
   step_state* step = nullptr;
   const queue_policy* policy = nullptr;
+  // Set by begin_tenant_round(), in a pool with tenants.
+  tenant_state* tenant = nullptr;
+  bool over_share = false;
+  resources waiting_need;  // Of all tasks that wait.
 };
 
 // A worker that may get starts in this round.
--- a/src/pool/types.h
+++ b/src/pool/types.h
@@ -39,6 +39,9 @@
   return {a.cpu_milli - b.cpu_milli, a.memory_mb - b.memory_mb,
           a.gpus - b.gpus};
 }
+inline resources operator*(const resources& each, std::int64_t count) {
+  return {each.cpu_milli * count, each.memory_mb * count, each.gpus * count};
+}
 
 // Identifies one task of one occurrence of a job.
 struct task_key {
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -274,6 +274,7 @@
 
 void add_placement(pool_state* pool, worker* worker, placement placed) {
   worker->used = worker->used + placed.need;
+  add_usage(pool, &placed);
   job* job = find_job(pool, placed.task.job);
   if (job != nullptr) ++job->workers[worker->entry.id];
   if (placed.trial) ++worker->trials;
@@ -307,6 +308,7 @@
   worker->placements.erase(worker->placements.begin() +
                            (placed - worker->placements.data()));
   worker->used = worker->used - dropped.need;
+  drop_usage(pool, dropped);
   if (dropped.unexpected) --pool->unexpected_placements;
   if (dropped.trial) --worker->trials;
   pool->cpu_release_rate.freed_cpu_milli += dropped.need.cpu_milli;
--- a/src/poold/job_api.cpp
+++ b/src/poold/job_api.cpp
@@ -7,6 +7,8 @@
 
 #include "events/events.h"
 #include "platform/callers.h"
+#include "pool/tenant_usage.h"
+#include "poold/tenant_reports.h"
 
 namespace ebonygrade::poold {
 
@@ -185,6 +187,15 @@
   job->set_service(route.policy.service);
   *job->mutable_terms() = pool::to_terms(route.policy);
   job->set_accepted_ms(unix_ms(clock_));
+  std::optional<std::string> excess =
+      pool::exceeds_quota(*job, *manifest_, quota_excess_);
+  if (excess) {
+    count_refusal(&measurements_.refused_by_tenant, job->tenant());
+    events::emit(events::id::job_refused, "submit", "",
+                 "job={} queue={} status=400 tenant={} reason=\"{}\"",
+                 request.id, request.queue, job->tenant(), *excess);
+    return respond(http::error_response(http::status::bad_request, *excess));
+  }
   std::shared_ptr<pending_write> pending =
       std::make_shared<pending_write>(pending_write{
           {jobs::submission_key(request.id), job->SerializeAsString(), 0},
--- a/src/poold/job_api.h
+++ b/src/poold/job_api.h
@@ -78,6 +78,8 @@
   // journal.
   void answer_query(const wire::job_query& query, http::responder respond);
   void set_manifest(std::shared_ptr<const pool::manifest> manifest);
+  // Share by which the runs of a tenant may exceed its quota; 0 before this.
+  void set_quota_excess(double share) { quota_excess_ = share; }
   void handle(http::request&& request, http::responder respond);
   // Called after each read of the journal.
   void on_journal_read() { run_current_reads(); }
@@ -163,6 +165,7 @@
   owner_calls owner_;
   measurements& measurements_;
   std::shared_ptr<const pool::manifest> manifest_;
+  double quota_excess_ = 0;
   std::shared_ptr<appender> appender_;
   write_list queued_;     // For the next append.
   write_list in_flight_;  // In the current append.
--- a/src/poold/measurements.h
+++ b/src/poold/measurements.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "clock/clock.h"
+#include "poold/tenant_reports.h"
 
 namespace ebonygrade::poold {
 
@@ -57,6 +58,7 @@
   latency_histogram job_times{
       "ebonygrade_pool_job_seconds",
       "Time from a job's acceptance to its final state."};
+  tenant_refusals refused_by_tenant;
 };
 
 // Appends the header and the value of a counter or gauge.
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -104,6 +104,7 @@
   };
   job_api_ = std::make_shared<job_api>(context_, store_, clock_, settings_.id,
                                        table_, std::move(calls), measurements_);
+  job_api_->set_quota_excess(settings_.quota_excess);
   follow_directory();
   operator_ = follow({std::string(platform::kOperatorTopic), kOperatorWait,
                       kOperatorReadInterval},
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -6,6 +6,7 @@
 #include "http/json.h"
 #include "poold/node.h"
 #include "poold/peer_paths.h"
+#include "poold/tenant_reports.h"
 
 namespace ebonygrade::poold {
 
@@ -320,6 +321,7 @@
   measurements_.reply_times.append_text(&text);
   measurements_.first_start_times.append_text(&text);
   measurements_.job_times.append_text(&text);
+  append_tenant_refusals(&text, measurements_.refused_by_tenant);
   append_value(&text, "ebonygrade_pool_owner", "gauge",
                "1 while this daemon owns the pool.", owner_ ? 1 : 0);
   append_value(&text, "ebonygrade_pool_standby", "gauge",
@@ -405,6 +407,7 @@
   append_value(text, "ebonygrade_pool_unexpected_runs_total", "counter",
                "Reported runs without a valid order.",
                state.counters.unexpected_runs);
+  append_tenant_gauges(text, state);
 }
 
 }  // namespace ebonygrade::poold
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -6,6 +6,7 @@
 
 #include "events/events.h"
 #include "platform/discovery.h"
+#include "poold/tenant_reports.h"
 
 namespace ebonygrade::poold {
 
@@ -90,10 +91,11 @@
   // in the journal.
   pool::continue_pool_time(&pool_, table.pool_time, now);
   pool::set_queues(&pool_, pool::policies(manifest));
-  for (const std::pair<const std::string, jobs::entry>& each : table.jobs) {
-    pool::add_job(&pool_, each.first, each.second, now);
-    if (each.second.cancelled) {
-      pool::cancel_job(&pool_, each.first, wall_now());
+  pool::set_tenants(&pool_, manifest.tenants, settings_.quota_excess);
+  for (const pool::known_job* each : pool::jobs_to_add(pool_, table)) {
+    pool::add_job(&pool_, each->first, each->second, now);
+    if (each->second.cancelled) {
+      pool::cancel_job(&pool_, each->first, wall_now());
     }
   }
   // The journal is all that is known of the workers.
@@ -175,6 +177,7 @@
 
 void owner::on_manifest(const pool::manifest& manifest) {
   pool::set_queues(&pool_, pool::policies(manifest));
+  pool::set_tenants(&pool_, manifest.tenants, settings_.quota_excess);
   schedule_round();
 }
 
@@ -385,6 +388,7 @@
   emit_job_events();
   emit_worker_events();
   emit_forgotten_jobs();
+  emit_tenant_events(&pool_);
   measure_round(last_round_);
   emit_load(last_round_);
   schedule_flush();
