--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -72,6 +72,7 @@
   job_given_up = 852,
   worker_entry_unreadable = 853,
   key_refused = 861,
+  tenant_held = 862,
 };
 
 struct definition {
@@ -230,6 +231,8 @@
     definition{id::key_refused, "key_refused", level::info,
                "A call was refused for its key, or for the tenant of its job.",
                "none"},
+    definition{id::tenant_held, "tenant_held", level::info,
+               "A tenant's quota begins or ends to hold work back.", "none"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/poold/call_access.cpp
+++ b/src/poold/call_access.cpp
@@ -88,6 +88,7 @@
                   found->gang ? "the gang" : "a task", found->need,
                   found->resource, found->limit);
   measurements_.refused_calls.add(tenants::refusal::over_quota);
+  count_refusal(&measurements_.refused_by_tenant, tenant->name);
   events::emit(events::id::bad_request, subject.step, "",
                "job={} queue={} tenant={} reason={} job_step={} {}", subject.job,
                subject.queue, tenant->name,
