--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -71,6 +71,7 @@
   task_cleared = 851,
   job_given_up = 852,
   worker_entry_unreadable = 853,
+  append_delayed = 864,
 };
 
 struct definition {
@@ -226,6 +227,10 @@
                level::warning,
                "An entry among those of the workers names no worker to use.",
                "worker"},
+    definition{id::append_delayed, "append_delayed", level::warning,
+               "The store is slow or silent; an append was sent again, or "
+               "callers are refused.",
+               "none"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/poold/appender.h
+++ b/src/poold/appender.h
@@ -1,7 +1,7 @@
-// Appends records under one producer, one append at a time. An append whose
-// outcome is unknown is retried with the same sequence number until the store
-// replies, so each batch is written exactly once unless the producer is
-// fenced.
+// Appends records under one producer, one write at a time. A write without a
+// reply is repeated with the same sequence number, while the earlier attempts
+// are still awaited (append_pacing.h), until the store replies. So each batch
+// is written exactly once unless the producer is fenced.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -15,6 +15,7 @@
 
 #include "clock/timer.h"
 #include "http/backoff.h"
+#include "poold/append_pacing.h"
 #include "poold/store_client.h"
 
 namespace ebonygrade::poold {
@@ -37,19 +38,42 @@
              std::function<bool()> should_retry,
              std::function<void(write_outcome)> handler);
   bool idle() const { return !busy_; }
-  // Whether the outcome of the current write is unknown, as an attempt got no
-  // reply.
-  bool in_doubt() const { return busy_ && in_doubt_; }
-  // Whether an attempt of the current write got no reply or was rejected.
-  bool has_failed_attempt() const { return busy_ && (in_doubt_ || rejected_); }
+  // Whether the current write may have been applied: an attempt is awaited or
+  // got no reply.
+  bool in_doubt() const;
+  // Whether the store rejected an attempt of the current write.
+  bool is_rejected() const { return busy_ && rejected_; }
+  // First attempt of the current or last write.
+  steady_time begun() const { return begun_; }
+  // How the store replies while a write is in flight; normal if idle().
+  store_state state() const;
+  // Time until records that are written next are acknowledged.
+  milliseconds predicted() const;
   // Offset of the first record of the last write that was written.
   std::uint64_t last_offset() const { return last_offset_; }
+  // Attempts that were sent while an earlier one was awaited.
+  std::uint64_t repeated_attempts() const { return repeated_attempts_; }
   void stop();
 
  private:
+  struct open_attempt {
+    std::uint64_t id = 0;
+    steady_time sent;
+    std::uint64_t write = 0;  // Number of the write.
+  };
+
   void attempt();
+  void attempt_at(steady_time when);
+  void on_timer();
   void finish(write_outcome outcome);
-  void on_result(const append_result& result);
+  void on_result(std::uint64_t write, const append_result& result);
+  // Handles a failed attempt of the current write.
+  void on_failure(append_status status);
+  // Drops the attempts before the one that got a reply.
+  void abandon_before(std::uint64_t attempt);
+  // Send times of the attempts that are awaited: all, or those of the current
+  // write.
+  std::vector<steady_time> open_attempts(bool of_current_write) const;
 
   store_client& store_;
   std::string topic_;
@@ -59,12 +83,19 @@
   std::function<bool()> should_retry_;
   std::function<void(write_outcome)> handler_;
   bool busy_ = false;
-  bool in_doubt_ = false;
+  bool unanswered_ = false;  // An attempt ended without a reply.
   bool rejected_ = false;
-  std::uint32_t unanswered_attempts_ = 0;
+  steady_time begun_;
+  std::uint64_t write_ = 0;          // Number of the current write.
+  std::uint32_t sent_attempts_ = 0;  // Of the current write.
+  // Awaited, in the order of sending. Late replies to earlier writes only tell
+  // how long appends take.
+  std::vector<open_attempt> open_;
+  std::uint64_t repeated_attempts_ = 0;
   std::uint64_t last_offset_ = 0;
   bool stopped_ = false;
   http::backoff backoff_{milliseconds(40), 3, 0};
+  steady_time logged_;  // When a repetition was last logged.
   std::mt19937 random_;
 };
 
--- a/src/poold/job_api.cpp
+++ b/src/poold/job_api.cpp
@@ -20,13 +20,11 @@
 // Retry-After: enough to bridge a store restart, and short relative to every
 // latency target.
 constexpr milliseconds kRetryPeriod{90};
-constexpr char kRetryAfterSeconds[] = "1";
-// A caller whose record may or may not be written gets a 504 after this time,
-// so that it can try another daemon, which may reach the store.
+constexpr std::chrono::seconds kRetryAfter{1};
+// A caller whose record may or may not be written gets a 504 after this time if
+// the store is silent, so that it can try another daemon, which may reach the
+// store.
 constexpr milliseconds kUnknownOutcomeTimeout{1000};
-// Longer than two consecutive appends of the owner to a store that is slowed
-// down by a factor of 60.
-constexpr milliseconds kOwnerWriteTimeout{900};
 // Limit for the journal read that precedes a reply about an unknown job.
 constexpr milliseconds kCurrentReadTimeout{1000};
 // Limits how long a call about a job waits while no owner serves it. Covers a
@@ -39,10 +37,12 @@
 constexpr milliseconds kDeadlineCheckInterval{50};
 constexpr char kDeadlineHeader[] = "X-Deadline-Ms";
 
-http::response retry_later(std::string_view reason) {
+http::response retry_later(std::string_view reason,
+                           std::chrono::seconds retry_after = kRetryAfter) {
   http::response reply =
       http::error_response(http::status::service_unavailable, reason);
-  reply.set(boost::beast::http::field::retry_after, kRetryAfterSeconds);
+  reply.set(boost::beast::http::field::retry_after,
+            std::to_string(retry_after.count()));
   return reply;
 }
 
@@ -353,7 +353,7 @@
 void job_api::write(std::shared_ptr<pending_write> pending) {
   milliseconds left = std::chrono::duration_cast<milliseconds>(
       pending->deadline - clock_.now());
-  owner_.write(pending->record, std::min(left, kOwnerWriteTimeout),
+  owner_.write(pending->record, left,
                [self = shared_from_this(), pending](owner_reply reply) {
                  if (self->stopped_) return;
                  if (reply == owner_reply::written) {
@@ -362,16 +362,38 @@
                  // Appends of every daemon in addition to the owner's would
                  // only slow the store further.
                  if (reply == owner_reply::unavailable) {
+                   pending->retry_after = self->owner_.retry_after();
                    return self->refuse(*pending, "the store takes no records");
                  }
-                 pending->maybe_written = reply == owner_reply::unknown;
-                 self->write_directly(pending);
+                 // The owner has the record in hand and may still write it.
+                 if (reply == owner_reply::late) {
+                   pending->maybe_written = true;
+                   return self->refuse(*pending, "the owner has not answered");
+                 }
+                 bool unknown = reply == owner_reply::unknown;
+                 pending->maybe_written |= unknown;
+                 self->write_elsewhere(pending, unknown);
                });
 }
 
+void job_api::write_elsewhere(std::shared_ptr<pending_write> pending,
+                              bool owner_ended) {
+  if (pending->deadline <= clock_.now()) {
+    return refuse(*pending, "the owner has not answered");
+  }
+  // There may be another owner already. It has read what the former one wrote.
+  if (owner_ended && !std::exchange(pending->repeated, true)) {
+    return write(std::move(pending));
+  }
+  write_directly(std::move(pending));
+}
+
 void job_api::write_directly(std::shared_ptr<pending_write> pending) {
-  // The store doesn't reply to the current append, so the next one would wait.
-  if (appender_->in_doubt()) return refuse(*pending, "the store is silent");
+  // The next append would wait for the current one for too long.
+  if (!is_acceptable(milliseconds(0))) {
+    pending->retry_after = retry_after(appender_->predicted());
+    return refuse(*pending, "the store is silent");
+  }
   queued_.push_back(std::move(pending));
   arm_timer();
   flush();
@@ -427,7 +449,26 @@
     return pending.respond(
         http::error_response(http::status::gateway_timeout, reason));
   }
-  pending.respond(retry_later(reason));
+  pending.respond(retry_later(reason, pending.retry_after));
+}
+
+bool job_api::is_acceptable(milliseconds waited) const {
+  return appender_->state() != store_state::silent &&
+         is_in_time(waited, appender_->predicted());
+}
+
+void job_api::refuse_late_writes(steady_time now) {
+  write_list queued = std::exchange(queued_, {});
+  for (std::shared_ptr<pending_write>& each : queued) {
+    milliseconds waited =
+        std::chrono::duration_cast<milliseconds>(now - each->received);
+    if (is_acceptable(std::max(waited, milliseconds(1)))) {
+      queued_.push_back(std::move(each));
+    } else {
+      each->retry_after = retry_after(appender_->predicted());
+      refuse(*each, "the store is silent");
+    }
+  }
 }
 
 void job_api::refuse_queue(std::string_view reason) {
@@ -453,10 +494,11 @@
 
 void job_api::check_deadlines() {
   steady_time now = clock_.now();
-  if (appender_->in_doubt()) refuse_queue("the store is silent");
+  refuse_late_writes(now);
+  bool silent = appender_->state() == store_state::silent;
   for (const std::shared_ptr<pending_write>& each : in_flight_) {
-    bool expired =
-        each->deadline <= now || now - each->received > kUnknownOutcomeTimeout;
+    bool expired = each->deadline <= now ||
+                   (silent && now - each->received > kUnknownOutcomeTimeout);
     if (each->answered || !expired || !appender_->in_doubt()) continue;
     each->answered = true;
     events::emit(events::id::job_refused, "journal", "",
--- a/src/poold/job_api.h
+++ b/src/poold/job_api.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -58,6 +59,8 @@
   end_fetcher fetch_end;
   query_forwarder forward;
   queue_reader not_started;
+  // How long callers should wait after the owner refused a write.
+  std::function<std::chrono::seconds()> retry_after;
 };
 
 class job_api : public std::enable_shared_from_this<job_api> {
@@ -94,6 +97,8 @@
     bool is_cancellation = false;
     bool answered = false;
     bool maybe_written = false;  // A write through the owner may have worked.
+    bool repeated = false;       // Sent to the next owner after such a write.
+    std::chrono::seconds retry_after{1};  // Told with a refusal.
   };
   using write_list = std::vector<std::shared_ptr<pending_write>>;
 
@@ -135,9 +140,12 @@
                     std::function<void()> then);
   void run_current_reads();
   // Writes through the owner, so that one append serves many callers. Falls
-  // back to an append by this daemon unless the owner has confirmed the write
-  // or reports the store as unavailable.
+  // back to an append by this daemon if no owner can be reached.
   void write(std::shared_ptr<pending_write> pending);
+  // After a write that the owner didn't serve. `owner_ended`: the owner had
+  // received it, and then its connection ended.
+  void write_elsewhere(std::shared_ptr<pending_write> pending,
+                       bool owner_ended);
   void write_directly(std::shared_ptr<pending_write> pending);
   void confirm(pending_write& pending);
   void record_latency(const pending_write& pending);
@@ -145,6 +153,10 @@
   // Replies with 503, or with 504 if the owner may have written the record.
   void refuse(pending_write& pending, std::string_view reason);
   void refuse_queue(std::string_view reason);
+  // Whether this daemon's append of a record that has waited for `waited` would
+  // be acknowledged in time.
+  bool is_acceptable(milliseconds waited) const;
+  void refuse_late_writes(steady_time now);
   void on_written(const write_list& batch, write_outcome outcome);
   void check_deadlines();
   void arm_timer();
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -14,8 +14,6 @@
 
 constexpr milliseconds kOperatorWait{600};
 constexpr milliseconds kOperatorReadInterval{250};
-// Longer than two failed reads of the journal, or one without a reply.
-constexpr milliseconds kMaxReadGap{900};
 // Without a reply from the store for this long, the daemon is not ready.
 constexpr milliseconds kStoreTimeout{2500};
 // The platform's load balancer stops sending new connections after two failed
@@ -102,6 +100,9 @@
   calls.not_started = [this](const std::string& queue) {
     return find_length(reported_queues_, queue, clock_.now());
   };
+  calls.retry_after = [this] {
+    return owner_ ? owner_->retry_after() : owner_retry_after_;
+  };
   job_api_ = std::make_shared<job_api>(context_, store_, clock_, settings_.id,
                                        table_, std::move(calls), measurements_);
   follow_directory();
@@ -160,7 +161,7 @@
   steady_time now = clock_.now();
   stop_directory();
   // After a gap in this daemon's reads, the owner timeout starts again.
-  bool resumed = now - last_journal_read_ > kMaxReadGap;
+  bool resumed = now - last_journal_read_ > max_read_gap(store_.read_delay());
   owner_seen_writing_ |= table_.owner_records != seen_owner_records_ &&
                          last_journal_read_ != steady_time();
   last_journal_read_ = now;
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -24,6 +24,7 @@
 #include "poold/job_api.h"
 #include "poold/measurements.h"
 #include "poold/owner.h"
+#include "poold/owner_writes.h"
 #include "poold/queue_length.h"
 #include "poold/settings.h"
 #include "poold/standby.h"
@@ -79,6 +80,11 @@
   // Requests a journal write from the owner, which may be this daemon.
   void write_through_owner(const jobs::record& record, milliseconds timeout,
                            std::function<void(owner_reply)> handler);
+  // What this daemon knows of the owner while it sees no records of it.
+  owner_silence silence_of_owner(steady_time now) const;
+  // Ends the writes whose time is up, and asks whether the owner is alive while
+  // a write waits.
+  void watch_owner_writes(steady_time now);
   owner_reply owner_reply_of(const http::call_result& result);
   void fetch_end(const std::string& job, std::function<void()> then);
   void forward_query(const wire::job_query& query, milliseconds timeout,
@@ -145,6 +151,12 @@
   http::server peers_;
   std::unique_ptr<http::client> advice_client_;
   std::unique_ptr<http::client> owner_link_;
+  // Apart from the writes, which may wait for a slow store.
+  std::unique_ptr<http::client> owner_probe_;
+  owner_writes owner_writes_;
+  std::chrono::seconds owner_retry_after_{1};  // Of its last refusal.
+  steady_time owner_replied_at_;               // To an announcement.
+  steady_time owner_confirmed_at_;
   std::string owner_address_;
   clock::timer tick_timer_;
   clock::timer drain_timer_;
--- a/src/poold/node_ownership.cpp
+++ b/src/poold/node_ownership.cpp
@@ -20,16 +20,13 @@
 // Other daemons claim after this long without a record of the owner. Covers
 // several heartbeats and an append to a store slowed down by a factor of 60.
 constexpr milliseconds kOwnerTimeout{1800};
-// The shorter timeout if the owner also fails to confirm its ownership.
-constexpr milliseconds kUnconfirmedOwnerTimeout{500};
+// A reply of the owner that is older doesn't count as current.
+constexpr milliseconds kOwnerReplyAge{1500};
 // Random spread of the daemons' claims, to avoid simultaneous claims.
 constexpr milliseconds kClaimSpread{150};
 // After this many claims lost the race for the end of the journal, the next one
 // omits the condition on the journal's end.
 constexpr int kMaxConditionalClaims = 2;
-// A claim gets the timeout of an append's third attempt. Its reply doesn't
-// decide who wins, but a needless further claim is one more record to read.
-constexpr std::uint32_t kClaimTimeoutDoublings = 2;
 // Number of epochs from which claims at one journal offset choose at random.
 constexpr std::uint64_t kEpochsPerOffset = 1000;
 constexpr milliseconds kAnnounceInterval{1000};
@@ -68,6 +65,7 @@
 void node::on_tick() {
   watch_clocks();
   steady_time now = clock_.now();
+  watch_owner_writes(now);
   if (owner_) return;
   // A draining daemon still passes open calls to the owner.
   if (draining_) return connect_owner();
@@ -76,6 +74,25 @@
   consider_claim(now);
 }
 
+owner_silence node::silence_of_owner(steady_time now) const {
+  owner_silence silence;
+  silence.read_delay = store_.read_delay();
+  if (has_journal()) {
+    silence.read_delay = std::max(silence.read_delay, journal_->overdue(now));
+  }
+  silence.unconfirmed = owner_unconfirmed_;
+  silence.replies = now - owner_replied_at_ < kOwnerReplyAge;
+  silence.confirmed =
+      !owner_unconfirmed_ && now - owner_confirmed_at_ < kOwnerReplyAge;
+  return silence;
+}
+
+void node::watch_owner_writes(steady_time now) {
+  owner_writes_.expire(now);
+  if (owner_ || owner_writes_.oldest(now) < kOwnerCheckAge) return;
+  if (now - announced_at_ >= kOwnerCheckAge) announce(now);
+}
+
 void node::consider_claim(steady_time now) {
   if (owner_ || draining_ || claiming_) return;
   if (!manifest_ || !has_journal()) return;
@@ -91,8 +108,11 @@
   // A newly started daemon doesn't know how old the ownership record is.
   bool unverified =
       !owner_seen_writing_ || contact_age > kUnconfirmedOwnerTimeout;
-  bool unconfirmed = reading && unverified && owner_unconfirmed_;
-  bool timed_out = reading && contact_age > kOwnerTimeout;
+  owner_silence silence = silence_of_owner(now);
+  silence.contact_age = owner_seen_writing_ ? contact_age : kOwnerTimeout;
+  bool unconfirmed = reading && unverified && is_unconfirmed(silence);
+  silence.contact_age = contact_age;
+  bool timed_out = reading && is_timed_out(silence);
   if (!unowned && !unconfirmed && !timed_out) {
     claim_after_ = steady_time();
     lost_claims_ = 0;
@@ -137,7 +157,8 @@
   record.set_epoch(claimed_epoch_);
   record.set_peer_address(settings_.peer_address);
   store_.append(request, {{jobs::kOwnerKey, record.SerializeAsString(), 0}},
-                kClaimTimeoutDoublings, [this](append_result) {
+                {0, claim_timeout(silence_of_owner(claim_sent_).read_delay)},
+                [this](append_result) {
                   // The journal decides whose claim wins. If the end has moved
                   // in the meantime, a new claim follows the next read.
                   claiming_ = false;
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -1,4 +1,6 @@
 // The peer address: calls between daemons, and the metrics.
+#include <algorithm>
+#include <cstdlib>
 #include <string>
 #include <utility>
 #include <vector>
@@ -14,7 +16,9 @@
 constexpr milliseconds kProbeTimeout{350};
 // Limits how long a caller's state query waits for the owner.
 constexpr milliseconds kEndQueryTimeout{250};
-constexpr std::size_t kOwnerConnections = 6;
+// Writes to a slow store hold a connection each; a daemon takes some 10 a
+// second.
+constexpr std::size_t kOwnerConnections = 32;
 // Between interim replies to a relayed read; below the time without progress
 // after which its sender gives up.
 constexpr milliseconds kInterimInterval{200};
@@ -27,11 +31,18 @@
   if (address == owner_address_) return;
   owner_address_ = address;
   owner_unconfirmed_ = false;
-  // Pending writes through the former owner end with an unknown outcome.
-  if (owner_link_) owner_link_->close();
+  owner_replied_at_ = {};
+  owner_confirmed_at_ = {};
+  std::unique_ptr<http::client> former_link = std::move(owner_link_);
+  std::unique_ptr<http::client> former_probe = std::move(owner_probe_);
   http::client_options options;
   options.connections = kOwnerConnections;
   owner_link_ = std::make_unique<http::client>(context_, address, options);
+  options.connections = 1;
+  owner_probe_ = std::make_unique<http::client>(context_, address, options);
+  // Pending writes through the former owner end with an unknown outcome.
+  if (former_link) former_link->close();
+  if (former_probe) former_probe->close();
 }
 
 void node::announce(steady_time now) {
@@ -50,18 +61,25 @@
   presence.set_cpu_share(settings_.cpu_share);
   presence.set_follows_journal(journal_ != nullptr);
   std::uint64_t epoch = table_.owner.record.epoch();
-  owner_link_->call(
+  owner_probe_->call(
       "announce",
       http::json_request(http::verb::post, kPresencePath,
                          http::to_compact_json(presence)),
-      kProbeTimeout, [this, epoch, now](http::call_result&& result) {
+      kProbeTimeout,
+      [this, epoch, now,
+       probe = owner_probe_.get()](http::call_result&& result) {
         announcing_ = false;
+        if (probe != owner_probe_.get()) return;
         wire::owner_status status;
         bool replied = result.has_value() &&
                        http::from_json(result->body(), &status).has_value();
         if (replied) update_relays(status);
         owner_unconfirmed_ =
             !replied || status.epoch() != epoch || !status.journal_reachable();
+        steady_time received = clock_.now();
+        if (replied && status.epoch() == epoch) owner_replied_at_ = received;
+        if (!owner_unconfirmed_) owner_confirmed_at_ = received;
+        if (!replied) owner_writes_.give_up(received);
         on_owner_status(status, !owner_unconfirmed_, now);
       });
 }
@@ -113,6 +131,11 @@
 
 owner_reply node::owner_reply_of(const http::call_result& result) {
   if (result.has_error()) {
+    // The owner may wait for a slow store. Announcements check whether it is
+    // alive.
+    bool waited = result.error().maybe_sent &&
+                  result.error().cause.code == error::code::timeout;
+    if (waited && !owner_unconfirmed_) return owner_reply::late;
     // The next announcement checks whether the owner is alive.
     owner_unconfirmed_ = true;
     return result.error().maybe_sent ? owner_reply::unknown
@@ -123,8 +146,13 @@
       return owner_reply::written;
     case http::status::conflict:
       return owner_reply::refused;
-    case http::status::service_unavailable:
+    case http::status::service_unavailable: {
+      boost::beast::string_view text =
+          (*result)[boost::beast::http::field::retry_after];
+      int seconds = std::atoi(std::string(text).c_str());
+      owner_retry_after_ = std::chrono::seconds(std::max(seconds, 1));
       return owner_reply::unavailable;
+    }
     default:
       return owner_reply::unknown;
   }
@@ -132,8 +160,15 @@
 
 void node::write_through_owner(const jobs::record& record, milliseconds timeout,
                                std::function<void(owner_reply)> handler) {
-  if (owner_) return owner_->write(record, std::move(handler));
-  if (!owner_link_ || owner_unconfirmed_) return handler(owner_reply::refused);
+  steady_time now = clock_.now();
+  if (owner_) {
+    return owner_->write(record,
+                         owner_writes_.add(now, timeout, std::move(handler)));
+  }
+  if (!owner_link_ || !uses_owner(silence_of_owner(now))) {
+    return handler(owner_reply::refused);
+  }
+  handler = owner_writes_.add(now, timeout, std::move(handler));
   wire::caller_record message;
   message.set_key(record.key);
   message.set_value(record.value);
@@ -143,8 +178,11 @@
   request.prepare_payload();
   owner_link_->call(
       "write record", std::move(request), timeout,
-      [this, handler = std::move(handler)](http::call_result&& result) {
-        handler(owner_reply_of(result));
+      [this, link = owner_link_.get(),
+       handler = std::move(handler)](http::call_result&& result) {
+        // A failure that concerns a former owner says nothing about this one.
+        bool former = link != owner_link_.get() && result.has_error();
+        handler(former ? owner_reply::unknown : owner_reply_of(result));
       });
 }
 
@@ -162,7 +200,7 @@
   if (jobs::is_repeated_submission(table_, record)) {
     return respond(http::text_response(http::status::ok, "text/plain", ""));
   }
-  owner_->write(std::move(record), [respond](owner_reply reply) {
+  owner_->write(std::move(record), [this, respond](owner_reply reply) {
     http::status code = http::status::bad_gateway;
     if (reply == owner_reply::written) {
       code = http::status::ok;
@@ -171,7 +209,12 @@
     } else if (reply == owner_reply::unavailable) {
       code = http::status::service_unavailable;
     }
-    respond(http::text_response(code, "text/plain", ""));
+    http::response message = http::text_response(code, "text/plain", "");
+    if (reply == owner_reply::unavailable && owner_) {
+      message.set(boost::beast::http::field::retry_after,
+                  std::to_string(owner_->retry_after().count()));
+    }
+    respond(std::move(message));
   });
 }
 
@@ -327,6 +370,12 @@
                has_journal() ? 1 : 0);
   append_value(&text, "ebonygrade_pool_store_calls_total", "counter",
                "Calls to the platform's store.", store_.calls());
+  append_value(&text, "ebonygrade_pool_append_ms", "gauge",
+               "Smoothed time of appends to the store, in milliseconds.",
+               static_cast<std::uint64_t>(store_.pace().smoothed.count()));
+  append_value(&text, "ebonygrade_pool_read_delay_ms", "gauge",
+               "Delay of the store's last reply to a read, in milliseconds.",
+               static_cast<std::uint64_t>(store_.read_delay().count()));
   append_value(&text, "ebonygrade_pool_jobs_known", "gauge",
                "Jobs in this daemon's copy of the journal.",
                table_.jobs.size());
@@ -358,6 +407,12 @@
   append_value(text, "ebonygrade_pool_unreadable_entries", "gauge",
                "Entries of workers that can't be used.",
                owner_->unreadable_entries());
+  append_value(text, "ebonygrade_pool_repeated_appends_total", "counter",
+               "Appends sent again while an earlier attempt was awaited.",
+               owner_->repeated_appends());
+  append_value(text, "ebonygrade_pool_refused_writes_total", "counter",
+               "Callers' records that could not be acknowledged in time.",
+               owner_->refused_writes());
   append_value(text, "ebonygrade_pool_waiting_steps", "gauge",
                "Steps with tasks that wait for a place.",
                state.waiting_steps.size());
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -41,6 +41,7 @@
   refused,      // Not written; the daemon is not the owner or is unreachable.
   unavailable,  // Not written; the store accepts no appends from the owner.
   unknown,      // May have been written.
+  late,  // As unknown, but the owner is alive: it has the record in hand.
 };
 
 class owner : public std::enable_shared_from_this<owner> {
@@ -69,6 +70,7 @@
   void release(std::function<void()> done);
 
   // Writes a caller's record in one append with the owner's own records.
+  // Replies `unavailable` at once if it can't be acknowledged in time.
   void write(jobs::record record, std::function<void(owner_reply)> handler);
   void on_change(const jobs::table& table, const jobs::change& change);
   void on_wave(const pool::maintenance_wave& wave, const jobs::table& table);
@@ -76,8 +78,15 @@
   void record_daemon(const daemon_info& daemon);
 
   daemon_registry& daemons() { return daemons_; }
-  // Whether the journal accepted a record of this owner recently.
+  // Whether the journal accepted a record of this owner recently, or the owner
+  // waits for a slow store.
   bool journal_reachable() const;
+  // How long refused callers should wait before they try again.
+  std::chrono::seconds retry_after() const;
+  std::uint64_t repeated_appends() const {
+    return journal_->repeated_attempts();
+  }
+  std::uint64_t refused_writes() const { return refused_writes_; }
   std::uint64_t epoch() const { return epoch_; }
   const pool::pool_state& state() const { return pool_; }
   // Entries of service discovery that name no worker to use.
@@ -87,6 +96,7 @@
   struct caller_write {
     jobs::record record;
     std::function<void(owner_reply)> handler;
+    steady_time arrived;
   };
 
   pool::unix_time wall_now() const;
@@ -128,9 +138,14 @@
   void apply_written(const pool::journal_batch& batch);
   // Replies to the callers whose records have not been sent.
   void fail_queued_callers(owner_reply reply);
-  // Whether the current append has failed attempts and takes longer than
-  // callers should wait.
-  bool is_stalled() const;
+  void refuse(caller_write refused);
+  // Refuses the queued records that can't be acknowledged in time.
+  void refuse_late_callers();
+  // Moves the records for the next append out of the queue, in order and up to
+  // the size of an append.
+  std::vector<caller_write> take_callers();
+  // Whether a record that has waited for `waited` can be acknowledged in time.
+  bool is_acceptable(milliseconds waited) const;
   void reply_to_callers(const std::vector<caller_write>& callers,
                         write_outcome outcome);
   jobs::record ownership_record(bool released) const;
@@ -172,6 +187,8 @@
   steady_time next_round_ = steady_time::max();
   steady_time last_flush_;
   steady_time last_write_;  // When the last append of this owner succeeded.
+  std::uint64_t refused_writes_ = 0;
+  steady_time refusal_logged_;
 };
 
 }  // namespace ebonygrade::poold
--- /dev/null
+++ b/src/poold/slow_store_test.cpp
@@ -0,0 +1,249 @@
+// Daemons and callers while the store is slow or loses replies.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "http/client.h"
+#include "poold/test_cell.h"
+
+namespace ebonygrade::poold {
+
+namespace {
+
+constexpr std::size_t kDaemons = 6;
+constexpr milliseconds kSubmitInterval{10};
+constexpr milliseconds kWarmUp{1500};
+constexpr milliseconds kCallerTimeLimit{3000};
+constexpr milliseconds kCallerTimeout{4000};
+constexpr std::size_t kCallerConnections = 200;
+constexpr standin::store_times kHealthyTimes{milliseconds(2), milliseconds(4)};
+
+struct load_result {
+  std::size_t sent = 0;
+  std::size_t accepted = 0;
+  std::size_t refused = 0;       // 503 with Retry-After.
+  std::size_t unknown = 0;       // 504, or no reply.
+  std::size_t late_replies = 0;  // After the callers' time limit.
+  std::uint64_t appends = 0;
+  std::size_t takeovers = 0;
+  std::size_t direct_writers = 0;  // Daemons that appended for callers.
+  std::size_t stored_twice = 0;
+  std::vector<std::size_t> accepted_jobs;   // Numbers.
+  std::vector<milliseconds> reply_times;    // Of accepted jobs.
+  std::vector<milliseconds> refusal_times;  // Of refused jobs.
+};
+
+std::string job_id(std::size_t number) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016zx", number + 1);
+  return text;
+}
+
+milliseconds quantile(std::vector<milliseconds> times, double share) {
+  if (times.empty()) return milliseconds(0);
+  std::sort(times.begin(), times.end());
+  return times[static_cast<std::size_t>(share *
+                                        static_cast<double>(times.size() - 1))];
+}
+
+struct loaded_cell : cell {
+  std::vector<std::unique_ptr<http::client>> callers;
+  std::size_t next_job = 0;
+  std::size_t open_calls = 0;
+
+  loaded_cell() {
+    store.set_times(kHealthyTimes);
+    // The callers' client names the daemon's address as the host.
+    std::string manifest = kManifest;
+    manifest.replace(manifest.find(kHost), std::string(kHost).size(),
+                     "127.0.0.1");
+    store.put("keyed.op", "config", manifest);
+    for (std::size_t i = 0; i < kDaemons; ++i) {
+      add_node("n" + std::to_string(i));
+    }
+    REQUIRE(wait_until([&] {
+      bool ready = std::all_of(
+          nodes.begin(), nodes.end(),
+          [](const std::unique_ptr<node>& each) { return each->is_ready(); });
+      return ready && owner_index() < nodes.size();
+    }));
+    http::client_options options;
+    options.connections = kCallerConnections;
+    for (std::size_t i = 0; i < kDaemons; ++i) {
+      callers.push_back(std::make_unique<http::client>(
+          context, caller_addresses[i], options));
+    }
+  }
+
+  std::size_t owner_index() const {
+    std::size_t i = 0;
+    while (i < nodes.size() && !nodes[i]->owns_pool()) ++i;
+    return i;
+  }
+
+  void submit_one(load_result* result) {
+    std::size_t number = next_job++;
+    http::request request{http::verb::post, "/q/" + job_id(number),
+                          http::kHttpVersion11};
+    request.set("X-Deadline-Ms", std::to_string(kCallerTimeLimit.count()));
+    request.body() = kBody;
+    request.prepare_payload();
+    steady_time sent = clock.now();
+    ++result->sent;
+    ++open_calls;
+    http::client& caller = *callers[number % kDaemons];
+    caller.call(
+        "submit", std::move(request), kCallerTimeout,
+        [this, result, sent](http::call_result&& reply) {
+          --open_calls;
+          milliseconds taken =
+              std::chrono::duration_cast<milliseconds>(clock.now() - sent);
+          if (taken > kCallerTimeLimit) ++result->late_replies;
+          if (reply.has_error()) {
+            ++result->unknown;
+          } else if (reply->result() == http::status::ok) {
+            ++result->accepted;
+            result->reply_times.push_back(taken);
+          } else if (reply->result() == http::status::service_unavailable) {
+            ++result->refused;
+            result->refusal_times.push_back(taken);
+          } else {
+            ++result->unknown;
+          }
+        });
+  }
+
+  // Submits at a steady rate for `duration`.
+  void submit_for(milliseconds duration, load_result* result) {
+    steady_time next = clock.now();
+    steady_time end = next + duration;
+    while (clock.now() < end) {
+      for (; next <= clock.now(); next += kSubmitInterval) submit_one(result);
+      context.run_one_for(next - clock.now());
+    }
+  }
+
+  void finish_calls() {
+    REQUIRE(wait_until([&] { return open_calls == 0; }));
+  }
+
+  std::size_t claims() {
+    std::set<std::uint64_t> epochs;
+    for (const standin::stored_record& each : store.records("keyed.journal")) {
+      wire::ownership_record owner;
+      if (each.key == jobs::kOwnerKey && owner.ParseFromString(each.value)) {
+        epochs.insert(owner.epoch());
+      }
+    }
+    return epochs.size();
+  }
+
+  bool is_stored(std::size_t number) {
+    const std::vector<standin::stored_record>& records =
+        store.records("keyed.journal");
+    std::string key = jobs::submission_key(job_id(number));
+    return std::any_of(
+        records.begin(), records.end(),
+        [&](const standin::stored_record& each) { return each.key == key; });
+  }
+
+  // A store that is `factor` times slower for `duration`.
+  load_result run(int factor, double lost_share, milliseconds duration) {
+    load_result before;
+    load_result result;
+    submit_for(kWarmUp, &before);
+    std::uint64_t appends = store.appends();
+    std::size_t claims_before = claims();
+    std::size_t writers_before = store.producers("keyed.journal").size();
+    store.set_times(
+        {kHealthyTimes.append * factor, kHealthyTimes.answer * factor});
+    store.lose_replies(lost_share);
+    submit_for(duration, &result);
+    result.appends = store.appends() - appends;
+    store.set_times(kHealthyTimes);
+    store.lose_replies(0);
+    submit_for(kWarmUp, &before);
+    finish_calls();
+    result.takeovers = claims() - claims_before;
+    result.direct_writers =
+        store.producers("keyed.journal").size() - writers_before;
+    std::multiset<std::string> stored;
+    for (const standin::stored_record& each : store.records("keyed.journal")) {
+      if (each.key.starts_with(jobs::submission_key(""))) {
+        stored.insert(each.key);
+      }
+    }
+    std::set<std::string> distinct(stored.begin(), stored.end());
+    result.stored_twice = stored.size() - distinct.size();
+    return result;
+  }
+};
+
+// Guards against appends that are given up before the store replies, daemons
+// that append beside the owner, and takeovers from an owner that waits.
+TEST_CASE("jobs are accepted while the store is slow") {
+  loaded_cell test;
+  load_result got = test.run(92, 0, milliseconds(2500));
+  CAPTURE(got.sent, got.accepted, got.refused, got.unknown);
+  CHECK(got.accepted * 10 >= got.sent * 9);
+  CHECK(got.late_replies == 0);
+  CHECK(got.takeovers == 0);
+  CHECK(got.direct_writers == 0);
+  CHECK(got.stored_twice == 0);
+  CHECK(got.appends <= 10);
+}
+
+// Guards against records that are stored twice, and against daemons that append
+// beside a live owner, when replies are lost.
+TEST_CASE("lost replies of a slow store lose no accepted job") {
+  loaded_cell test;
+  load_result got = test.run(30, 1.0 / 3, milliseconds(2500));
+  CAPTURE(got.sent, got.accepted, got.refused, got.unknown);
+  CHECK(got.accepted * 2 >= got.sent);
+  CHECK(got.takeovers == 0);
+  CHECK(got.direct_writers == 0);
+  CHECK(got.stored_twice == 0);
+  for (std::size_t number : got.accepted_jobs) {
+    CHECK(test.is_stored(number));
+  }
+}
+
+// Prints a row of the table in docs/design/slow-store.md.
+TEST_CASE("measure a slow store", "[.measure]") {
+  struct store_case {
+    const char* name;
+    int factor;
+    double lost_share;
+  };
+  constexpr milliseconds kDuration{5000};
+  for (const store_case& each :
+       {store_case{"x1", 1, 0}, store_case{"x10", 10, 0},
+        store_case{"x30", 30, 0}, store_case{"x92", 92, 0},
+        store_case{"x100", 100, 0}, store_case{"x1, third lost", 1, 1.0 / 3},
+        store_case{"x30, third lost", 30, 1.0 / 3},
+        store_case{"x92, third lost", 92, 1.0 / 3}}) {
+    loaded_cell test;
+    load_result got = test.run(each.factor, each.lost_share, kDuration);
+    double seconds = static_cast<double>(kDuration.count()) / 1000;
+    std::printf(
+        "| %s | %.1f of %.1f | %zu | %zu | %lld | %lld | %lld | %.3f | %zu | "
+        "%zu | %zu |\n",
+        each.name, static_cast<double>(got.accepted) / seconds,
+        static_cast<double>(got.sent) / seconds, got.refused, got.unknown,
+        static_cast<long long>(quantile(got.reply_times, 0.5).count()),
+        static_cast<long long>(quantile(got.reply_times, 0.95).count()),
+        static_cast<long long>(quantile(got.refusal_times, 0.95).count()),
+        static_cast<double>(got.appends) /
+            static_cast<double>(std::max<std::size_t>(1, got.accepted)),
+        got.takeovers, got.late_replies, got.stored_twice);
+    std::fflush(stdout);
+  }
+}
+
+}  // namespace
+
+}  // namespace ebonygrade::poold
--- a/src/poold/store_client.cpp
+++ b/src/poold/store_client.cpp
@@ -1,6 +1,7 @@
 #include "poold/store_client.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <utility>
 
 #include "events/events.h"
@@ -12,14 +13,10 @@
 
 // Four times the reply time of a store that is slowed down by a factor of 60.
 constexpr milliseconds kCallTimeout{1000};
-// An append without a reply is retried after a multiple of the smoothed append
-// time, between this minimum and kCallTimeout.
-constexpr milliseconds kMinAppendTimeout{150};
-constexpr int kAppendTimeoutFactor = 5;
-// Weight of the newest sample in the smoothed append time is 1/divisor.
-constexpr int kSmoothingDivisor = 4;
-// Added to the wait of a long poll. Limits the time without progress.
+// Added to the wait of a long poll. Limits the time without progress. It
+// doubles with each failure, as the store may be slower than that.
 constexpr milliseconds kReadTimeoutMargin{700};
+constexpr std::uint32_t kMaxReadMarginDoublings = 2;
 // Limits the time without progress while a page with the newest records loads.
 // It doubles with each failure, as the store or a shared link may be slow.
 constexpr milliseconds kNewestTimeout{1000};
@@ -37,7 +34,11 @@
 // record is returned whole.
 constexpr std::uint32_t kMaxReadKilobytes = 128;
 constexpr std::size_t kReadConnections = 6;
-constexpr std::size_t kAppendConnections = 4;
+// For appends that are relayed for other daemons.
+constexpr std::size_t kRelayedAppendConnections = 16;
+// Further attempts of appends over one route are refused. Replies that were
+// lost free their lane with the next reply.
+constexpr std::size_t kMaxLanes = 16;
 // A failed route is avoided for this long if there is another one. The failure
 // of a relay makes the direct route eligible at once, as the store may be
 // reachable again.
@@ -85,7 +86,7 @@
   made->reads.client = std::make_unique<http::client>(
       context_, address, options_with(kReadConnections));
   made->appends.client = std::make_unique<http::client>(
-      context_, address, options_with(kAppendConnections));
+      context_, address, options_with(kRelayedAppendConnections));
   return made;
 }
 
@@ -123,6 +124,40 @@
   return direct_;
 }
 
+std::shared_ptr<store_client::route> store_client::choose_other_route(
+    const std::shared_ptr<route>& first) {
+  steady_time now = clock_.now();
+  for (std::size_t i = 0; i < relays_.size(); ++i) {
+    const std::shared_ptr<route>& each =
+        relays_[(next_relay_ + i) % relays_.size()];
+    if (each != first && each->appends.retry_at <= now) return each;
+  }
+  return direct_;
+}
+
+std::shared_ptr<store_client::lane> store_client::free_lane(route& route) {
+  for (const std::shared_ptr<lane>& each : route.lanes) {
+    if (each->attempt == 0) return each;
+  }
+  if (route.lanes.size() >= kMaxLanes) return nullptr;
+  route.lanes.push_back(std::make_shared<lane>());
+  return route.lanes.back();
+}
+
+void store_client::abandon(std::uint64_t attempt) {
+  std::vector<std::shared_ptr<route>> routes = relays_;
+  routes.push_back(direct_);
+  for (const std::shared_ptr<route>& each : routes) {
+    for (const std::shared_ptr<lane>& lane : each->lanes) {
+      if (lane->attempt != attempt) continue;
+      lane->client.reset();
+      lane->attempt = 0;
+      each->appends.retry_at = clock_.now() + kRouteRetryDelay;
+      if (each != direct_) direct_->appends.retry_at = steady_time();
+    }
+  }
+}
+
 void store_client::record_result(route& route, bool appends,
                                  std::string_view step,
                                  const http::call_result& result) {
@@ -178,7 +213,7 @@
   }
   ++calls_;
   http::call_options options;
-  options.timeout = kRelayTimeout;
+  options.timeout = appends ? kAttemptTimeout : kRelayTimeout;
   if (!appends && on_progress) {
     options = read_options(kRelayTimeout, kMaxTotalReadTimeoutDoublings);
     options.on_progress = std::move(on_progress);
@@ -187,48 +222,64 @@
                             std::move(handler));
 }
 
-milliseconds store_client::append_timeout(
-    std::uint32_t unanswered_attempts) const {
-  constexpr std::uint32_t kMaxDoublings = 3;
-  milliseconds first =
-      std::max(kMinAppendTimeout, smoothed_append_time_ * kAppendTimeoutFactor);
-  return std::min(doubled(first, unanswered_attempts, kMaxDoublings),
-                  kCallTimeout);
+std::uint64_t store_client::append(const platform::append_request& request,
+                                   const std::vector<jobs::record>& records,
+                                   const append_call& options,
+                                   std::function<void(append_result)> handler) {
+  std::uint64_t attempt = ++append_attempts_;
+  std::shared_ptr<route> chosen = choose_route(true);
+  if (options.attempt % 2 == 1) chosen = choose_other_route(chosen);
+  std::shared_ptr<lane> lane = free_lane(*chosen);
+  if (!lane) {
+    boost::asio::post(context_, [attempt, handler = std::move(handler)] {
+      handler({append_status::not_applied, {}, attempt});
+    });
+    return attempt;
+  }
+  ++calls_;
+  lane->attempt = attempt;
+  if (!lane->client) {
+    lane->client = std::make_unique<http::client>(context_, chosen->address,
+                                                  options_with(1));
+  }
+  http::request message = platform::encode_append(request, records);
+  if (!chosen->path_prefix.empty()) {
+    message.target(chosen->path_prefix + std::string(message.target()));
+  }
+  steady_time sent = clock_.now();
+  lane->client->call(
+      "append", std::move(message), options.timeout,
+      [this, alive = std::weak_ptr<bool>(alive_), chosen, lane, attempt, sent,
+       handler = std::move(handler)](http::call_result&& result) {
+        if (alive.expired()) return;
+        lane->attempt = 0;
+        record_result(*chosen, true, "append", result);
+        append_result out;
+        out.attempt = attempt;
+        on_append_reply(sent, std::move(result), &out);
+        handler(std::move(out));
+      });
+  return attempt;
 }
 
-void store_client::append(const platform::append_request& request,
-                          const std::vector<jobs::record>& records,
-                          std::uint32_t unanswered_attempts,
-                          std::function<void(append_result)> handler) {
-  steady_time sent = clock_.now();
-  http::call_options options;
-  options.timeout = append_timeout(unanswered_attempts);
-  call("append", platform::encode_append(request, records), true,
-       std::move(options),
-       [this, sent, handler = std::move(handler)](http::call_result&& result) {
-         append_result out;
-         if (result.has_error()) {
-           bool may_be_applied = result.error().maybe_sent;
-           out.status = may_be_applied ? append_status::unknown
-                                       : append_status::not_applied;
-           return handler(std::move(out));
-         }
-         // A relay replies with 502 if its own call failed.
-         if (result->result() == http::status::bad_gateway) {
-           return handler(std::move(out));
-         }
-         out.reply = platform::decode_append(*result);
-         if (out.reply.outcome == platform::append_outcome::not_applied) {
-           out.status = append_status::not_applied;
-         } else if (out.reply.outcome != platform::append_outcome::unreadable) {
-           milliseconds taken =
-               std::chrono::duration_cast<milliseconds>(clock_.now() - sent);
-           smoothed_append_time_ +=
-               (taken - smoothed_append_time_) / kSmoothingDivisor;
-           out.status = append_status::replied;
-         }
-         handler(std::move(out));
-       });
+void store_client::on_append_reply(steady_time sent, http::call_result&& result,
+                                   append_result* out) {
+  if (result.has_error()) {
+    bool may_be_applied = result.error().maybe_sent;
+    out->status =
+        may_be_applied ? append_status::unknown : append_status::not_applied;
+    return;
+  }
+  // A relay replies with 502 if its own call failed.
+  if (result->result() == http::status::bad_gateway) return;
+  out->reply = platform::decode_append(*result);
+  if (out->reply.outcome == platform::append_outcome::not_applied) {
+    out->status = append_status::not_applied;
+  } else if (out->reply.outcome != platform::append_outcome::unreadable) {
+    observe_append(
+        std::chrono::duration_cast<milliseconds>(clock_.now() - sent), &pace_);
+    out->status = append_status::replied;
+  }
 }
 
 void store_client::read(
@@ -236,9 +287,17 @@
     std::uint32_t failed_attempts,
     std::function<void(error::result<platform::read_reply>)> handler) {
   call("read log", platform::encode_read(topic, from, wait, kMaxReadKilobytes),
-       false, read_options(wait + kReadTimeoutMargin, failed_attempts),
-       [from, handler = std::move(handler)](http::call_result&& result) {
+       false,
+       read_options(wait + doubled(kReadTimeoutMargin, failed_attempts,
+                                   kMaxReadMarginDoublings),
+                    failed_attempts),
+       [this, sent = clock_.now(), wait, from,
+        handler = std::move(handler)](http::call_result&& result) {
          if (result.has_error()) return handler(result.error().cause);
+         observe_read(
+             wait,
+             std::chrono::duration_cast<milliseconds>(clock_.now() - sent),
+             &read_delay_);
          handler(platform::decode_read(*result, from));
        });
 }
--- a/src/poold/store_client.h
+++ b/src/poold/store_client.h
@@ -3,8 +3,9 @@
 //
 // The store may reject calls of this daemon while it serves others. Calls then
 // go through another daemon, which relays them unchanged. An append without a
-// reply may be retried over another route, as the store identifies an append by
-// its producer and sequence number.
+// reply may be repeated over another connection or route while the first
+// attempt is still awaited, as the store identifies an append by its producer
+// and sequence number.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -19,6 +20,7 @@
 #include "error/error.h"
 #include "http/client.h"
 #include "platform/store.h"
+#include "poold/append_pacing.h"
 
 namespace ebonygrade::poold {
 
@@ -34,6 +36,12 @@
 struct append_result {
   append_status status = append_status::unknown;
   platform::append_reply reply;
+  std::uint64_t attempt = 0;  // As returned by append().
+};
+
+struct append_call {
+  std::uint32_t attempt = 0;  // 0: the first attempt of this append.
+  milliseconds timeout = kAttemptTimeout;
 };
 
 class store_client {
@@ -41,12 +49,16 @@
   store_client(boost::asio::io_context& context, const std::string& address,
                const clock::clock& clock);
 
-  // `unanswered_attempts` earlier attempts of this append got no reply; each
-  // doubles the timeout, up to a limit.
-  void append(const platform::append_request& request,
-              const std::vector<jobs::record>& records,
-              std::uint32_t unanswered_attempts,
-              std::function<void(append_result)> handler);
+  // Sends one attempt on a connection of its own, as one on which a reply was
+  // lost returns nothing further. Every second attempt takes another route than
+  // the first if there is one. Returns a number that identifies the attempt.
+  std::uint64_t append(const platform::append_request& request,
+                       const std::vector<jobs::record>& records,
+                       const append_call& options,
+                       std::function<void(append_result)> handler);
+  // Drops an attempt whose reply must be lost, as a later one got its reply.
+  // The handler isn't called. Avoids the attempt's route for a while.
+  void abandon(std::uint64_t attempt);
   // Long poll: waits up to `wait` for a record at offset `from`. A reply that
   // makes progress is not broken off before a total time limit, which doubles
   // with each of `failed_attempts`, up to a limit.
@@ -72,6 +84,11 @@
   // Time of the last reply that was not a rejection.
   steady_time last_reply() const { return last_reply_; }
   std::uint64_t calls() const { return calls_; }
+  // Round trips of appends, replies to earlier writes included.
+  const append_pace& pace() const { return pace_; }
+  // How much later than asked for the store replies to reads. 0 if on time.
+  milliseconds read_delay() const { return read_delay_; }
+  steady_time now() const { return clock_.now(); }
   // Shortest round trip of a call that is not a long poll; empty before the
   // first reply.
   std::optional<milliseconds> min_round_trip() const { return min_round_trip_; }
@@ -84,26 +101,37 @@
     std::unique_ptr<http::client> client;
     steady_time retry_at;
   };
+  // Connection for one attempt of an append.
+  struct lane {
+    std::unique_ptr<http::client> client;
+    std::uint64_t attempt = 0;  // 0: free.
+  };
   // A direct or relayed route to the store.
   struct route {
     // Path prefix at the relay; empty for the direct route.
     std::string path_prefix;
     std::string address;
     route_client reads;
-    route_client appends;
+    route_client appends;  // Its client serves relayed appends only.
+    std::vector<std::shared_ptr<lane>> lanes;
   };
   static route_client& client_for(route& route, bool appends);
 
   std::shared_ptr<route> make_route(const std::string& address,
                                     const std::string& path_prefix);
   std::shared_ptr<route> choose_route(bool appends);
+  // The route of a repetition: not `first` if there is another one.
+  std::shared_ptr<route> choose_other_route(
+      const std::shared_ptr<route>& first);
+  std::shared_ptr<lane> free_lane(route& route);
+  void on_append_reply(steady_time sent, http::call_result&& result,
+                       append_result* out);
   void call(std::string_view step, http::request&& request, bool appends,
             http::call_options options,
             std::function<void(http::call_result&&)> handler);
   // Updates the health of the route with the result of a call.
   void record_result(route& route, bool appends, std::string_view step,
                      const http::call_result& result);
-  milliseconds append_timeout(std::uint32_t unanswered_attempts) const;
 
   boost::asio::io_context& context_;
   const clock::clock& clock_;
@@ -112,7 +140,9 @@
   std::size_t next_relay_ = 0;
   steady_time last_reply_;
   std::optional<milliseconds> min_round_trip_;
-  milliseconds smoothed_append_time_{20};  // Round trip of appends.
+  append_pace pace_;
+  milliseconds read_delay_{0};
+  std::uint64_t append_attempts_ = 0;
   bool unreachable_ = false;
   std::uint64_t calls_ = 0;
   // Expires with this object; later replies are dropped.
--- a/src/poold/topic_follower.cpp
+++ b/src/poold/topic_follower.cpp
@@ -113,14 +113,23 @@
       cause.detail);
 }
 
+milliseconds topic_follower::overdue(steady_time now) const {
+  if (!read_sent_) return milliseconds(0);
+  milliseconds age =
+      std::chrono::duration_cast<milliseconds>(now - *read_sent_);
+  return std::max(age - options_.max_wait, milliseconds(0));
+}
+
 void topic_follower::read() {
   if (stopped_) return;
   steady_time sent = clock_.now();
+  read_sent_ = sent;
   store_.read(
       options_.topic, next_, options_.max_wait, backoff_.failures,
       [self = shared_from_this(),
        sent](error::result<platform::read_reply> reply) {
         if (self->stopped_) return;
+        self->read_sent_.reset();
         if (reply.has_error()) {
           self->emit_failure("read", sent, reply.error());
           return self->schedule(next_delay(self->backoff_, self->random_),
--- a/src/poold/topic_follower.h
+++ b/src/poold/topic_follower.h
@@ -56,6 +56,8 @@
   // Send time of the last call that showed the end of the topic: a read that
   // reached it, an append of this daemon there, or the first page of a load.
   steady_time current_as_of() const { return current_as_of_; }
+  // How much longer than asked for the read in flight takes; 0 without one.
+  milliseconds overdue(steady_time now) const;
 
  private:
   // Loads the next page after those in pages_.
@@ -82,6 +84,7 @@
   bool stopped_ = false;
   bool scheduled_ = false;
   steady_time current_as_of_;
+  std::optional<steady_time> read_sent_;  // Of the read in flight.
   http::backoff backoff_{milliseconds(100), 2, 0};
   std::mt19937 random_;
 };
--- a/standin/pool/keyed_store.cpp
+++ b/standin/pool/keyed_store.cpp
@@ -1,5 +1,6 @@
 #include "standin/pool/keyed_store.h"
 
+#include <algorithm>
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/endian/conversion.hpp>
 #include <optional>
@@ -17,6 +18,7 @@
 constexpr std::size_t kMaxBodyBytes = 4 << 20;
 constexpr std::size_t kMaxRememberedAppends = 5;
 constexpr std::size_t kMaxNewestItems = 500;
+constexpr std::chrono::milliseconds kMaxWaitingWork{2000};
 
 http::server_options make_server_options() {
   http::server_options options;
@@ -150,19 +152,56 @@
   }
   const std::string& call = target->segments.front();
   if (call == "log-read") return read(*target, std::move(answer));
-  if (call == "log-newest") return answer(newest(*target));
-  if (call != "log-append") return answer(json_reply(404, "{}"));
+  if (call == "log-newest") return reply(answer, newest(*target));
+  if (call != "log-append") return reply(answer, json_reply(404, "{}"));
+  if (times_.append.count() == 0) {
+    return run_append(*target, request.body(), std::move(answer));
+  }
+  topic& into = topics_[http::query_value(*target, "topic").value_or("")];
+  clock::steady_time now = clock::boot_clock::now();
+  if (into.busy_until - now > kMaxWaitingWork) {
+    return reply(answer, json_reply(503, "{}"));
+  }
+  into.busy_until = std::max(into.busy_until, now) + times_.append;
+  run_after(into.busy_until - now,
+            [this, target = *target, body = request.body(),
+             answer = std::move(answer)] { run_append(target, body, answer); });
+}
+
+void keyed_store::run_append(const http::target_parts& target,
+                             const std::string& body, http::responder answer) {
   bool conflicts = !conflict_topic_.empty() &&
-                   http::query_value(*target, "topic") == conflict_topic_ &&
-                   http::query_value(*target, "at").has_value();
+                   http::query_value(target, "topic") == conflict_topic_ &&
+                   http::query_value(target, "at").has_value();
   if (conflicts) put(conflict_topic_, "c0000000000000000", "");
-  http::response reply = append(*target, request.body());
+  http::response message = append(target, body);
   if (replies_to_drop_ > 0) {
     --replies_to_drop_;
-    // The connection stays open, but no reply is sent.
     return answer.drop();
   }
-  answer(std::move(reply));
+  if (std::uniform_real_distribution<double>(0, 1)(random_) < lost_share_) {
+    return lost_replies_.push_back(std::move(answer));
+  }
+  reply(answer, std::move(message));
+}
+
+void keyed_store::run_after(std::chrono::nanoseconds delay,
+                            std::function<void()> step) {
+  std::shared_ptr<clock::timer> timer =
+      std::make_shared<clock::timer>(context_);
+  timer->expires_after(std::chrono::ceil<clock::milliseconds>(delay));
+  timer->async_wait(
+      [timer, step = std::move(step)](boost::system::error_code cancelled) {
+        if (!cancelled) step();
+      });
+}
+
+void keyed_store::reply(const http::responder& answer,
+                        http::response&& message) {
+  if (times_.answer.count() == 0) return answer(std::move(message));
+  std::shared_ptr<http::response> kept =
+      std::make_shared<http::response>(std::move(message));
+  run_after(times_.answer, [answer, kept] { answer(std::move(*kept)); });
 }
 
 http::response keyed_store::append(const http::target_parts& target,
@@ -268,22 +307,24 @@
   topic& from = topics_[name];
   std::uint64_t offset = query_number(target, "from");
   if (offset < from.first_offset) {
-    return answer(json_reply(
-        410, R"({"first":)" + std::to_string(from.first_offset) + "}"));
+    return reply(answer,
+                 json_reply(410, R"({"first":)" +
+                                     std::to_string(from.first_offset) + "}"));
   }
   std::uint64_t wait = query_number(target, "waitMs");
   if (offset < from.records.size() || wait == 0) {
-    return answer(make_read_reply(from, offset));
+    return reply(answer, make_read_reply(from, offset));
   }
   std::shared_ptr<waiting_read> waiting = std::make_shared<waiting_read>(
       waiting_read{name, offset, std::move(answer),
                    std::make_unique<clock::timer>(context_), false});
   waiting->timer->expires_after(std::chrono::milliseconds(wait));
-  waiting->timer->async_wait([this,
-                              waiting](boost::system::error_code cancelled) {
-    if (cancelled || std::exchange(waiting->answered, true)) return;
-    waiting->answer(make_read_reply(topics_[waiting->topic], waiting->from));
-  });
+  waiting->timer->async_wait(
+      [this, waiting](boost::system::error_code cancelled) {
+        if (cancelled || std::exchange(waiting->answered, true)) return;
+        reply(waiting->answer,
+              make_read_reply(topics_[waiting->topic], waiting->from));
+      });
   waiting_reads_.push_back(std::move(waiting));
 }
 
@@ -298,7 +339,7 @@
     }
     each->answered = true;
     each->timer->cancel();
-    each->answer(make_read_reply(from, each->from));
+    reply(each->answer, make_read_reply(from, each->from));
   }
   waiting_reads_ = std::move(still_waiting);
 }
--- a/standin/pool/keyed_store.h
+++ b/standin/pool/keyed_store.h
@@ -4,14 +4,20 @@
 //
 // Injected faults: set_unavailable() answers every call with 503,
 // drop_replies() applies calls without a reply, and compact() drops all but
-// the newest record of each key.
+// the newest record of each key. A store with set_times() applies the appends
+// to a topic one after the other and delays its replies; with lose_replies() a
+// share of the replies to appends never arrives, on a connection that stays
+// open.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -28,6 +34,12 @@
   std::string raw;  // As appended, without the length prefix.
 };
 
+// How long the store takes. Appends beyond 2 s of waiting work get 503.
+struct store_times {
+  std::chrono::milliseconds append{0};  // For each append; one at a time.
+  std::chrono::milliseconds answer{0};  // Before each reply.
+};
+
 class keyed_store {
  public:
   explicit keyed_store(boost::asio::io_context& context);
@@ -38,6 +50,9 @@
   void put(const std::string& topic, const std::string& key,
            const std::string& value);
   void set_unavailable(bool unavailable) { unavailable_ = unavailable; }
+  void set_times(const store_times& times) { times_ = times; }
+  // Loses this share (0 to 1) of the replies to appends, from a fixed seed.
+  void lose_replies(double share) { lost_share_ = share; }
   void drop_replies(int count) { replies_to_drop_ = count; }
   int replies_to_drop() const { return replies_to_drop_; }
   // Leaves all reads of the topic without a reply, those that wait included.
@@ -66,6 +81,7 @@
     std::uint64_t first_offset = 0;
     std::uint64_t reads_with_records = 0;
     std::map<std::string, producer_state> producers;
+    clock::steady_time busy_until;  // End of the waiting appends.
   };
   struct waiting_read {
     std::string topic;
@@ -76,8 +92,13 @@
   };
 
   void handle(http::request&& request, http::responder answer);
+  void run_append(const http::target_parts& target, const std::string& body,
+                  http::responder answer);
   http::response append(const http::target_parts& target,
                         const std::string& body);
+  // Sends the reply after the time for an answer.
+  void reply(const http::responder& answer, http::response&& message);
+  void run_after(std::chrono::nanoseconds delay, std::function<void()> step);
   http::response append_records(topic* into, const http::target_parts& target,
                                 const std::vector<stored_record>& records);
   http::response newest(const http::target_parts& target);
@@ -92,10 +113,14 @@
   std::map<std::string, std::set<std::string>> producers_;  // By topic.
   std::vector<std::shared_ptr<waiting_read>> waiting_reads_;
   bool unavailable_ = false;
+  store_times times_;
+  double lost_share_ = 0;
+  std::mt19937 random_{1};
   int replies_to_drop_ = 0;
   std::string blocked_topic_;
   std::string conflict_topic_;
   std::vector<http::responder> blocked_reads_;
+  std::vector<http::responder> lost_replies_;  // Their connections stay open.
   std::uint64_t appends_ = 0;
 };
 
