--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -73,6 +73,7 @@
   worker_entry_unreadable = 853,
   key_refused = 861,
   tenant_held = 862,
+  append_delayed = 864,
 };
 
 struct definition {
@@ -233,6 +234,10 @@
                "none"},
     definition{id::tenant_held, "tenant_held", level::info,
                "A tenant's quota begins or ends to hold work back.", "none"},
+    definition{id::append_delayed, "append_delayed", level::warning,
+               "The store is slow or silent; an append was sent again, or "
+               "callers are refused.",
+               "none"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
