Hand the pool over from a slow owner; repeat late advice requests

Cause: an owner on a machine 7 times slower stayed in charge until the slowness ended, and requests to daemons that were cut off each waited 1.5 s beyond their expected reply.

Change: daemons measure their machine's pace at each tick and announce it. Channels of advice requests that are late by their own history get no requests until they answer, and a late request is sent once more. docs/design/slow-owner.md

--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -71,6 +71,8 @@
   task_cleared = 851,
   job_given_up = 852,
   worker_entry_unreadable = 853,
+  pool_handed_over = 865,
+  machine_slow = 866,
 };
 
 struct definition {
@@ -226,6 +228,12 @@
                level::warning,
                "An entry among those of the workers names no worker to use.",
                "worker"},
+    definition{
+        id::pool_handed_over, "pool_handed_over", level::warning,
+        "The owner's machine is slow; it releases the pool to a standby.",
+        "daemon"},
+    definition{id::machine_slow, "machine_slow", level::warning,
+               "The daemon's machine has become slow, or fast again.", "none"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/poold/advice_dispatcher.cpp
+++ b/src/poold/advice_dispatcher.cpp
@@ -1,6 +1,5 @@
 #include "poold/advice_dispatcher.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "platform/advice.h"
@@ -10,9 +9,6 @@
 
 namespace {
 
-// Three missed announcements. The announcement interval is 1 s.
-constexpr milliseconds kAnnouncementTimeout{3200};
-constexpr milliseconds kRetryDelay{2000};
 constexpr milliseconds kReplyTimeoutMargin{1500};
 // The limit of outstanding requests per channel.
 constexpr std::size_t kConnections = 3;
@@ -28,104 +24,104 @@
 advice_dispatcher::advice_dispatcher(boost::asio::io_context& context,
                                      const clock::clock& clock,
                                      const std::string& service_address)
-    : context_(context), clock_(clock) {
-  if (service_address.empty()) return;
-  std::shared_ptr<advice_channel> local = std::make_shared<advice_channel>();
-  local->client = std::make_unique<http::client>(context, service_address,
-                                                 channel_options());
-  local->local = true;
-  channels_[""] = std::move(local);
+    : context_(context), clock_(clock), timer_(context) {
+  if (!service_address.empty()) add_connection(true, service_address, "");
+}
+
+std::size_t advice_dispatcher::add_connection(bool local,
+                                              const std::string& address,
+                                              const std::string& target) {
+  std::size_t channel = add_channel(&plan_, clock_.now(), local);
+  connections_.resize(plan_.channels.size());
+  connections_[channel] = {
+      std::make_unique<http::client>(context_, address, channel_options()),
+      target};
+  return channel;
 }
 
 void advice_dispatcher::record_daemon(const std::string& daemon,
                                       const std::string& peer_address) {
-  std::shared_ptr<advice_channel>& known = channels_[daemon];
-  if (!known || known->address != peer_address) {
-    known = std::make_shared<advice_channel>();
-    known->client = std::make_unique<http::client>(context_, peer_address,
-                                                   channel_options());
-    known->address = peer_address;
-    known->target = kAdvicePath;
+  steady_time now = clock_.now();
+  std::map<std::string, known_daemon>::iterator known = daemons_.find(daemon);
+  if (known != daemons_.end() && known->second.address == peer_address) {
+    observe_contact(&plan_, known->second.channel, now);
+    return dispatch();
   }
-  known->last_contact = clock_.now();
+  // The daemon has restarted; the replies to earlier requests may still come.
+  if (known != daemons_.end()) {
+    plan_.channels[known->second.channel].removed = true;
+  }
+  daemons_[daemon] = {peer_address,
+                      add_connection(false, peer_address, kAdvicePath)};
   dispatch();
 }
 
-bool advice_dispatcher::is_available(const advice_channel& channel,
-                                     steady_time now) const {
-  if (channel.retry_at > now) return false;
-  return channel.local || now - channel.last_contact <= kAnnouncementTimeout;
-}
-
 std::size_t advice_dispatcher::available_daemons() const {
-  steady_time now = clock_.now();
-  return static_cast<std::size_t>(std::count_if(
-      channels_.begin(), channels_.end(),
-      [&](const std::pair<const std::string, std::shared_ptr<advice_channel>>&
-              each) { return is_available(*each.second, now); }));
-}
-
-std::shared_ptr<advice_dispatcher::advice_channel> advice_dispatcher::choose(
-    const pool::advice_request& request, steady_time now) const {
-  std::vector<std::shared_ptr<advice_channel>> daemons;
-  std::vector<channel_load> loads;
-  for (const std::pair<const std::string, std::shared_ptr<advice_channel>>&
-           each : channels_) {
-    daemons.push_back(each.second);
-    loads.push_back(each.second->load);
-    loads.back().available = is_available(*each.second, now);
-  }
-  channel_choice choice = choose_channel(loads, request.expected, now);
-  return choice.found ? daemons[choice.index] : nullptr;
+  return available_channels(plan_, clock_.now());
 }
 
 void advice_dispatcher::submit(const pool::advice_request& request,
                                handler handler) {
-  waiting_.emplace(request.priority,
-                   pending_request{request, std::move(handler)});
+  std::uint64_t id = add_request(&plan_, request.priority, request.expected);
+  pending_.emplace(id, pending_request{request, std::move(handler)});
   dispatch();
 }
 
 void advice_dispatcher::dispatch() {
-  steady_time now = clock_.now();
-  std::multimap<std::uint32_t, pending_request>::iterator each =
-      waiting_.begin();
-  while (each != waiting_.end()) {
-    std::shared_ptr<advice_channel> chosen = choose(each->second.request, now);
-    if (!chosen) {
-      // A later, shorter request may still find a channel.
-      ++each;
-      continue;
-    }
-    pending_request next = std::move(each->second);
-    each = waiting_.erase(each);
-    send(std::move(chosen), std::move(next), now);
+  for (const advice_attempt& each : plan_attempts(&plan_, clock_.now())) {
+    send(each);
   }
+  arm_timer();
+}
+
+void advice_dispatcher::arm_timer() {
+  std::optional<steady_time> next = next_check(plan_, clock_.now());
+  if (next == timer_at_) return;
+  timer_at_ = next;
+  timer_.cancel();
+  if (!next) return;
+  timer_.expires_at(*next);
+  timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](
+                        boost::system::error_code failed) {
+    if (failed || alive.expired()) return;
+    timer_at_.reset();
+    dispatch();
+  });
 }
 
-void advice_dispatcher::send(std::shared_ptr<advice_channel> chosen,
-                             pending_request pending, steady_time now) {
-  milliseconds expected = pending.request.expected;
-  record_request(&chosen->load, expected, now);
-  steady_time due = chosen->load.idle_at;
-  http::request message = platform::encode_advice(pending.request);
-  if (!chosen->local) message.target(chosen->target);
+void advice_dispatcher::send(const advice_attempt& attempt) {
+  const connection& by = connections_[attempt.channel];
+  http::request message =
+      platform::encode_advice(pending_.at(attempt.request).request);
+  if (!by.target.empty()) message.target(by.target);
   milliseconds timeout =
-      std::chrono::duration_cast<milliseconds>(due - now) + kReplyTimeoutMargin;
-  http::client& client = *chosen->client;
-  client.call("advise", std::move(message), timeout,
-              [this, alive = std::weak_ptr<bool>(alive_), chosen, expected, due,
-               handle = std::move(pending.handle)](http::call_result&& result) {
-                if (alive.expired()) return;
-                record_reply(&chosen->load, expected, due, clock_.now());
-                std::optional<std::vector<pool::ticket>> tickets;
-                if (result.has_value()) {
-                  tickets = platform::decode_advice(*result);
-                }
-                if (!tickets) chosen->retry_at = clock_.now() + kRetryDelay;
-                handle(std::move(tickets));
-                dispatch();
-              });
+      std::chrono::duration_cast<milliseconds>(attempt.due - clock_.now()) +
+      kReplyTimeoutMargin;
+  by.client->call("advise", std::move(message), timeout,
+                  [this, alive = std::weak_ptr<bool>(alive_),
+                   attempt](http::call_result&& result) {
+                    if (alive.expired()) return;
+                    on_reply(attempt, result.has_value()
+                                          ? platform::decode_advice(*result)
+                                          : std::nullopt);
+                  });
+}
+
+void advice_dispatcher::on_reply(
+    const advice_attempt& attempt,
+    std::optional<std::vector<pool::ticket>> tickets) {
+  request_state state =
+      observe_reply(&plan_, attempt, tickets.has_value(), clock_.now());
+  if (state == request_state::done || state == request_state::failed) {
+    std::map<std::uint64_t, pending_request>::iterator ended =
+        pending_.find(attempt.request);
+    handler handle = std::move(ended->second.handle);
+    pending_.erase(ended);
+    std::weak_ptr<bool> alive = alive_;
+    handle(std::move(tickets));
+    if (alive.expired()) return;
+  }
+  dispatch();
 }
 
 }  // namespace ebonygrade::poold
--- a/src/poold/advice_dispatcher.h
+++ b/src/poold/advice_dispatcher.h
@@ -1,7 +1,8 @@
 // Distributes advice requests over the daemons. The advice service handles one
 // call at a time per calling VM, so each daemon is a separate queue.
 //
-// Requests wait here in priority order until a daemon can send them.
+// Requests wait here in priority order until a daemon can send them. A late one
+// is sent a second time by another daemon (src/poold/advice_plan).
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -11,13 +12,13 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "clock/clock.h"
+#include "clock/timer.h"
 #include "http/client.h"
 #include "pool/pool.h"
-#include "poold/advice_channel.h"
+#include "poold/advice_plan.h"
 
 namespace ebonygrade::poold {
 
@@ -36,38 +37,43 @@
                      const std::string& peer_address);
   // Number of daemons that may send a request now, this one included.
   std::size_t available_daemons() const;
-  // The handler gets no value if there was no usable reply. It may be called
-  // before this function returns.
+  // The handler is called once; it gets no value if there was no usable reply.
   void submit(const pool::advice_request& request, handler handler);
+  // Requests that were sent a second time.
+  std::uint64_t repeated() const { return plan_.repeated; }
 
  private:
-  struct advice_channel {
+  // Connection of a channel of the plan, with the same index.
+  struct connection {
     std::unique_ptr<http::client> client;
-    std::string address;
-    std::string target;  // Path of the relay route; unused for `local`.
-    bool local = false;
-    steady_time last_contact;
-    steady_time retry_at;
-    channel_load load;
+    std::string target;  // Path of the relay route; empty for this daemon.
   };
   struct pending_request {
     pool::advice_request request;
     handler handle;
   };
 
-  bool is_available(const advice_channel& channel, steady_time now) const;
-  // Null if no channel may take the request now.
-  std::shared_ptr<advice_channel> choose(const pool::advice_request& request,
-                                         steady_time now) const;
+  // Returns the index of the channel.
+  std::size_t add_connection(bool local, const std::string& address,
+                             const std::string& target);
   void dispatch();
-  void send(std::shared_ptr<advice_channel> chosen, pending_request pending,
-            steady_time now);
+  void arm_timer();
+  void send(const advice_attempt& attempt);
+  void on_reply(const advice_attempt& attempt,
+                std::optional<std::vector<pool::ticket>> tickets);
 
   boost::asio::io_context& context_;
   const clock::clock& clock_;
-  std::map<std::string, std::shared_ptr<advice_channel>> channels_;
-  // By priority, then in order of arrival.
-  std::multimap<std::uint32_t, pending_request> waiting_;
+  advice_plan plan_;
+  std::vector<connection> connections_;
+  struct known_daemon {
+    std::string address;
+    std::size_t channel = 0;
+  };
+  std::map<std::string, known_daemon> daemons_;
+  std::map<std::uint64_t, pending_request> pending_;  // By number.
+  clock::timer timer_;
+  std::optional<steady_time> timer_at_;
   // Expires with this object; later replies are dropped.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/poold/claim_delay.cpp
+++ b/src/poold/claim_delay.cpp
@@ -14,15 +14,19 @@
 // Daemons with a small CPU share claim last: the delay lets the others lose two
 // claims to a growing journal and still be first.
 constexpr milliseconds kLowCpuDelay{1000};
+// Slow daemons claim after those with a small CPU share: those are slow for the
+// largest pools only.
+constexpr milliseconds kSlowDelay{1500};
 
 }  // namespace
 
 milliseconds claim_delay(std::optional<milliseconds> min_round_trip,
-                         double cpu_share) {
+                         double cpu_share, bool slow) {
   milliseconds delay =
       std::min(min_round_trip.value_or(milliseconds(0)) * kRoundTripFactor,
                kMaxRoundTripDelay);
   if (cpu_share < kMinOwnerCpuShare) delay += kLowCpuDelay;
+  if (slow) delay += kSlowDelay;
   return delay;
 }
 
--- a/src/poold/claim_delay.h
+++ b/src/poold/claim_delay.h
@@ -15,8 +15,9 @@
 inline constexpr double kMinOwnerCpuShare = 0.2;
 
 // `min_round_trip` is the shortest round trip to the store, if measured;
-// `cpu_share` is the fraction of a core that the VM gives to the daemon.
+// `cpu_share` is the fraction of a core that the VM gives to the daemon; `slow`
+// tells whether its machine is slow at present (src/poold/handover.h).
 milliseconds claim_delay(std::optional<milliseconds> min_round_trip,
-                         double cpu_share);
+                         double cpu_share, bool slow = false);
 
 }  // namespace ebonygrade::poold
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -169,7 +169,9 @@
     last_owner_contact_ = now;
   }
   check_claim();
-  if (claim_after_read_ && !claiming_) {
+  // A released pool is claimed without waiting for the next tick.
+  bool released = table_.owner.record.released();
+  if ((claim_after_read_ || released) && !claiming_) {
     claim_after_read_ = false;
     consider_claim(now);
     if (claim_after_read_) send_claim();
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -21,7 +21,9 @@
 #include "http/server.h"
 #include "jobs/job_table.h"
 #include "poold/clock_watch.h"
+#include "poold/handover.h"
 #include "poold/job_api.h"
+#include "poold/machine_pace.h"
 #include "poold/measurements.h"
 #include "poold/owner.h"
 #include "poold/queue_length.h"
@@ -48,6 +50,11 @@
   bool owns_pool() const { return owner_ != nullptr; }
   // Whether this daemon follows the journal, as the owner or a standby.
   bool follows_journal() const { return journal_ != nullptr; }
+  // For tests: replaces the timed computation that tells how slow the machine
+  // is.
+  void set_pace_probe(std::function<nanoseconds()> probe) {
+    pace_probe_ = std::move(probe);
+  }
 
  private:
   // Between two reads of the journal. Each read is a billed call to the store;
@@ -94,6 +101,18 @@
   void apply_wave(const jobs::record& record);
   // Logs a pause of this daemon and steps of the time of day.
   void watch_clocks();
+  // Measures how slow the machine is; logs a change of the judgement.
+  void watch_pace(steady_time now);
+  // As the owner: releases the pool if the machine is slow and a fit standby
+  // can claim it.
+  void consider_handover(steady_time now);
+  void notify_successor(const daemon_info& successor, std::uint64_t epoch);
+  void handle_handover(const http::request& request,
+                       const http::responder& respond);
+  // Whether the last owner has released the pool for this daemon.
+  bool is_offered() const;
+  // Delay of a claim from the time when the pool has no owner.
+  milliseconds claim_wait(steady_time now);
   void on_tick();
   void arm_tick();
   void consider_claim(steady_time now);
@@ -146,6 +165,7 @@
   std::unique_ptr<http::client> advice_client_;
   std::unique_ptr<http::client> owner_link_;
   std::string owner_address_;
+  std::unique_ptr<http::client> successor_link_;  // After a handover.
   clock::timer tick_timer_;
   clock::timer drain_timer_;
   steady_time last_owner_contact_;
@@ -174,6 +194,12 @@
   std::uint64_t pauses_ = 0;
   milliseconds suspended_{0};  // During the pauses.
   std::uint64_t time_of_day_steps_ = 0;
+  machine_pace pace_;
+  slow_machine machine_;
+  std::function<nanoseconds()> pace_probe_;  // Empty: the computation.
+  steady_time owned_since_;                  // As the owner.
+  // Epoch that a former owner released for this daemon to claim; 0: none.
+  std::uint64_t offered_epoch_ = 0;
   std::mt19937 random_;
 };
 
--- /dev/null
+++ b/src/poold/node_handover.cpp
@@ -0,0 +1,111 @@
+// Handover of the pool by an owner on a slow machine. docs/design/slow-owner.md
+#include <string>
+#include <utility>
+
+#include "events/events.h"
+#include "poold/node.h"
+#include "poold/peer_paths.h"
+
+namespace ebonygrade::poold {
+
+namespace {
+
+// Random spread of the daemons' claims, to avoid simultaneous claims.
+constexpr milliseconds kClaimSpread{150};
+// The notice only saves the successor's next read of the journal.
+constexpr milliseconds kNoticeTimeout{500};
+
+}  // namespace
+
+void node::watch_pace(steady_time now) {
+  observe_computation(&pace_,
+                      pace_probe_ ? pace_probe_() : time_computation(clock_));
+  observe_rounds(&pace_, owner_ ? owner_->round_time() : work_time{}, now);
+  double slowdown = slowdown_of(pace_, settings_.cpu_share, now);
+  if (!observe_slowdown(&machine_, slowdown, now)) return;
+  events::emit(events::id::machine_slow, "tick", "",
+               "slow={} slowdown={:.1f} owner={}", machine_.slow ? 1 : 0,
+               slowdown, owner_ ? 1 : 0);
+}
+
+void node::consider_handover(steady_time now) {
+  bool may = machine_.slow_since != steady_time() && !draining_ &&
+             !owner_->is_releasing();
+  if (!may) return;
+  std::optional<daemon_info> successor = choose_successor(
+      machine_,
+      {owned_since_, owner_->journal_reachable(), settings_.zone,
+       settings_.region, owner_->daemons().announced()},
+      now);
+  if (!successor) return;
+  record_handover(&machine_, now);
+  events::emit(
+      events::id::pool_handed_over, "hand over", successor->id,
+      "epoch={} slowdown={:.1f} successor_slowdown={:.1f} owned_ms={}",
+      owner_->epoch(), machine_.slowdown, successor->slowdown,
+      std::chrono::duration_cast<milliseconds>(now - owned_since_).count());
+  owner_->release([this, successor = std::move(*successor)] {
+    std::uint64_t epoch = owner_->epoch();
+    owner_.reset();
+    directory_writer_->stop();
+    last_owner_contact_ = clock_.now();
+    // Of the claim that made this daemon the owner.
+    claim_after_ = {};
+    claim_after_read_ = false;
+    // The link to an owner before this one is of no use to callers.
+    owner_unconfirmed_ = true;
+    journal_->set_read_interval(kFollowerReadInterval);
+    notify_successor(successor, epoch);
+  });
+}
+
+void node::notify_successor(const daemon_info& successor, std::uint64_t epoch) {
+  wire::ownership_record record;
+  record.set_daemon(settings_.id);
+  record.set_epoch(epoch);
+  record.set_peer_address(settings_.peer_address);
+  record.set_released(true);
+  http::request request{http::verb::post, kHandoverPath, http::kHttpVersion11};
+  request.body() = record.SerializeAsString();
+  request.prepare_payload();
+  successor_link_ = std::make_unique<http::client>(
+      context_, successor.peer_address, http::client_options());
+  // Without the notice the standbys claim as after any release.
+  successor_link_->call("hand over", std::move(request), kNoticeTimeout,
+                        [](http::call_result&&) {});
+}
+
+void node::handle_handover(const http::request& request,
+                           const http::responder& respond) {
+  wire::ownership_record released;
+  if (!released.ParseFromString(request.body()) || !released.released()) {
+    return respond(
+        http::error_response(http::status::bad_request, "no release"));
+  }
+  respond(http::text_response(http::status::ok, "text/plain", ""));
+  steady_time now = clock_.now();
+  bool claims = !owner_ && !draining_ && has_journal() && !machine_.slow &&
+                !holds_back(machine_, now) &&
+                released.epoch() >= table_.owner.record.epoch();
+  if (!claims) return;
+  offered_epoch_ = released.epoch();
+  // The journal decides: the claim follows once the release has been read.
+  if (!is_offered()) return journal_->read_now();
+  claim_after_ = now;
+  consider_claim(now);
+}
+
+bool node::is_offered() const {
+  const wire::ownership_record& last = table_.owner.record;
+  return last.released() && last.epoch() == offered_epoch_;
+}
+
+milliseconds node::claim_wait(steady_time now) {
+  if (is_offered()) return milliseconds(0);
+  std::uniform_int_distribution<std::int64_t> spread(0, kClaimSpread.count());
+  return claim_delay_of(machine_, store_.min_round_trip(), settings_.cpu_share,
+                        now) +
+         milliseconds(spread(random_));
+}
+
+}  // namespace ebonygrade::poold
--- a/src/poold/node_ownership.cpp
+++ b/src/poold/node_ownership.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "events/events.h"
-#include "poold/claim_delay.h"
 #include "poold/node.h"
 
 namespace ebonygrade::poold {
@@ -22,8 +21,6 @@
 constexpr milliseconds kOwnerTimeout{1800};
 // The shorter timeout if the owner also fails to confirm its ownership.
 constexpr milliseconds kUnconfirmedOwnerTimeout{500};
-// Random spread of the daemons' claims, to avoid simultaneous claims.
-constexpr milliseconds kClaimSpread{150};
 // After this many claims lost the race for the end of the journal, the next one
 // omits the condition on the journal's end.
 constexpr int kMaxConditionalClaims = 2;
@@ -68,7 +65,8 @@
 void node::on_tick() {
   watch_clocks();
   steady_time now = clock_.now();
-  if (owner_) return;
+  watch_pace(now);
+  if (owner_) return consider_handover(now);
   // A draining daemon still passes open calls to the owner.
   if (draining_) return connect_owner();
   if (owner_moved() || now - announced_at_ >= kAnnounceInterval) announce(now);
@@ -100,10 +98,7 @@
     return;
   }
   if (claim_after_ == steady_time()) {
-    std::uniform_int_distribution<std::int64_t> spread(0, kClaimSpread.count());
-    claim_after_ = now +
-                   claim_delay(store_.min_round_trip(), settings_.cpu_share) +
-                   milliseconds(spread(random_));
+    claim_after_ = now + claim_wait(now);
   }
   if (now < claim_after_) return;
   ownerless_ = unowned || unconfirmed;
@@ -164,6 +159,7 @@
 
 void node::take_over(std::uint64_t epoch) {
   lost_claims_ = 0;
+  owned_since_ = clock_.now();
   owner_ = std::make_shared<owner>(
       context_, store_, clock_, settings_, measurements_, epoch,
       [this] { step_down(); },
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -49,6 +49,7 @@
   presence.set_region(settings_.region);
   presence.set_cpu_share(settings_.cpu_share);
   presence.set_follows_journal(journal_ != nullptr);
+  presence.set_slowdown(announced_slowdown(machine_, now));
   std::uint64_t epoch = table_.owner.record.epoch();
   owner_link_->call(
       "announce",
@@ -252,6 +253,9 @@
     return handle_job_query(request, std::move(respond));
   }
   if (request.target() == kEndPath) return handle_end_query(request, respond);
+  if (request.target() == kHandoverPath) {
+    return handle_handover(request, respond);
+  }
   if (request.target() == kAdvicePath) {
     return relay_advice(std::move(request), std::move(respond));
   }
@@ -282,7 +286,8 @@
     steady_time now = clock_.now();
     owner_->record_daemon({presence.daemon(), presence.peer_address(),
                            presence.zone(), presence.region(),
-                           presence.cpu_share(), presence.follows_journal()});
+                           presence.cpu_share(), presence.follows_journal(),
+                           presence.slowdown()});
     for (const std::string& each :
          owner_->daemons().relays_for(presence.daemon(), now)) {
       status.add_peer_addresses(each);
@@ -347,6 +352,14 @@
   append_value(&text, "ebonygrade_pool_time_of_day_steps_total", "counter",
                "Times that the machine's time of day was set.",
                time_of_day_steps_);
+  append_value(
+      &text, "ebonygrade_pool_slowdown_percent", "gauge",
+      "Slowness of this daemon's machine; 100: as fast as ever, 0: not "
+      "measured.",
+      static_cast<std::uint64_t>(machine_.slowdown * 100));
+  append_value(&text, "ebonygrade_pool_handovers_total", "counter",
+               "Times that this daemon as the owner handed the pool over.",
+               machine_.handovers);
   if (owner_) append_owner_metrics(&text);
   return text;
 }
@@ -372,6 +385,9 @@
   append_value(text, "ebonygrade_pool_questions_total", "counter",
                "Questions to the advice service.",
                state.counters.advice_requests);
+  append_value(text, "ebonygrade_pool_repeated_questions_total", "counter",
+               "Questions to the advice service that were sent a second time.",
+               owner_->repeated_questions());
   append_value(text, "ebonygrade_pool_refused_starts_total", "counter",
                "Starts that workers refused.", state.counters.refused_starts);
   append_value(text, "ebonygrade_pool_ends_done_total", "counter",
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -377,6 +377,7 @@
 
 void owner::run_round() {
   last_round_ = clock_.now();
+  round_processor_begun_ = thread_processor_time();
   watch_isolation(last_round_);
   if (pool_.superseded) return step_down();
   if (is_stalled()) fail_queued_callers(owner_reply::unavailable);
@@ -396,6 +397,8 @@
       std::chrono::duration_cast<std::chrono::microseconds>(clock_.now() -
                                                             begun);
   longest_round_ = std::max(longest_round_, taken);
+  round_time_.elapsed += taken;
+  round_time_.processor += thread_processor_time() - round_processor_begun_;
   round_interval_ = std::clamp<std::chrono::microseconds>(
       taken * kRoundIntervalFactor, kMinRoundInterval, kMaxRoundInterval);
 }
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -21,6 +21,7 @@
 #include "pool/pool.h"
 #include "poold/advice_dispatcher.h"
 #include "poold/appender.h"
+#include "poold/machine_pace.h"
 #include "poold/maintenance_runner.h"
 #include "poold/measurements.h"
 #include "poold/settings.h"
@@ -78,6 +79,14 @@
   daemon_registry& daemons() { return daemons_; }
   // Whether the journal accepted a record of this owner recently.
   bool journal_reachable() const;
+  // Whether release() has been called.
+  bool is_releasing() const { return releasing_; }
+  // Of all rounds so far.
+  const work_time& round_time() const { return round_time_; }
+  // Advice requests that were sent a second time.
+  std::uint64_t repeated_questions() const {
+    return advice_dispatcher_.repeated();
+  }
   std::uint64_t epoch() const { return epoch_; }
   const pool::pool_state& state() const { return pool_; }
   // Entries of service discovery that name no worker to use.
@@ -164,6 +173,8 @@
   bool releasing_ = false;
   std::function<void()> on_released_;
   steady_time last_round_;
+  work_time round_time_;
+  nanoseconds round_processor_begun_{0};         // Processor time at its begin.
   std::chrono::microseconds round_interval_{0};  // Minimum, by the last round.
   steady_time isolated_since_;                   // Default value: not isolated.
   steady_time load_emitted_at_;
--- a/src/poold/peer_paths.h
+++ b/src/poold/peer_paths.h
@@ -13,6 +13,8 @@
 inline constexpr char kAcceptsInterimHeader[] = "Accepts-Interim";
 inline constexpr char kRecordPath[] = "/v1/record";
 inline constexpr char kJobPath[] = "/v1/job";
+// Tells a standby that the sender has released the pool for it to claim.
+inline constexpr char kHandoverPath[] = "/v1/handover";
 inline constexpr char kEndPath[] = "/v1/end";
 inline constexpr char kMetricsPath[] = "/metrics";
 
--- a/src/poold/standby.cpp
+++ b/src/poold/standby.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "poold/claim_delay.h"
+#include "poold/handover.h"
 
 namespace ebonygrade::poold {
 
@@ -43,8 +44,9 @@
                                 const std::set<std::string>& zones) {
   const daemon_info* best = nullptr;
   auto rank = [&](const daemon_info& each) {
-    return std::make_tuple(has_owner_cpu(each), each.follows_journal,
-                           zones.count(each.zone) == 0, each.cpu_share);
+    return std::make_tuple(has_owner_cpu(each), each.slowdown < kSlowRatio,
+                           each.follows_journal, zones.count(each.zone) == 0,
+                           each.cpu_share);
   };
   for (const daemon_info* each : region) {
     if (chosen.count(each->id) > 0) continue;
@@ -113,7 +115,8 @@
 void daemon_registry::choose(steady_time now) {
   chosen_at_ = now;
   std::vector<daemon_info> alive;
-  for (std::map<std::string, entry>::iterator each = daemons_.begin();
+  for (std::map<std::string, announced_daemon>::iterator each =
+           daemons_.begin();
        each != daemons_.end();) {
     if (now - each->second.last_contact > kContactTimeout) {
       each = daemons_.erase(each);
@@ -127,7 +130,8 @@
 
 bool daemon_registry::is_standby(const std::string& daemon, steady_time now) {
   if (now - created_ < kRegistryWarmUp) {
-    std::map<std::string, entry>::const_iterator found = daemons_.find(daemon);
+    std::map<std::string, announced_daemon>::const_iterator found =
+        daemons_.find(daemon);
     return found != daemons_.end() && found->second.daemon.follows_journal;
   }
   if (chosen_at_ == steady_time() || now - chosen_at_ >= kChoiceInterval) {
@@ -139,7 +143,7 @@
 std::vector<std::string> daemon_registry::relays_for(const std::string& daemon,
                                                      steady_time now) const {
   std::vector<std::string> relays;
-  std::map<std::string, entry>::const_iterator each =
+  std::map<std::string, announced_daemon>::const_iterator each =
       daemons_.upper_bound(daemon);
   for (std::size_t i = 0; i < daemons_.size(); ++i) {
     if (each == daemons_.end()) each = daemons_.begin();
@@ -153,4 +157,12 @@
   return relays;
 }
 
+std::vector<announced_daemon> daemon_registry::announced() const {
+  std::vector<announced_daemon> out;
+  for (const std::pair<const std::string, announced_daemon>& each : daemons_) {
+    out.push_back(each.second);
+  }
+  return out;
+}
+
 }  // namespace ebonygrade::poold
--- a/src/poold/standby.h
+++ b/src/poold/standby.h
@@ -29,12 +29,19 @@
   std::string region;
   double cpu_share = 1;          // Fraction of a core that the VM provides.
   bool follows_journal = false;  // Holds a copy of the journal.
+  double slowdown = 0;           // As announced; 0: not measured.
+};
+
+struct announced_daemon {
+  daemon_info daemon;
+  steady_time last_contact;
 };
 
 // Returns the ids of the daemons that hold a copy of the journal beside the
 // owner: all of them in a small cell, else a few in each region. Among the
 // daemons of a region, those with the CPU share of an owner come first, then
-// those that hold a copy already, then those in another zone.
+// those on machines that aren't slow, then those that hold a copy already, then
+// those in another zone.
 std::set<std::string> choose_standbys(const std::vector<daemon_info>& daemons);
 
 // How long a daemon without a copy waits for a confirmed owner until it
@@ -75,17 +82,15 @@
   // a bounded number, and the same ones while no daemon comes or goes.
   std::vector<std::string> relays_for(const std::string& daemon,
                                       steady_time now) const;
+  // All daemons with the time of their last announcement.
+  std::vector<announced_daemon> announced() const;
 
  private:
-  struct entry {
-    daemon_info daemon;
-    steady_time last_contact;
-  };
   void choose(steady_time now);
 
   steady_time created_;
   steady_time chosen_at_;
-  std::map<std::string, entry> daemons_;
+  std::map<std::string, announced_daemon> daemons_;
   std::set<std::string> standbys_;
 };
 
