--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -74,6 +74,8 @@
   key_refused = 861,
   tenant_held = 862,
   append_delayed = 864,
+  pool_handed_over = 865,
+  machine_slow = 866,
 };
 
 struct definition {
@@ -238,6 +240,12 @@
                "The store is slow or silent; an append was sent again, or "
                "callers are refused.",
                "none"},
+    definition{
+        id::pool_handed_over, "pool_handed_over", level::warning,
+        "The owner's machine is slow; it releases the pool to a standby.",
+        "daemon"},
+    definition{id::machine_slow, "machine_slow", level::warning,
+               "The daemon's machine has become slow, or fast again.", "none"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
