--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -71,6 +71,8 @@
   task_cleared = 851,
   job_given_up = 852,
   worker_entry_unreadable = 853,
+  near_wait_begun = 867,
+  near_wait_ended = 868,
 };
 
 struct definition {
@@ -226,6 +228,11 @@
                level::warning,
                "An entry among those of the workers names no worker to use.",
                "worker"},
+    definition{id::near_wait_begun, "near_wait_begun", level::info,
+               "A task waits for a place near its data; a far one is free.",
+               "none"},
+    definition{id::near_wait_ended, "near_wait_ended", level::info,
+               "A task no longer waits for a place near its data.", "none"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "pool/near_wait_pvt.h"
 #include "pool/pool_pvt.h"
 #include "pool/round_pvt.h"
 
@@ -163,6 +164,8 @@
                              &task, &options)
                        : choose_option(round, task, &options);
     if (chosen == nullptr) continue;
+    if (waits_for_near(round, candidate, &task, *chosen)) continue;
+    observe_place(round, candidate, &task, {chosen});
     place(round, candidate, i, task.last_run + 1, task.suspected, chosen);
     // Nothing starts beside a trial.
     chosen->slots = task.suspected ? 0 : chosen->slots - 1;
@@ -229,12 +232,15 @@
       find_options(round, candidate, ticket_mode::required, count);
   if (total_slots(options) < count) return false;
   if (definition(*candidate.job, *candidate.step).same_rack()) {
-    options = options_in_one_rack(options, count);
+    options = options_in_one_rack(
+        prefer_data_rack(round, candidate, options, count), count);
   }
   sort_by_preference(round, candidate, &options);
   std::vector<placement_option*> chosen =
       choose_for_gang(*candidate.step, &options);
   if (chosen.size() < count) return false;
+  if (gang_waits_for_near(round, candidate, chosen)) return true;
+  observe_place(round, candidate, &candidate.step->tasks.front(), chosen);
   std::uint32_t run = 0;
   for (const task& each : candidate.step->tasks) {
     run = std::max(run, each.last_run);
@@ -327,11 +333,13 @@
     bool had_placed = each.job->placed;
     if (gang) {
       placed = place_gang(*round, each);
+      reserve_near_room(round);
     } else {
       place_tasks(*round, each);
     }
     record_placements(*round, each, first, had_placed);
-    if (each.policy->needs_advice && count_waiting_tasks(*each.step) > 0) {
+    if (each.policy->needs_advice && count_waiting_tasks(*each.step) > 0 &&
+        !all_wait_for_near(each)) {
       request_advice(round, each);
       if (each.step->pending_advice > 0) {
         round->cpu_awaiting_advice +=
--- a/src/pool/ends.cpp
+++ b/src/pool/ends.cpp
@@ -117,7 +117,10 @@
     ++pool->counters.ends_done;
     worker->consecutive_failures = 0;
     const placement* placed = find_placement(worker, end.task, end.run);
-    if (placed != nullptr) update_speed_after_end(pool, worker, *placed, now);
+    if (placed != nullptr) {
+      update_speed_after_end(pool, worker, *placed, now);
+      observe_run_end(pool, *placed, now);
+    }
   } else if (end.kind == end_kind::failed) {
     ++pool->counters.ends_failed;
     record_failure(worker, now);
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -256,6 +256,7 @@
       if (step.ready || !dependencies_done(definition(*job, step), steps))
         continue;
       step.ready = true;
+      step.ready_since = wall;
       update_waiting(pool, *job, step);
     }
     bool oldest = each->first == job->occurrences_done;
--- /dev/null
+++ b/src/pool/near_wait_test.cpp
@@ -0,0 +1,3 @@
+#include <catch2/catch.hpp>
+
+#include "pool/test_pool.h"
--- a/src/pool/options.cpp
+++ b/src/pool/options.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 #include <string>
 
+#include "pool/near_wait_pvt.h"
 #include "pool/pool_pvt.h"
 #include "pool/round_pvt.h"
 
@@ -179,6 +180,7 @@
   result.out = out;
   result.now = now;
   result.wall = wall;
+  result.near = begin_near_round(*pool);
   update_cpu_release_rate(&pool->cpu_release_rate, now);
   result.available.reserve(pool->workers.size());
   for (std::pair<const std::string, worker>& each : pool->workers) {
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -38,6 +38,7 @@
 #include <vector>
 
 #include "jobs/job_table.h"
+#include "pool/near_wait.h"
 #include "pool/types.h"
 
 namespace ebonygrade::pool {
@@ -98,6 +99,9 @@
   bool stop_confirmed = false;
   steady_time stop_sent_at;  // Default value: not sent.
   steady_time stop_confirmed_at;
+  // First forecast of its end and when it was made; default value: none.
+  steady_time forecast_made;
+  steady_time forecast_end;
 };
 
 // Run times on a worker relative to the estimates.
@@ -170,6 +174,7 @@
   bool suspected = false;
   steady_time suspected_since;
   std::string emptied_worker;  // Being emptied for the trial.
+  near_wait near;
 };
 
 struct cached_ticket {
@@ -185,6 +190,8 @@
   std::vector<task> tasks;
   std::uint32_t done = 0;
   bool ready = false;  // All steps it depends on are done.
+  // Since when it has been ready. After a takeover: the acceptance of its job.
+  unix_time ready_since;
   // Advice: the workers that may run the step, and the tickets that prove this.
   std::uint32_t pending_advice = 0;         // Requests without a reply.
   steady_time advice_retry_at;              // No request before this.
@@ -242,9 +249,11 @@
   step_done,
   job_ended,
   worker_avoided,
-  suspected,  // A task may have crashed its worker.
-  cleared,    // It hasn't: its next run went on.
-  given_up,   // It crashes its workers; the job fails.
+  suspected,        // A task may have crashed its worker.
+  cleared,          // It hasn't: its next run went on.
+  given_up,         // It crashes its workers; the job fails.
+  near_wait_begun,  // A task waits for a place near its data.
+  near_wait_ended,
 };
 
 struct job_event {
@@ -368,6 +377,7 @@
   // When the last append that the journal confirmed was first sent.
   steady_time last_journal_write;
   load_summary load;
+  near_wait_state near;
   std::vector<deadly_task> deadly_tasks;    // Their jobs fail next.
   std::vector<job_event> job_events;        // The caller removes them.
   std::vector<worker_event> worker_events;  // The caller removes them.
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -22,6 +22,9 @@
                             const placement& placed, steady_time now);
 void update_speed_if_overdue(pool_state* pool, worker* worker,
                              placement* placed, steady_time now);
+// Compares the end of a run with the first forecast of it, if there was one.
+void observe_run_end(pool_state* pool, const placement& placed,
+                     steady_time now);
 // Expected run time on the worker relative to the estimate.
 double slowdown_of(const worker& worker, steady_time now);
 
--- a/src/pool/round_pvt.h
+++ b/src/pool/round_pvt.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -31,6 +32,8 @@
   pool::worker* worker = nullptr;
 };
 
+struct near_round;  // See near_wait_pvt.h.
+
 struct scheduling_round {
   pool_state* pool = nullptr;
   steady_time now;
@@ -43,6 +46,8 @@
   // that can't be placed for other reasons are not counted, so that they don't
   // keep later steps from requesting advice.
   std::int64_t cpu_awaiting_advice = 0;
+  // Null if no task waits for a near place.
+  std::shared_ptr<near_round> near;
 };
 
 scheduling_round begin_round(pool_state* pool, decisions* out, steady_time now,
--- a/src/pool/test_pool.h
+++ b/src/pool/test_pool.h
@@ -109,6 +109,7 @@
   void take_over() {
     pool_state fresh;
     fresh.limits = state.limits;
+    fresh.near.settings = state.near.settings;
     state = std::move(fresh);
     set_queues(&state, {{kQueue, policy}});
     continue_pool_time(&state, table.pool_time, now);
--- a/src/poold/measurements.cpp
+++ b/src/poold/measurements.cpp
@@ -64,4 +64,24 @@
   text->append(fmt::format("{} {}\n", name, value));
 }
 
+void append_near_waits(std::string* text, const pool::near_wait_state& state) {
+  append_value(text, "ebonygrade_pool_near_runs_total", "counter",
+               "Runs placed near the data of their task, or on one rack.",
+               state.counters.near_runs);
+  append_value(text, "ebonygrade_pool_far_runs_total", "counter",
+               "Runs placed far from the data, or over several racks.",
+               state.counters.far_runs);
+  append_value(text, "ebonygrade_pool_near_waits_total", "counter",
+               "Decisions to wait for a near place.", state.counters.waits);
+  append_value(text, "ebonygrade_pool_near_waits_far_total", "counter",
+               "Waits for a near place that ended without one.",
+               state.counters.waits_ended_far);
+  append_value(text, "ebonygrade_pool_near_waited_ms_total", "counter",
+               "Time waited for near places.",
+               static_cast<std::uint64_t>(state.counters.waited.count()));
+  append_value(text, "ebonygrade_pool_near_forecast_error_ms", "gauge",
+               "Smoothed error of the forecasts of near places.",
+               static_cast<std::uint64_t>(state.error.error.count()));
+}
+
 }  // namespace ebonygrade::poold
--- a/src/poold/measurements.h
+++ b/src/poold/measurements.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "clock/clock.h"
+#include "pool/near_wait.h"
 
 namespace ebonygrade::poold {
 
@@ -64,4 +65,7 @@
                   std::string_view kind, std::string_view help,
                   std::uint64_t value);
 
+// Appends the metrics of waits for near places.
+void append_near_waits(std::string* text, const pool::near_wait_state& state);
+
 }  // namespace ebonygrade::poold
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -405,6 +405,7 @@
   append_value(text, "ebonygrade_pool_unexpected_runs_total", "counter",
                "Reported runs without a valid order.",
                state.counters.unexpected_runs);
+  append_near_waits(text, state.near);
 }
 
 }  // namespace ebonygrade::poold
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -47,6 +47,14 @@
   return limits;
 }
 
+pool::near_wait_settings make_near_wait(const node_settings& settings) {
+  pool::near_wait_settings result;
+  result.longest = settings.near_wait;
+  result.far_factor = settings.far_factor;
+  result.restore_time = settings.restore_time;
+  return result;
+}
+
 }  // namespace
 
 owner::owner(
@@ -74,6 +82,7 @@
       round_timer_(context),
       flush_timer_(context) {
   pool_.limits = make_limits(settings);
+  pool_.near.settings = make_near_wait(settings);
   pool_.epoch = epoch;
 }
 
@@ -468,6 +477,14 @@
         events::emit(events::id::job_given_up, "decide", "", "job={} {}",
                      each.job, each.detail);
         break;
+      case pool::job_event_kind::near_wait_begun:
+        events::emit(events::id::near_wait_begun, "decide", "", "job={} {}",
+                     each.job, each.detail);
+        break;
+      case pool::job_event_kind::near_wait_ended:
+        events::emit(events::id::near_wait_ended, "decide", "", "job={} {}",
+                     each.job, each.detail);
+        break;
       case pool::job_event_kind::worker_avoided:
         events::emit(events::id::worker_avoided, "decide", each.worker,
                      "job={} {}", each.job, each.detail);
--- a/src/poold/settings.cpp
+++ b/src/poold/settings.cpp
@@ -65,6 +65,16 @@
     *out = *parsed;
   }
 
+  // Reads a duration, or `zero` as no time.
+  void duration_or(const char* section, const char* key, std::string_view zero,
+                   milliseconds* out) {
+    if (find(section, key) == zero) {
+      *out = milliseconds(0);
+    } else {
+      duration(section, key, out);
+    }
+  }
+
   // Reads a positive number. Keeps the default if the key is missing.
   void number(const char* section, const char* key, double* out) {
     std::optional<std::string> value = find(section, key);
@@ -146,6 +156,9 @@
   ini.flag("tenants", "strict_revoke", &out.strict_revoke);
   ini.duration("tenants", "revoke_time", &out.revoke_time);
   ini.number("tenants", "quota_excess", &out.quota_excess);
+  ini.duration_or("placement", "near_wait", "off", &out.near_wait);
+  ini.number("placement", "far_factor", &out.far_factor);
+  ini.duration_or("placement", "restore_time", "0ms", &out.restore_time);
   if (std::optional<std::string> level = ini.find("log", "level")) {
     out.log_level = *level;
   }
--- a/src/poold/settings.h
+++ b/src/poold/settings.h
@@ -35,6 +35,11 @@
   bool strict_revoke = false;
   milliseconds revoke_time{5000};
   double quota_excess = 0;  // Share by which a tenant may exceed its quota.
+  // Longest time for which a task waits for a place near its data although
+  // another is free. Zero: off.
+  milliseconds near_wait{0};
+  double far_factor = 1;         // Of a run's time away from its data.
+  milliseconds restore_time{0};  // To resume a checkpoint away from the data.
   std::string log_level = "info";
 };
 
