--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -256,7 +256,11 @@
       if (step.ready || !dependencies_done(definition(*job, step), steps))
         continue;
       step.ready = true;
-      step.ready_since = wall;
+      // Steps without dependencies are ready from the due time on, whoever
+      // owned the pool then.
+      step.ready_since = definition(*job, step).after().empty()
+                             ? due_time(*job, each->first)
+                             : wall;
       update_waiting(pool, *job, step);
     }
     bool oldest = each->first == job->occurrences_done;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -190,7 +190,8 @@
   std::vector<task> tasks;
   std::uint32_t done = 0;
   bool ready = false;  // All steps it depends on are done.
-  // Since when it has been ready. After a takeover: the acceptance of its job.
+  // Since when it has been ready. For a later step that was ready before a
+  // takeover: the acceptance of its job, which is earlier.
   unix_time ready_since;
   // Advice: the workers that may run the step, and the tickets that prove this.
   std::uint32_t pending_advice = 0;         // Requests without a reply.
--- a/src/poold/settings_test.cpp
+++ b/src/poold/settings_test.cpp
@@ -39,6 +39,24 @@
   }
 }
 
+TEST_CASE("waits for near places are off unless they have a bound") {
+  std::string text = kValid;
+  settings_report report = parse_settings(text, "test.ini");
+  CHECK(report.value.near_wait == milliseconds(0));
+  // As the template is filled in, with one section for each key.
+  text += "[placement]\nfar_factor = 2.5\n[placement]\nrestore_time = 0ms\n";
+  report = parse_settings(text, "test.ini");
+  CHECK(report.problems.empty());
+  CHECK(report.value.near_wait == milliseconds(0));
+  CHECK(report.value.far_factor == 2.5);
+  CHECK(report.value.restore_time == milliseconds(0));
+  report = parse_settings(text + "near_wait = 2s\n", "test.ini");
+  CHECK(report.value.near_wait == milliseconds(2000));
+  report = parse_settings(text + "near_wait = off\n", "test.ini");
+  CHECK(report.problems.empty());
+  CHECK(report.value.near_wait == milliseconds(0));
+}
+
 TEST_CASE("each problem names its key") {
   std::string text = kValid;
   text.replace(text.find("127.0.0.1:4"), 11, "nowhere");
