--- a/src/pool/advice.cpp
+++ b/src/pool/advice.cpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <utility>
 
+#include "pool/near_wait_pvt.h"
 #include "pool/pool_pvt.h"
 #include "pool/round_pvt.h"
 
@@ -132,6 +133,7 @@
           bool avoided = candidate.priority == 0 && each->held_for_gang;
           return !avoided && slowdown_of(*each, round.now) <= affordable;
         });
+    name_near_workers(round, step, count, &eligible);
   }
   std::vector<std::string> names;
   for (std::size_t i = 0; i < count; ++i)
--- a/src/pool/near_round.cpp
+++ b/src/pool/near_round.cpp
@@ -275,6 +275,21 @@
   return total_slots(near) < count ? options : near;
 }
 
+void name_near_workers(const scheduling_round& round,
+                       const wire::step_definition& step, std::size_t count,
+                       std::vector<const worker*>* workers) {
+  if (round.near == nullptr || step.data_rack().empty()) return;
+  std::vector<const worker*> near;
+  std::vector<const worker*> others;
+  for (const worker* each : *workers) {
+    bool named =
+        each->entry.rack == step.data_rack() && near.size() < (count + 1) / 2;
+    (named ? near : others).push_back(each);
+  }
+  near.insert(near.end(), others.begin(), others.end());
+  *workers = std::move(near);
+}
+
 void reserve_near_room(scheduling_round* round) {
   if (round->near == nullptr) return;
   for (const worker* each : std::exchange(round->near->awaited, {})) {
--- a/src/pool/near_wait_pvt.h
+++ b/src/pool/near_wait_pvt.h
@@ -84,6 +84,12 @@
 std::vector<placement_option> prefer_data_rack(
     const scheduling_round& round, const candidate_step& candidate,
     const std::vector<placement_option>& options, std::uint32_t count);
+// Moves near workers to the front, up to half of the first `count`, for a
+// request to the advice service: nothing waits for a worker without a ticket,
+// and requests in large pools name a small part of the workers.
+void name_near_workers(const scheduling_round& round,
+                       const wire::step_definition& step, std::size_t count,
+                       std::vector<const worker*>* workers);
 // Keeps the room that a waiting gang has been forecast from the steps after it.
 // A waiting gang reserves nothing elsewhere.
 void reserve_near_room(scheduling_round* round);
