--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -76,6 +76,8 @@
   append_delayed = 864,
   pool_handed_over = 865,
   machine_slow = 866,
+  near_wait_begun = 867,
+  near_wait_ended = 868,
 };
 
 struct definition {
@@ -246,6 +248,11 @@
         "daemon"},
     definition{id::machine_slow, "machine_slow", level::warning,
                "The daemon's machine has become slow, or fast again.", "none"},
+    definition{id::near_wait_begun, "near_wait_begun", level::info,
+               "A task waits for a place near its data; a far one is free.",
+               "none"},
+    definition{id::near_wait_ended, "near_wait_ended", level::info,
+               "A task no longer waits for a place near its data.", "none"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "pool/near_wait_pvt.h"
 #include "pool/pool_pvt.h"
 #include "pool/round_pvt.h"
 #include "pool/tenant_order.h"
@@ -166,6 +167,8 @@
                              &task, &options)
                        : choose_option(round, task, &options);
     if (chosen == nullptr) continue;
+    if (waits_for_near(round, candidate, &task, *chosen)) continue;
+    observe_place(round, candidate, &task, {chosen});
     place(round, candidate, i, task.last_run + 1, task.suspected, chosen);
     --allowed;
     // Nothing starts beside a trial.
@@ -233,12 +236,15 @@
       find_options(round, candidate, ticket_mode::required, count);
   if (total_slots(options) < count) return false;
   if (definition(*candidate.job, *candidate.step).same_rack()) {
-    options = options_in_one_rack(options, count);
+    options = options_in_one_rack(
+        prefer_data_rack(round, candidate, options, count), count);
   }
   sort_by_preference(round, candidate, &options);
   std::vector<placement_option*> chosen =
       choose_for_gang(*candidate.step, &options);
   if (chosen.size() < count) return false;
+  if (gang_waits_for_near(round, candidate, chosen)) return true;
+  observe_place(round, candidate, &candidate.step->tasks.front(), chosen);
   std::uint32_t run = 0;
   for (const task& each : candidate.step->tasks) {
     run = std::max(run, each.last_run);
@@ -333,6 +339,7 @@
     bool had_placed = each.job->placed;
     if (gang) {
       placed = place_gang(*round, each);
+      reserve_near_room(round);
     } else {
       place_tasks(*round, each, allowed);
     }
@@ -341,7 +348,7 @@
     // Tickets of tasks that a quota holds back would expire.
     bool quota_left = round->pool->unrecorded_starts.size() - first < allowed;
     if (each.policy->needs_advice && quota_left &&
-        count_waiting_tasks(*each.step) > 0) {
+        count_waiting_tasks(*each.step) > 0 && !all_wait_for_near(each)) {
       request_advice(round, each);
       if (each.step->pending_advice > 0) {
         round->cpu_awaiting_advice +=
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -38,6 +38,7 @@
 #include <vector>
 
 #include "jobs/job_table.h"
+#include "pool/near_wait.h"
 #include "pool/tenant_usage.h"
 #include "pool/types.h"
 
@@ -100,6 +101,9 @@
   bool stop_confirmed = false;
   steady_time stop_sent_at;  // Default value: not sent.
   steady_time stop_confirmed_at;
+  // First forecast of its end and when it was made; default value: none.
+  steady_time forecast_made;
+  steady_time forecast_end;
 };
 
 // Run times on a worker relative to the estimates.
@@ -172,6 +176,7 @@
   bool suspected = false;
   steady_time suspected_since;
   std::string emptied_worker;  // Being emptied for the trial.
+  near_wait near;
 };
 
 struct cached_ticket {
@@ -190,6 +195,9 @@
   // When the quota of its tenant first held back tasks that still wait; default
   // value: it doesn't.
   steady_time held_by_quota_since;
+  // Since when it has been ready. For a later step that was ready before a
+  // takeover: the acceptance of its job, which is earlier.
+  unix_time ready_since;
   // Advice: the workers that may run the step, and the tickets that prove this.
   std::uint32_t pending_advice = 0;         // Requests without a reply.
   steady_time advice_retry_at;              // No request before this.
@@ -249,9 +257,11 @@
   step_done,
   job_ended,
   worker_avoided,
-  suspected,  // A task may have crashed its worker.
-  cleared,    // It hasn't: its next run went on.
-  given_up,   // It crashes its workers; the job fails.
+  suspected,        // A task may have crashed its worker.
+  cleared,          // It hasn't: its next run went on.
+  given_up,         // It crashes its workers; the job fails.
+  near_wait_begun,  // A task waits for a place near its data.
+  near_wait_ended,
 };
 
 struct job_event {
@@ -377,6 +387,7 @@
   // When the last append that the journal confirmed was first sent.
   steady_time last_journal_write;
   load_summary load;
+  near_wait_state near;
   std::vector<deadly_task> deadly_tasks;    // Their jobs fail next.
   std::vector<job_event> job_events;        // The caller removes them.
   std::vector<worker_event> worker_events;  // The caller removes them.
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -486,6 +486,7 @@
                "Reported runs without a valid order.",
                state.counters.unexpected_runs);
   append_tenant_gauges(text, state);
+  append_near_waits(text, state.near);
 }
 
 }  // namespace ebonygrade::poold
