--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -71,6 +71,7 @@
   task_cleared = 851,
   job_given_up = 852,
   worker_entry_unreadable = 853,
+  submission_refused = 869,
 };
 
 struct definition {
@@ -226,6 +227,9 @@
                level::warning,
                "An entry among those of the workers names no worker to use.",
                "worker"},
+    definition{id::submission_refused, "submission_refused", level::info,
+               "A job was not accepted, as it can't be served in time.",
+               "none"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-// A result has no value after this many times the objective.
-constexpr int kValueEndFactor = 3;
 // Run times below this share of their estimates are not expected.
 constexpr double kShortestRunFactor = 0.7;
 // Limit of the workers that are reserved for gangs, relative to all available
@@ -384,6 +382,7 @@
     each.second.held_for_gang = round.reserved.count(&each.second) > 0;
   }
   pool->load = summarize(round, waiting);
+  update_admission_load(round, waiting);
   pool->counters.stops += out.stops.size();
   return out;
 }
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -38,6 +38,7 @@
 #include <vector>
 
 #include "jobs/job_table.h"
+#include "pool/admission.h"
 #include "pool/types.h"
 
 namespace ebonygrade::pool {
@@ -368,6 +369,7 @@
   // When the last append that the journal confirmed was first sent.
   steady_time last_journal_write;
   load_summary load;
+  admission_state admission;
   std::vector<deadly_task> deadly_tasks;    // Their jobs fail next.
   std::vector<job_event> job_events;        // The caller removes them.
   std::vector<worker_event> worker_events;  // The caller removes them.
--- a/src/pool/round_pvt.h
+++ b/src/pool/round_pvt.h
@@ -135,6 +135,11 @@
                                    task* task,
                                    std::vector<placement_option>* options);
 
+// Makes a forecast of the load for admission control, if that is enabled and
+// the last one is old. `waiting` are the steps in the order of placement.
+void update_admission_load(const scheduling_round& round,
+                           const std::vector<candidate_step>& waiting);
+
 // Requests advice for the step, if a request is useful now.
 void request_advice(scheduling_round* round, const candidate_step& candidate);
 
--- a/src/poold/job_api.cpp
+++ b/src/poold/job_api.cpp
@@ -36,6 +36,9 @@
 constexpr milliseconds kForwardRetryInterval{100};
 // Further calls are refused at once.
 constexpr std::size_t kMaxUnservedQueries = 256;
+// Longer than callers repeat a submission whose outcome they don't know.
+constexpr milliseconds kMaybeStoredPeriod{60000};
+constexpr std::size_t kMaxMaybeStored = 16384;
 constexpr milliseconds kDeadlineCheckInterval{50};
 constexpr char kDeadlineHeader[] = "X-Deadline-Ms";
 
@@ -82,6 +85,7 @@
       table_(table),
       owner_(std::move(owner)),
       measurements_(measurements),
+      maybe_stored_(kMaybeStoredPeriod, kMaxMaybeStored),
       deadline_timer_(context) {
   // Keeps the sequence numbers apart from those of earlier processes of this
   // daemon. The time of day may repeat.
@@ -354,11 +358,18 @@
   milliseconds left = std::chrono::duration_cast<milliseconds>(
       pending->deadline - clock_.now());
   owner_.write(pending->record, std::min(left, kOwnerWriteTimeout),
-               [self = shared_from_this(), pending](owner_reply reply) {
+               [self = shared_from_this(), pending](write_reply reply) {
                  if (self->stopped_) return;
+                 if (reply == owner_reply::rejected) {
+                   return self->reject(*pending, reply.retry_after);
+                 }
                  if (reply == owner_reply::written) {
                    return self->confirm(*pending);
                  }
+                 if (reply == owner_reply::unknown) {
+                   self->maybe_stored_.add(pending->record.key,
+                                           self->clock_.now());
+                 }
                  // Appends of every daemon in addition to the owner's would
                  // only slow the store further.
                  if (reply == owner_reply::unavailable) {
@@ -369,7 +380,19 @@
                });
 }
 
+bool job_api::may_be_stored(const jobs::record& record) {
+  return maybe_stored_.may_contain(record.key, clock_.now());
+}
+
+void job_api::reject(pending_write& pending, std::chrono::seconds retry_after) {
+  if (pending.maybe_written) return refuse(pending, "the pool has no room");
+  if (std::exchange(pending.answered, true)) return;
+  record_latency(pending);
+  pending.respond(refusal_response(retry_after));
+}
+
 void job_api::write_directly(std::shared_ptr<pending_write> pending) {
+  maybe_stored_.add(pending->record.key, clock_.now());
   // The store doesn't reply to the current append, so the next one would wait.
   if (appender_->in_doubt()) return refuse(*pending, "the store is silent");
   queued_.push_back(std::move(pending));
--- a/src/poold/job_api.h
+++ b/src/poold/job_api.h
@@ -21,6 +21,7 @@
 #include "poold/appender.h"
 #include "poold/owner.h"
 #include "poold/queue_length.h"
+#include "poold/recent_ids.h"
 #include "poold/store_client.h"
 #include "poold/topic_follower.h"
 #include "wire/journal.pb.h"
@@ -28,9 +29,8 @@
 namespace ebonygrade::poold {
 
 // Requests a journal write from the pool's owner.
-using owner_writer =
-    std::function<void(const jobs::record& record, milliseconds timeout,
-                       std::function<void(owner_reply)> handler)>;
+using owner_writer = std::function<void(
+    const jobs::record& record, milliseconds timeout, write_handler handler)>;
 
 // Queries the pool's owner for the end of a job and applies it to the job
 // table. Calls `then` in any case, also if the owner is unreachable.
@@ -79,6 +79,9 @@
   void answer_query(const wire::job_query& query, http::responder respond);
   void set_manifest(std::shared_ptr<const pool::manifest> manifest);
   void handle(http::request&& request, http::responder respond);
+  // Whether this daemon or an earlier owner may have written the record of an
+  // earlier call with the same id.
+  bool may_be_stored(const jobs::record& record);
   // Called after each read of the journal.
   void on_journal_read() { run_current_reads(); }
   void stop();
@@ -144,6 +147,8 @@
   void flush();
   // Replies with 503, or with 504 if the owner may have written the record.
   void refuse(pending_write& pending, std::string_view reason);
+  // Replies with 429: the owner has no room for the job in time.
+  void reject(pending_write& pending, std::chrono::seconds retry_after);
   void refuse_queue(std::string_view reason);
   void on_written(const write_list& batch, write_outcome outcome);
   void check_deadlines();
@@ -164,8 +169,9 @@
   measurements& measurements_;
   std::shared_ptr<const pool::manifest> manifest_;
   std::shared_ptr<appender> appender_;
-  write_list queued_;     // For the next append.
-  write_list in_flight_;  // In the current append.
+  recent_ids maybe_stored_;  // Keys of such records.
+  write_list queued_;        // For the next append.
+  write_list in_flight_;     // In the current append.
   std::vector<pending_read> pending_reads_;
   // Queries that the owner didn't serve yet; their number is limited.
   std::vector<std::shared_ptr<forwarded_query>> unserved_queries_;
--- a/src/poold/measurements.h
+++ b/src/poold/measurements.h
@@ -57,6 +57,13 @@
   latency_histogram job_times{
       "ebonygrade_pool_job_seconds",
       "Time from a job's acceptance to its final state."};
+  // Of the same jobs.
+  latency_histogram predicted_waits{
+      "ebonygrade_pool_predicted_wait_seconds",
+      "Wait for the first start that was predicted at admission."};
+  latency_histogram actual_waits{
+      "ebonygrade_pool_actual_wait_seconds",
+      "Wait for the first start of jobs with a predicted wait."};
 };
 
 // Appends the header and the value of a counter or gauge.
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -89,7 +89,7 @@
 error::result<void> node::start() {
   owner_calls calls;
   calls.write = [this](const jobs::record& record, milliseconds timeout,
-                       std::function<void(owner_reply)> handler) {
+                       write_handler handler) {
     write_through_owner(record, timeout, std::move(handler));
   };
   calls.fetch_end = [this](const std::string& job, std::function<void()> then) {
@@ -175,6 +175,7 @@
     if (claim_after_read_) send_claim();
   }
   if (owner_moved() && !owner_ && !draining_) announce(now);
+  if (owner_) owner_->on_journal_read(journal_->current_as_of());
   job_api_->on_journal_read();
 }
 
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -78,8 +78,8 @@
   void apply_record(const jobs::record& record);
   // Requests a journal write from the owner, which may be this daemon.
   void write_through_owner(const jobs::record& record, milliseconds timeout,
-                           std::function<void(owner_reply)> handler);
-  owner_reply owner_reply_of(const http::call_result& result);
+                           write_handler handler);
+  write_reply owner_reply_of(const http::call_result& result);
   void fetch_end(const std::string& job, std::function<void()> then);
   void forward_query(const wire::job_query& query, milliseconds timeout,
                      std::function<void(forward_result)> handler);
--- a/src/poold/node_ownership.cpp
+++ b/src/poold/node_ownership.cpp
@@ -171,6 +171,7 @@
       // The owner has applied its records when they are written.
       [this](std::uint64_t from, std::uint64_t to, steady_time sent) {
         journal_->skip(from, to, sent);
+        if (owner_) owner_->on_journal_read(journal_->current_as_of());
       });
   owner_->start(table_, *manifest_, claim_sent_);
   for (const std::pair<const std::uint64_t, pool::maintenance_wave>& each :
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -111,7 +111,7 @@
       });
 }
 
-owner_reply node::owner_reply_of(const http::call_result& result) {
+write_reply node::owner_reply_of(const http::call_result& result) {
   if (result.has_error()) {
     // The next announcement checks whether the owner is alive.
     owner_unconfirmed_ = true;
@@ -125,20 +125,24 @@
       return owner_reply::refused;
     case http::status::service_unavailable:
       return owner_reply::unavailable;
+    case http::status::too_many_requests:
+      return {owner_reply::rejected, retry_after_of(*result)};
     default:
       return owner_reply::unknown;
   }
 }
 
 void node::write_through_owner(const jobs::record& record, milliseconds timeout,
-                               std::function<void(owner_reply)> handler) {
-  if (owner_) return owner_->write(record, std::move(handler));
+                               write_handler handler) {
+  bool maybe_stored = job_api_->may_be_stored(record);
+  if (owner_) return owner_->write(record, std::move(handler), maybe_stored);
   if (!owner_link_ || owner_unconfirmed_) return handler(owner_reply::refused);
   wire::caller_record message;
   message.set_key(record.key);
   message.set_value(record.value);
   message.set_epoch(table_.owner.record.epoch());
   http::request request{http::verb::post, kRecordPath, http::kHttpVersion11};
+  if (maybe_stored) request.set(kMaybeStoredHeader, "1");
   request.body() = message.SerializeAsString();
   request.prepare_payload();
   owner_link_->call(
@@ -162,7 +166,11 @@
   if (jobs::is_repeated_submission(table_, record)) {
     return respond(http::text_response(http::status::ok, "text/plain", ""));
   }
-  owner_->write(std::move(record), [respond](owner_reply reply) {
+  bool maybe_stored = request.find(kMaybeStoredHeader) != request.end();
+  write_handler on_reply = [respond](write_reply reply) {
+    if (reply == owner_reply::rejected) {
+      return respond(refusal_response(reply.retry_after));
+    }
     http::status code = http::status::bad_gateway;
     if (reply == owner_reply::written) {
       code = http::status::ok;
@@ -172,7 +180,8 @@
       code = http::status::service_unavailable;
     }
     respond(http::text_response(code, "text/plain", ""));
-  });
+  };
+  owner_->write(std::move(record), std::move(on_reply), maybe_stored);
 }
 
 void node::forward_query(const wire::job_query& query, milliseconds timeout,
@@ -320,6 +329,8 @@
   measurements_.reply_times.append_text(&text);
   measurements_.first_start_times.append_text(&text);
   measurements_.job_times.append_text(&text);
+  measurements_.predicted_waits.append_text(&text);
+  measurements_.actual_waits.append_text(&text);
   append_value(&text, "ebonygrade_pool_owner", "gauge",
                "1 while this daemon owns the pool.", owner_ ? 1 : 0);
   append_value(&text, "ebonygrade_pool_standby", "gauge",
@@ -353,6 +364,7 @@
 
 void node::append_owner_metrics(std::string* text) const {
   const pool::pool_state& state = owner_->state();
+  if (owner_->admission()) owner_->admission()->append_metrics(text);
   append_value(text, "ebonygrade_pool_workers", "gauge",
                "Workers known to the owner.", state.workers.size());
   append_value(text, "ebonygrade_pool_unreadable_entries", "gauge",
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -75,6 +75,11 @@
       flush_timer_(context) {
   pool_.limits = make_limits(settings);
   pool_.epoch = epoch;
+  pool_.admission.enabled = settings.admission_enabled;
+  if (settings.admission_enabled) {
+    admission_ =
+        std::make_unique<admission_gate>(pool_, measurements, clock.now());
+  }
 }
 
 pool::unix_time owner::wall_now() const {
@@ -141,6 +146,7 @@
 void owner::stop() {
   stopped_ = true;
   fail_queued_callers(owner_reply::refused);
+  if (admission_) admission_->stop();
   round_timer_.cancel();
   flush_timer_.cancel();
   journal_->stop();
@@ -166,6 +172,7 @@
   if (found == table.jobs.end()) return;
   if (change.kind == jobs::change_kind::submitted) {
     pool::add_job(&pool_, change.job, found->second, clock_.now());
+    if (admission_) admission_->on_submission(change.job, clock_.now());
   }
   if (found->second.cancelled) {
     pool::cancel_job(&pool_, change.job, wall_now());
@@ -187,6 +194,7 @@
 void owner::record_daemon(const daemon_info& daemon) {
   daemons_.record(daemon, clock_.now());
   advice_dispatcher_.record_daemon(daemon.id, daemon.peer_address);
+  if (admission_) admission_->on_daemon(daemon.id, clock_.now());
 }
 
 // ---- Workers ----------------------------------------------------------------
@@ -380,6 +388,7 @@
   watch_isolation(last_round_);
   if (pool_.superseded) return step_down();
   if (is_stalled()) fail_queued_callers(owner_reply::unavailable);
+  on_journal_read(journal_current_as_of_);
   pool_.advice_daemons = advice_dispatcher_.available_daemons();
   if (!releasing_) send_orders(pool::decide(&pool_, clock_.now(), wall_now()));
   emit_job_events();
@@ -438,6 +447,7 @@
 void owner::emit_job_events() {
   for (const pool::job_event& each : std::exchange(pool_.job_events, {})) {
     record_latency(each);
+    if (admission_) admission_->on_job_event(each);
     switch (each.kind) {
       case pool::job_event_kind::placed:
         events::emit(events::id::task_placed, "decide", "", "job={} {}",
@@ -570,8 +580,26 @@
 
 // ---- Journal ----------------------------------------------------------------
 
-void owner::write(jobs::record record,
-                  std::function<void(owner_reply)> handler) {
+void owner::write(jobs::record record, write_handler handler,
+                  bool maybe_stored) {
+  if (!admission_ || stopped_ || releasing_ || is_stalled()) {
+    return queue_write(std::move(record), std::move(handler));
+  }
+  admission_->offer(
+      record, maybe_stored, clock_.now(), wall_now(),
+      [this, record, handler](std::optional<std::chrono::seconds> retry_after) {
+        if (retry_after) return handler({owner_reply::rejected, *retry_after});
+        queue_write(record, handler);
+      });
+}
+
+void owner::on_journal_read(steady_time current_as_of) {
+  journal_current_as_of_ = current_as_of;
+  if (!admission_ || stopped_) return;
+  admission_->settle(current_as_of, clock_.now(), wall_now());
+}
+
+void owner::queue_write(jobs::record record, write_handler handler) {
   if (stopped_ || releasing_) return handler(owner_reply::refused);
   // The record would wait behind an append that makes no progress.
   if (is_stalled()) return handler(owner_reply::unavailable);
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -19,6 +19,7 @@
 #include "jobs/job_table.h"
 #include "pool/manifest.h"
 #include "pool/pool.h"
+#include "poold/admission_gate.h"
 #include "poold/advice_dispatcher.h"
 #include "poold/appender.h"
 #include "poold/maintenance_runner.h"
@@ -41,8 +42,24 @@
   refused,      // Not written; the daemon is not the owner or is unreachable.
   unavailable,  // Not written; the store accepts no appends from the owner.
   unknown,      // May have been written.
+  rejected,     // Not written; the job can't be served in time.
 };
 
+// Converts from and to the result alone, as only `rejected` has more to tell.
+struct write_reply {
+  owner_reply result = owner_reply::refused;
+  // When the caller of a rejected submission is to come back.
+  std::chrono::seconds retry_after{0};
+
+  write_reply(owner_reply result,  // NOLINT(google-explicit-constructor)
+              std::chrono::seconds retry_after = std::chrono::seconds(0))
+      : result(result), retry_after(retry_after) {}
+  operator owner_reply() const {  // NOLINT(google-explicit-constructor)
+    return result;
+  }
+};
+using write_handler = std::function<void(write_reply)>;
+
 class owner : public std::enable_shared_from_this<owner> {
  public:
   // `epoch` is the claim's epoch and serves as the fencing token.
@@ -68,8 +85,13 @@
   // journal, then calls `done`.
   void release(std::function<void()> done);
 
-  // Writes a caller's record in one append with the owner's own records.
-  void write(jobs::record record, std::function<void(owner_reply)> handler);
+  // Writes a caller's record in one append with the owner's own records, or
+  // rejects it if admission control is enabled. `maybe_stored`: an earlier
+  // attempt to write it may have worked.
+  void write(jobs::record record, write_handler handler,
+             bool maybe_stored = false);
+  // The copy of the journal is complete as of `current_as_of`.
+  void on_journal_read(steady_time current_as_of);
   void on_change(const jobs::table& table, const jobs::change& change);
   void on_wave(const pool::maintenance_wave& wave, const jobs::table& table);
   void on_manifest(const pool::manifest& manifest);
@@ -80,16 +102,19 @@
   bool journal_reachable() const;
   std::uint64_t epoch() const { return epoch_; }
   const pool::pool_state& state() const { return pool_; }
+  // Null unless the settings ask for it.
+  const admission_gate* admission() const { return admission_.get(); }
   // Entries of service discovery that name no worker to use.
   std::size_t unreadable_entries() const { return unreadable_entries_.size(); }
 
  private:
   struct caller_write {
     jobs::record record;
-    std::function<void(owner_reply)> handler;
+    write_handler handler;
   };
 
   pool::unix_time wall_now() const;
+  void queue_write(jobs::record record, write_handler handler);
   void start_discovery();
   void start_maintenance();
   void on_discovery_records(const std::vector<jobs::record>& records, bool all);
@@ -148,6 +173,8 @@
   std::function<void(std::uint64_t, std::uint64_t, steady_time)> on_appended_;
   std::vector<caller_write> caller_writes_;  // For the next append.
   pool::pool_state pool_;
+  std::unique_ptr<admission_gate> admission_;
+  steady_time journal_current_as_of_;
   std::shared_ptr<appender> journal_;
   std::shared_ptr<topic_follower> discovery_;
   advice_dispatcher advice_dispatcher_;
--- a/src/poold/peer_paths.h
+++ b/src/poold/peer_paths.h
@@ -11,6 +11,8 @@
 inline constexpr std::string_view kStorePath = "/v1/store";
 // Header of a relayed read whose sender accepts interim replies.
 inline constexpr char kAcceptsInterimHeader[] = "Accepts-Interim";
+// Header of a record that an earlier attempt may have written.
+inline constexpr char kMaybeStoredHeader[] = "Maybe-Stored";
 inline constexpr char kRecordPath[] = "/v1/record";
 inline constexpr char kJobPath[] = "/v1/job";
 inline constexpr char kEndPath[] = "/v1/end";
--- a/src/poold/settings.cpp
+++ b/src/poold/settings.cpp
@@ -146,6 +146,7 @@
   ini.flag("tenants", "strict_revoke", &out.strict_revoke);
   ini.duration("tenants", "revoke_time", &out.revoke_time);
   ini.number("tenants", "quota_excess", &out.quota_excess);
+  ini.flag("admission", "enabled", &out.admission_enabled);
   if (std::optional<std::string> level = ini.find("log", "level")) {
     out.log_level = *level;
   }
--- a/src/poold/settings.h
+++ b/src/poold/settings.h
@@ -35,6 +35,8 @@
   bool strict_revoke = false;
   milliseconds revoke_time{5000};
   double quota_excess = 0;  // Share by which a tenant may exceed its quota.
+  // Whether the owner refuses jobs that it can't serve in time.
+  bool admission_enabled = false;
   std::string log_level = "info";
 };
 
--- a/src/poold/settings_test.cpp
+++ b/src/poold/settings_test.cpp
@@ -23,6 +23,11 @@
   CHECK(report.value.advice_address.empty());
   CHECK(report.value.lease == milliseconds(6000));
   CHECK(report.value.status_time == milliseconds(120000));
+  CHECK_FALSE(report.value.admission_enabled);
+  report = parse_settings(std::string(kValid) + "[admission]\nenabled = true\n",
+                          "test.ini");
+  CHECK(report.problems.empty());
+  CHECK(report.value.admission_enabled);
 }
 
 TEST_CASE("durations may be fractions of a second") {
--- a/src/poold/test_cell.h
+++ b/src/poold/test_cell.h
@@ -46,6 +46,7 @@
   std::vector<std::string> peer_addresses;    // By node.
   std::string machines_address;
   std::string advice_address;
+  bool admission_enabled = false;  // For further daemons.
   std::uint64_t submitted_tasks = 0;
 
   std::string free_address() {
@@ -69,6 +70,7 @@
     settings.store_address = store.address();
     settings.machines_address = machines_address;
     settings.advice_address = advice_address;
+    settings.admission_enabled = admission_enabled;
     caller_addresses.push_back(settings.client_address);
     peer_addresses.push_back(settings.peer_address);
     nodes.push_back(std::make_unique<node>(context, clock, settings));
