--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -78,6 +78,7 @@
   machine_slow = 866,
   near_wait_begun = 867,
   near_wait_ended = 868,
+  submission_refused = 869,
 };
 
 struct definition {
@@ -253,6 +254,9 @@
                "none"},
     definition{id::near_wait_ended, "near_wait_ended", level::info,
                "A task no longer waits for a place near its data.", "none"},
+    definition{id::submission_refused, "submission_refused", level::info,
+               "A job was not accepted, as it can't be served in time.",
+               "none"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -38,6 +38,7 @@
 #include <vector>
 
 #include "jobs/job_table.h"
+#include "pool/admission.h"
 #include "pool/near_wait.h"
 #include "pool/tenant_usage.h"
 #include "pool/types.h"
@@ -388,6 +389,7 @@
   steady_time last_journal_write;
   load_summary load;
   near_wait_state near;
+  admission_state admission;
   std::vector<deadly_task> deadly_tasks;    // Their jobs fail next.
   std::vector<job_event> job_events;        // The caller removes them.
   std::vector<worker_event> worker_events;  // The caller removes them.
--- a/src/poold/job_api.cpp
+++ b/src/poold/job_api.cpp
@@ -27,6 +27,9 @@
 constexpr milliseconds kUnknownOutcomeTimeout{1000};
 // Limit for the journal read that precedes a reply about an unknown job.
 constexpr milliseconds kCurrentReadTimeout{1000};
+// Longer than callers repeat a submission whose outcome they don't know.
+constexpr milliseconds kMaybeStoredPeriod{60000};
+constexpr std::size_t kMaxMaybeStored = 16384;
 constexpr milliseconds kDeadlineCheckInterval{50};
 constexpr char kDeadlineHeader[] = "X-Deadline-Ms";
 
@@ -67,6 +70,7 @@
       owner_(std::move(owner)),
       measurements_(measurements),
       access_(clock, measurements),
+      maybe_stored_(kMaybeStoredPeriod, kMaxMaybeStored),
       deadline_timer_(context) {
   // Keeps the sequence numbers apart from those of earlier processes of this
   // daemon. The time of day may repeat.
@@ -274,30 +278,48 @@
 void job_api::write(std::shared_ptr<pending_write> pending) {
   milliseconds left = std::chrono::duration_cast<milliseconds>(
       pending->deadline - clock_.now());
-  owner_.write(pending->record, left,
-               [self = shared_from_this(), pending](owner_reply reply) {
-                 if (self->stopped_) return;
-                 if (reply == owner_reply::written) {
-                   return self->confirm(*pending);
-                 }
-                 if (reply == owner_reply::other_tenant) {
-                   return self->refuse_other_tenant(*pending);
-                 }
-                 // Appends of every daemon in addition to the owner's would
-                 // only slow the store further.
-                 if (reply == owner_reply::unavailable) {
-                   pending->retry_after = self->owner_.retry_after();
-                   return self->refuse(*pending, "the store takes no records");
-                 }
-                 // The owner has the record in hand and may still write it.
-                 if (reply == owner_reply::late) {
-                   pending->maybe_written = true;
-                   return self->refuse(*pending, "the owner has not answered");
-                 }
-                 bool unknown = reply == owner_reply::unknown;
-                 pending->maybe_written |= unknown;
-                 self->write_elsewhere(pending, unknown);
-               });
+  owner_.write(
+      pending->record, left,
+      [self = shared_from_this(), pending](write_reply reply) {
+        if (self->stopped_) return;
+        if (reply == owner_reply::rejected) {
+          return self->reject(*pending, reply.retry_after);
+        }
+        if (reply == owner_reply::written) {
+          return self->confirm(*pending);
+        }
+        if (reply == owner_reply::other_tenant) {
+          return self->refuse_other_tenant(*pending);
+        }
+        if (reply == owner_reply::unknown || reply == owner_reply::late) {
+          self->maybe_stored_.add(pending->record.key, self->clock_.now());
+        }
+        // Appends of every daemon in addition to the owner's would
+        // only slow the store further.
+        if (reply == owner_reply::unavailable) {
+          pending->retry_after = self->owner_.retry_after();
+          return self->refuse(*pending, "the store takes no records");
+        }
+        // The owner has the record in hand and may still write it.
+        if (reply == owner_reply::late) {
+          pending->maybe_written = true;
+          return self->refuse(*pending, "the owner has not answered");
+        }
+        bool unknown = reply == owner_reply::unknown;
+        pending->maybe_written |= unknown;
+        self->write_elsewhere(pending, unknown);
+      });
+}
+
+bool job_api::may_be_stored(const jobs::record& record) {
+  return maybe_stored_.may_contain(record.key, clock_.now());
+}
+
+void job_api::reject(pending_write& pending, std::chrono::seconds retry_after) {
+  if (pending.maybe_written) return refuse(pending, "the pool has no room");
+  if (std::exchange(pending.answered, true)) return;
+  record_latency(pending);
+  pending.respond(refusal_response(retry_after));
 }
 
 void job_api::write_elsewhere(std::shared_ptr<pending_write> pending,
@@ -313,6 +335,7 @@
 }
 
 void job_api::write_directly(std::shared_ptr<pending_write> pending) {
+  maybe_stored_.add(pending->record.key, clock_.now());
   // The next append would wait for the current one for too long.
   if (!is_acceptable(milliseconds(0))) {
     pending->retry_after = retry_after(appender_->predicted());
--- a/src/poold/measurements.h
+++ b/src/poold/measurements.h
@@ -72,6 +72,13 @@
       "ebonygrade_pool_job_seconds",
       "Time from a job's acceptance to its final state."};
   tenant_refusals refused_by_tenant;
+  // Of the same jobs.
+  latency_histogram predicted_waits{
+      "ebonygrade_pool_predicted_wait_seconds",
+      "Wait for the first start that was predicted at admission."};
+  latency_histogram actual_waits{
+      "ebonygrade_pool_actual_wait_seconds",
+      "Wait for the first start of jobs with a predicted wait."};
 };
 
 // Appends the header and the value of a counter or gauge.
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -86,13 +86,13 @@
   void apply_record(const jobs::record& record);
   // Requests a journal write from the owner, which may be this daemon.
   void write_through_owner(const jobs::record& record, milliseconds timeout,
-                           std::function<void(owner_reply)> handler);
+                           write_handler handler);
   // What this daemon knows of the owner while it sees no records of it.
   owner_silence silence_of_owner(steady_time now) const;
   // Ends the writes whose time is up, and asks whether the owner is alive while
   // a write waits.
   void watch_owner_writes(steady_time now);
-  owner_reply owner_reply_of(const http::call_result& result);
+  write_reply owner_reply_of(const http::call_result& result);
   void fetch_end(const std::string& job, std::function<void()> then);
   void forward_query(const wire::job_query& query, milliseconds timeout,
                      std::function<void(forward_result)> handler);
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -131,7 +131,7 @@
       });
 }
 
-owner_reply node::owner_reply_of(const http::call_result& result) {
+write_reply node::owner_reply_of(const http::call_result& result) {
   if (result.has_error()) {
     // The owner may wait for a slow store. Announcements check whether it is
     // alive.
@@ -157,17 +157,21 @@
       owner_retry_after_ = std::chrono::seconds(std::max(seconds, 1));
       return owner_reply::unavailable;
     }
+    case http::status::too_many_requests:
+      return {owner_reply::rejected, retry_after_of(*result)};
     default:
       return owner_reply::unknown;
   }
 }
 
 void node::write_through_owner(const jobs::record& record, milliseconds timeout,
-                               std::function<void(owner_reply)> handler) {
+                               write_handler handler) {
+  bool maybe_stored = job_api_->may_be_stored(record);
   steady_time now = clock_.now();
   if (owner_) {
     return owner_->write(record,
-                         owner_writes_.add(now, timeout, std::move(handler)));
+                         owner_writes_.add(now, timeout, std::move(handler)),
+                         maybe_stored);
   }
   if (!owner_link_ || !uses_owner(silence_of_owner(now))) {
     return handler(owner_reply::refused);
@@ -178,6 +182,7 @@
   message.set_value(record.value);
   message.set_epoch(table_.owner.record.epoch());
   http::request request{http::verb::post, kRecordPath, http::kHttpVersion11};
+  if (maybe_stored) request.set(kMaybeStoredHeader, "1");
   request.body() = message.SerializeAsString();
   request.prepare_payload();
   owner_link_->call(
@@ -208,7 +213,11 @@
   if (jobs::is_repeated_submission(table_, record)) {
     return respond(http::text_response(http::status::ok, "text/plain", ""));
   }
-  owner_->write(std::move(record), [this, respond](owner_reply reply) {
+  bool maybe_stored = request.find(kMaybeStoredHeader) != request.end();
+  write_handler on_reply = [this, respond](write_reply reply) {
+    if (reply == owner_reply::rejected) {
+      return respond(refusal_response(reply.retry_after));
+    }
     http::status code = http::status::bad_gateway;
     if (reply == owner_reply::written) {
       code = http::status::ok;
@@ -223,7 +232,8 @@
                   std::to_string(owner_->retry_after().count()));
     }
     respond(std::move(message));
-  });
+  };
+  owner_->write(std::move(record), std::move(on_reply), maybe_stored);
 }
 
 void node::forward_query(const wire::job_query& query, milliseconds timeout,
@@ -377,6 +387,8 @@
   measurements_.job_times.append_text(&text);
   measurements_.refused_calls.append_text(&text);
   append_tenant_refusals(&text, measurements_.refused_by_tenant);
+  measurements_.predicted_waits.append_text(&text);
+  measurements_.actual_waits.append_text(&text);
   append_value(&text, "ebonygrade_pool_owner", "gauge",
                "1 while this daemon owns the pool.", owner_ ? 1 : 0);
   append_value(&text, "ebonygrade_pool_standby", "gauge",
@@ -424,6 +436,7 @@
 
 void node::append_owner_metrics(std::string* text) const {
   const pool::pool_state& state = owner_->state();
+  if (owner_->admission()) owner_->admission()->append_metrics(text);
   append_value(text, "ebonygrade_pool_workers", "gauge",
                "Workers known to the owner.", state.workers.size());
   append_value(text, "ebonygrade_pool_unreadable_entries", "gauge",
--- a/src/poold/owner_writes.cpp
+++ b/src/poold/owner_writes.cpp
@@ -10,7 +10,7 @@
   std::shared_ptr<open_write> made = std::make_shared<open_write>(
       open_write{now, now + timeout, std::move(reply)});
   open_.push_back(made);
-  return [this, made](owner_reply result) {
+  return [this, made](write_reply result) {
     handler then = std::exchange(made->reply, nullptr);
     if (!then) return;
     std::erase(open_, made);
--- a/src/poold/owner_writes.h
+++ b/src/poold/owner_writes.h
@@ -20,7 +20,7 @@
 
 class owner_writes {
  public:
-  using handler = std::function<void(owner_reply)>;
+  using handler = write_handler;
 
   // Returns a handler that passes the first reply on to `reply` and ignores
   // later ones, and that counts as open until then.
