Test quotas and the order of tenants; keep urgent work between gangs

Cause: a backlog of gangs that its quota holds back kept the urgent steps of the same tenant waiting until the last gang had started, and a step that passed a reservation and then waited for advice was held back for another 2 s.

A step passes a reservation until it has started. The simulated cell gets tenants with quotas; after every event, the runs at the workers are compared with the limit. Three faults of the accounting are set by the tests alone: usage forgotten at a takeover, stops not counted, a gang counted as one task.

--- a/src/pool/simulated_cell.cpp
+++ b/src/pool/simulated_cell.cpp
@@ -49,13 +49,15 @@
           a.deadly_crashes + b.deadly_crashes,
           a.deadly_given_up + b.deadly_given_up,
           a.sound_given_up + b.sound_given_up,
-          a.resizes + b.resizes};
+          a.resizes + b.resizes,
+          a.held_rounds + b.held_rounds};
 }
 
 simulated_cell::simulated_cell(const cell_options& options)
     : options_(options),
       random_(static_cast<std::mt19937::result_type>(options.seed)),
-      lapse_random_(static_cast<std::mt19937::result_type>(~options.seed)) {
+      lapse_random_(static_cast<std::mt19937::result_type>(~options.seed)),
+      tenants_(options.tenants) {
   queue_policy policy;
   policy.service = kService;
   policy.attempts = kAttempts;
@@ -118,8 +120,13 @@
     resize_one();
     at(options_.resize_every, repeating_events_[6]);
   };
+  std::function<void()> quota_changes = [this] {
+    if (!faulty()) return;
+    change_quotas();
+    at(options_.tenants.change_every, repeating_events_[7]);
+  };
   repeating_events_ = {claims, crashes,       outages, lapses,
-                       jumps,  resubmissions, resizes};
+                       jumps,  resubmissions, resizes, quota_changes};
   if (options.takeover_every.count() > 0) at(options.takeover_every, claims);
   if (options.crash_every.count() > 0) at(options.crash_every, crashes);
   if (options.outage_every.count() > 0) at(options.outage_every, outages);
@@ -128,6 +135,9 @@
   }
   if (options.jump_every.count() > 0) at(options.jump_every, jumps);
   if (options.resize_every.count() > 0) at(options.resize_every, resizes);
+  if (options.tenants.change_every.count() > 0) {
+    at(options.tenants.change_every, quota_changes);
+  }
   if (options.resubmit_every.count() > 0) {
     at(options.resubmit_every, resubmissions);
   }
@@ -189,6 +199,11 @@
   announce(chosen->second->entry(), lapse_delay(100, 1500));
 }
 
+void simulated_cell::change_quotas() {
+  tenants_.change(now_);
+  arrive(owner_, [this, owner = owner_] { tenants_.set(&owner->state); });
+}
+
 void simulated_cell::watch_crashes() {
   std::vector<std::string> crashed;
   for (const std::pair<const std::string, std::unique_ptr<simulated_worker>>&
@@ -400,6 +415,7 @@
     wire::job_submission job;
     job.set_queue(kQueue);
     job.set_service(kService);
+    job.set_tenant(tenants_.tenant_of(i));
     unix_time accepted =
         wall_ + options_.submit_every * static_cast<std::int64_t>(i);
     job.set_accepted_ms(accepted.time_since_epoch().count());
@@ -461,6 +477,7 @@
   result->state.epoch = result->epoch;
   result->state.limits.lease = kLease;
   set_queues(&result->state, queues_);
+  tenants_.set(&result->state);
   if (cut_from_next_owner_.empty()) {
     cut_workers(result.get(), lapse_chance(0.5) ? milliseconds(0) : kLease);
   }
@@ -470,8 +487,8 @@
   }
   observe_journal_write(&result->state, now_);
   continue_pool_time(&result->state, table_.pool_time, now_);
-  for (const std::pair<const std::string, jobs::entry>& each : table_.jobs) {
-    add_job(&result->state, each.first, each.second, now_);
+  for (const known_job* each : jobs_to_add(result->state, table_)) {
+    add_job(&result->state, each->first, each->second, now_);
   }
   owner_ = result;
   for (const std::pair<const std::string, std::unique_ptr<simulated_worker>>&
@@ -485,7 +502,14 @@
 
 void simulated_cell::round(std::shared_ptr<owner> owner) {
   if (!owner->alive || owner->state.superseded) return;
+  tenants_.check_usage(owner->state, &ledger_);
+  tenants_.miscount(&owner->state);
   decisions result = decide(&owner->state, time_of(*owner), wall_of(*owner));
+  for (const std::pair<const std::string, tenant_state>& each :
+       owner->state.tenants) {
+    if (each.second.held_steps > 0) ++reached_.held_rounds;
+  }
+  owner->state.tenant_events.clear();
   check_passed(*owner);
   owner->state.job_events.clear();
   owner->state.worker_events.clear();
@@ -560,6 +584,7 @@
     ++reached_.confirmed_late;
   }
   observe_journal_write(&owner->state, sent.sent);
+  tenants_.miscount(&owner->state);
   for (const start_order& each :
        observe_batch_written(&owner->state, sent.batch, time_of(*owner))) {
     send_start(owner, each);
@@ -762,6 +787,7 @@
          workers_) {
       each.second->tick(now_);
     }
+    tenants_.check_starts(workers_, now_, &ledger_);
     if (options_.deadly_share > 0) watch_crashes();
   }
   for (const std::pair<const std::string, jobs::entry>& each : table_.jobs) {
--- a/src/pool/simulated_cell.h
+++ b/src/pool/simulated_cell.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "pool/pool.h"
+#include "pool/simulated_tenants.h"
 #include "pool/simulated_worker.h"
 
 namespace ebonygrade::pool {
@@ -77,6 +78,7 @@
   double stale_entries = 0;  // Share of entries that are read again later.
   // Interval of repeated submissions while jobs are visible; 0: none.
   milliseconds resubmit_every{0};
+  tenant_options tenants;
 };
 
 // How often a simulation came into the situations that it is meant for.
@@ -95,6 +97,7 @@
   std::size_t deadly_given_up = 0;  // Jobs with a deadly task.
   std::size_t sound_given_up = 0;   // Jobs that could be done.
   std::size_t resizes = 0;
+  std::size_t held_rounds = 0;  // In which a quota held work back.
 };
 situations operator+(const situations& a, const situations& b);
 
@@ -189,6 +192,8 @@
   // The owner reads the entry of the worker's next incarnation after `delay`.
   void announce_restart(simulated_worker* worker, milliseconds delay);
   void resize_one();
+  // The present owner reads the new quotas at once.
+  void change_quotas();
   // Lets the workers go on that a deadly task has crashed.
   void watch_crashes();
   // Another worker takes the address of one that has crashed.
@@ -239,7 +244,8 @@
   unix_time wall_ = unix_time(milliseconds(1'800'000'000'000));
   std::multimap<steady_time, event> events_;
   simulated_worker::behaviour behaviour_;
-  std::map<std::string, std::unique_ptr<simulated_worker>> workers_;
+  simulated_workers workers_;
+  simulated_tenants tenants_;
   std::set<std::string> replaced_;
   // The incarnations whose entries are on their way or have been read.
   std::map<std::string, std::int64_t> announced_;
--- a/src/pool/simulated_worker.cpp
+++ b/src/pool/simulated_worker.cpp
@@ -122,6 +122,7 @@
 void ledger::record_start(const std::string& worker, const task_key& task,
                           std::uint32_t run) {
   ++starts_;
+  last_start_ = task;
   started_jobs_.insert(task.job);
   std::set<std::pair<std::string, std::uint32_t>>& alive = alive_[task];
   if (!alive.empty()) {
@@ -309,6 +310,15 @@
   return names;
 }
 
+std::vector<std::pair<task_key, resources>> simulated_worker::needs_of_runs()
+    const {
+  std::vector<std::pair<task_key, resources>> needs;
+  for (const std::pair<const task_key, active_run>& each : runs_) {
+    needs.emplace_back(each.first, each.second.need);
+  }
+  return needs;
+}
+
 resources simulated_worker::counted_capacity(steady_time now) const {
   resources most = capacity();
   for (std::size_t i = 1; i < capacities_.size(); ++i) {
--- a/src/pool/simulated_worker.h
+++ b/src/pool/simulated_worker.h
@@ -53,6 +53,9 @@
     return found != done_.end() && !found->second.empty();
   }
   bool job_done(const std::string& id) const;
+  const std::string& tenant_of(const std::string& job) const {
+    return jobs_.at(job).submission.tenant();
+  }
   // Whether a worker has begun a task of the job.
   bool job_started(const std::string& id) const {
     return started_jobs_.count(id) > 0;
@@ -61,6 +64,7 @@
   bool job_acknowledged(const std::string& id) const;
   const std::vector<std::string>& violations() const { return violations_; }
   std::uint64_t starts() const { return starts_; }
+  const task_key& last_start() const { return last_start_; }
 
  private:
   struct known_job {
@@ -90,6 +94,7 @@
   // Starts of a deadly task after the last crash that is allowed.
   std::map<task_key, std::uint32_t> starts_after_crashes_;
   std::vector<std::string> violations_;
+  task_key last_start_;
   std::uint64_t starts_ = 0;
 };
 
@@ -147,6 +152,8 @@
   std::uint64_t polled_token() const { return polled_token_; }
   worker_time lease() const { return lease_; }
   std::vector<std::pair<task_key, std::uint32_t>> active_runs() const;
+  // What each active run uses, those that are being stopped included.
+  std::vector<std::pair<task_key, resources>> needs_of_runs() const;
   // Ends the tasks that are due and those whose lease has expired.
   void tick(steady_time now);
   // The worker is back, as another incarnation, after `down`.
--- a/src/pool/tenant_usage.cpp
+++ b/src/pool/tenant_usage.cpp
@@ -21,7 +21,7 @@
 // Steps ahead of a gang pass its reservation for this long while their tenant
 // uses less than half of its quota. Without an end, urgent work of half a quota
 // would keep a gang of more than half of it waiting for good.
-constexpr milliseconds kMaxYieldTime{10000};
+constexpr milliseconds kMaxYieldTime{4000};
 // After this time a job without runs passes a reservation, while its tenant
 // uses less than half of its quota. Such a job starts within 3 s; the rest is
 // for rounds, advice and the record of the start. Until then the tenant's runs
@@ -144,17 +144,6 @@
          kMaxReservedWait;
 }
 
-// What the step may use. Negative if the tenant uses more than its limit.
-resources headroom_for(const scheduling_round& round,
-                       const candidate_step& candidate) {
-  const tenant_state& tenant = *candidate.tenant;
-  resources left = headroom(tenant.used, tenant.limit);
-  bool for_another =
-      tenant.reserved_for != nullptr && tenant.reserved_for != candidate.step;
-  if (!for_another || passes_reservation(round, candidate)) return left;
-  return left - tenant.reserved;
-}
-
 // Whether smaller work of its tenant could keep the step waiting for good: a
 // gang, or a task that needs more than half of the quota.
 bool accumulates(const candidate_step& candidate) {
@@ -360,15 +349,23 @@
   std::uint32_t waiting = count_waiting_tasks(*candidate.step);
   // The rest of a gang whose other members are being stopped.
   if (step.gang() && any_placed(*candidate.step)) return kAllTasks;
-  std::uint32_t slots = count_slots(headroom_for(round, candidate),
-                                    resources_needed(step), waiting);
+  // Negative if the tenant uses more than its limit.
+  resources left = headroom(tenant->used, tenant->limit);
+  bool reserved =
+      tenant->reserved_for != nullptr && tenant->reserved_for != candidate.step;
+  bool passes = reserved && passes_reservation(round, candidate);
+  if (reserved && !passes) left = left - tenant->reserved;
+  std::uint32_t slots = count_slots(left, resources_needed(step), waiting);
   if (tenant->reserved_for == candidate.step) {
     tenant->reserved_gang_seen = true;
   }
   if (slots >= waiting) {
     // A gang keeps its reservation until it starts. Otherwise later steps would
-    // use the headroom while the gang waits for workers.
-    if (!accumulates(candidate)) candidate.step->held_by_quota_since = {};
+    // use the headroom while the gang waits for workers. A step that passes a
+    // reservation may wait for advice, and passes it again then.
+    if (!passes && !accumulates(candidate)) {
+      candidate.step->held_by_quota_since = {};
+    }
     return kAllTasks;
   }
   if (candidate.step->held_by_quota_since == steady_time()) {
@@ -388,8 +385,7 @@
 void observe_starts(const scheduling_round& round,
                     const candidate_step& candidate) {
   tenant_state* tenant = candidate.tenant;
-  if (tenant == nullptr || !accumulates(candidate)) return;
-  if (!any_placed(*candidate.step)) return;
+  if (tenant == nullptr || !any_placed(*candidate.step)) return;
   candidate.step->held_by_quota_since = {};
   if (tenant->reserved_for != candidate.step) return;
   tenant->reserved_for = nullptr;
