--- a/bench/pool_bench.cpp
+++ b/bench/pool_bench.cpp
@@ -7,6 +7,9 @@
 // Each size runs under two loads: `busy` requests 85% of the CPU capacity,
 // `over` 130%, so that most steps wait. Prints the CPU time of the owner's
 // functions per started task, and how many steps wait at the end.
+//
+// Then the CPU time of a round in which many steps wait in a full pool, without
+// tenants and with 20 and 1,000, whose weighted shares decide the order.
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -20,6 +23,7 @@
 #include <vector>
 
 #include "bench/figure.h"
+#include "pool/manifest.h"
 #include "pool/pool.h"
 
 namespace {
@@ -43,6 +47,20 @@
 constexpr char kService[] = "service-a";
 constexpr char kQueue[] = "queue-a";
 
+// CPU time of `work` in seconds.
+template <typename Work>
+double cpu_time_of(Work work) {
+  timespec begin;
+  timespec end;
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &begin);
+  work();
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &end);
+  constexpr double kSecondsPerNanosecond = 1e-9;
+  return static_cast<double>(end.tv_sec - begin.tv_sec) +
+         kSecondsPerNanosecond *
+             static_cast<double>(end.tv_nsec - begin.tv_nsec);
+}
+
 class pool_load {
  public:
   pool_load(std::size_t workers, double load_factor)
@@ -78,15 +96,7 @@
   // Runs `work` and adds its CPU time to the owner's.
   template <typename Work>
   void measure_cpu_time(Work work) {
-    timespec begin;
-    timespec end;
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &begin);
-    work();
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &end);
-    constexpr double kSecondsPerNanosecond = 1e-9;
-    cpu_seconds_ += static_cast<double>(end.tv_sec - begin.tv_sec) +
-                    kSecondsPerNanosecond *
-                        static_cast<double>(end.tv_nsec - begin.tv_nsec);
+    cpu_seconds_ += cpu_time_of(std::move(work));
   }
 
   void add_worker(std::size_t number) {
@@ -230,6 +240,66 @@
                       "steps");
 }
 
+// Returns the microseconds of a round in a full pool of 350 workers in which
+// `steps` single tasks wait.
+double measure_order(std::size_t steps, std::size_t tenants) {
+  constexpr std::size_t kWorkers = 350;
+  constexpr int kRounds = 50;
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  constexpr steady_time kNow{std::chrono::hours(1)};
+  constexpr pool::unix_time kWall{milliseconds(1'800'000'000'000)};
+  pool::pool_state state;
+  pool::queue_policy policy;
+  policy.service = kService;
+  policy.stretch = 2;
+  policy.target = milliseconds(60000);
+  pool::set_queues(&state, {{kQueue, policy}});
+  std::vector<pool::tenant> rows;
+  for (std::size_t i = 0; i < tenants; ++i) {
+    rows.push_back({fmt::format("tenant-{}", i),
+                    {},
+                    0,
+                    1 + static_cast<double>(i % 7),
+                    {1'000'000, 0, 0}});
+  }
+  pool::set_tenants(&state, rows, 0.1);
+  pool::observe_journal_write(&state, kNow);
+  for (std::size_t i = 0; i < kWorkers; ++i) {
+    pool::worker_entry entry;
+    entry.id = "worker-" + std::to_string(i);
+    entry.service = kService;
+    entry.capacity = {kTaskMillicores, 65536, 0};
+    entry.incarnation_ms = 1;
+    pool::observe_worker_entry(&state, entry, kNow);
+    pool::worker_report report;
+    report.incarnation_ms = 1;
+    pool::observe_worker_report(&state, entry.id, report,
+                                pool::fencing_token(state, entry.id), kNow,
+                                kNow, kWall);
+  }
+  for (std::size_t i = 0; i < kWorkers + steps; ++i) {
+    wire::job_submission job;
+    job.set_queue(kQueue);
+    job.set_service(kService);
+    if (tenants > 0) job.set_tenant(rows[i * 7 % tenants].name);
+    job.set_accepted_ms(kWall.time_since_epoch().count() +
+                        static_cast<std::int64_t>(i));
+    wire::step_definition* step = job.add_steps();
+    step->set_count(1);
+    step->set_cpu_milli(kTaskMillicores);
+    step->set_memory_mb(1000);
+    step->set_estimate_ms(kTaskRuntime.count());
+    jobs::entry entry;
+    entry.submission = std::make_shared<wire::job_submission>(job);
+    pool::add_job(&state, fmt::format("{:016x}", i), entry, kNow);
+  }
+  pool::decide(&state, kNow, kWall);
+  double seconds = cpu_time_of([&] {
+    for (int i = 0; i < kRounds; ++i) pool::decide(&state, kNow, kWall);
+  });
+  return kMicrosecondsPerSecond * seconds / kRounds;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -240,5 +310,14 @@
     measure(workers, "busy", 0.85);
     measure(workers, "over", 1.3);
   }
+  // The first pool of a size isn't shown: it alone finds unused memory, in
+  // which its jobs lie in their order.
+  for (std::size_t steps : {1000, 4000}) {
+    measure_order(steps, 0);
+    for (std::size_t tenants : {0, 20, 1000}) {
+      bench::print_figure(fmt::format("pool.order.{}.{}.round", steps, tenants),
+                          measure_order(steps, tenants), "us");
+    }
+  }
   return EXIT_SUCCESS;
 }
--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -75,6 +75,7 @@
     step_state* step = find_step(job, position.occurrence, position.step);
     if (step == nullptr) continue;
     found.push_back(make_candidate(job, step, policy_of(*pool, *job), wall));
+    if (pool->has_tenants) describe_to_tenant(&found.back());
   }
   // The waiting steps are sorted by job and occurrence, which decides ties.
   std::stable_sort(found.begin(), found.end(), precedes);
@@ -388,13 +389,14 @@
   process_outstanding_orders(pool, &out, now);
   give_up_jobs(pool, wall);
   scheduling_round round = begin_round(pool, &out, now, wall);
+  if (pool->has_tenants) begin_tenant_round(pool, now);
   std::vector<candidate_step> waiting = candidates(pool, wall);
   if (pool->has_tenants) {
-    begin_tenant_round(&round, &waiting);
+    reserve_for_longest_held(round, waiting);
     order_by_tenant(round, &waiting);
   }
   place_waiting_steps(&round, waiting);
-  if (pool->has_tenants) end_tenant_round(&round);
+  if (pool->has_tenants) end_tenant_round(pool, now);
   for (std::pair<const std::string, worker>& each : pool->workers) {
     each.second.held_for_gang = round.reserved.count(&each.second) > 0;
   }
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -314,8 +314,9 @@
     job.critical_path = *std::max_element(job.remaining_paths.begin(),
                                           job.remaining_paths.end());
   }
-  tenant_state* tenant = tenant_of(pool, job);
-  job.over_share = tenant != nullptr && take_share(tenant, job.accepted);
+  set_tenant_of(pool, &job);
+  job.over_share =
+      job.tenant != nullptr && take_share(job.tenant, job.accepted);
   restore(pool, &job, entry.progress, now);
   job.outcome = entry.progress.outcome();
   if (job.outcome != wire::OPEN) {
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -205,6 +205,9 @@
   wire::job_outcome outcome = wire::OPEN;
   bool placed = false;   // A task has been placed, maybe in vain.
   bool started = false;  // A worker has begun a task.
+  // In pool_state::tenants; null in a pool without tenants. A pool that is
+  // copied needs set_tenants().
+  tenant_state* tenant = nullptr;
   // Accepted when its tenant had used up its share; see take_share().
   bool over_share = false;
   unix_time accepted;
--- a/src/pool/round_pvt.h
+++ b/src/pool/round_pvt.h
@@ -23,9 +23,10 @@
   pool::job* job = nullptr;
   step_state* step = nullptr;
   const queue_policy* policy = nullptr;
-  // Set by begin_tenant_round(), in a pool with tenants.
+  // Set by describe_to_tenant(), in a pool with tenants.
   tenant_state* tenant = nullptr;
   bool over_share = false;
+  std::uint32_t waiting_tasks = 0;
   resources waiting_need;  // Of all tasks that wait.
 };
 
--- a/src/pool/tenant_usage.cpp
+++ b/src/pool/tenant_usage.cpp
@@ -116,16 +116,16 @@
   }
 }
 
+// Jobs that have ended keep their tenant as well, for runs that are left.
 void remove_unused(pool_state* pool) {
-  std::unordered_set<std::string_view> needed;
+  std::unordered_set<const tenant_state*> needed;
   for (const std::pair<const std::string, job>& each : pool->jobs) {
-    if (each.second.outcome != wire::OPEN) continue;
-    needed.insert(each.second.submission->tenant());
+    needed.insert(each.second.tenant);
   }
   std::erase_if(pool->tenants,
                 [&](const std::pair<const std::string, tenant_state>& each) {
                   return !each.second.named && each.second.runs == 0 &&
-                         needed.count(each.first) == 0;
+                         needed.count(&each.second) == 0;
                 });
 }
 
@@ -166,31 +166,6 @@
   tenant->reserved = need;
 }
 
-// Keeps steps ahead of it from the headroom of the gang that has waited
-// longest.
-void reserve_for_longest_held(const scheduling_round& round,
-                              const std::vector<candidate_step>& waiting) {
-  for (const candidate_step& each : waiting) {
-    steady_time since = each.step->held_by_quota_since;
-    if (since == steady_time() || round.now - since < kHeldBeforeReserve) {
-      continue;
-    }
-    if (round.now < each.tenant->next_keep_off) continue;
-    if (each.tier == tier::no_value || !accumulates(each)) continue;
-    const step_state* other = each.tenant->reserved_for;
-    bool earlier = other == nullptr || since < other->held_by_quota_since;
-    if (earlier) reserve_headroom(each);
-  }
-  for (std::pair<const std::string, tenant_state>& each : round.pool->tenants) {
-    tenant_state& tenant = each.second;
-    if (tenant.reserved_for == nullptr) {
-      tenant.kept_off_since = {};
-    } else if (tenant.kept_off_since == steady_time()) {
-      tenant.kept_off_since = round.now;
-    }
-  }
-}
-
 void add_tenant_event(pool_state* pool, const tenant_state& tenant, bool holds,
                       steady_time now) {
   if (pool->tenant_events.size() >= kMaxPendingTenantEvents) return;
@@ -209,10 +184,6 @@
 void set_tenants(pool_state* pool, const std::vector<tenant>& tenants,
                  double quota_excess) {
   pool->has_tenants = !tenants.empty();
-  if (!pool->has_tenants) {
-    pool->tenants.clear();
-    return;
-  }
   for (std::pair<const std::string, tenant_state>& each : pool->tenants) {
     each.second.named = false;
   }
@@ -223,14 +194,17 @@
     state->quota = each.quota;
     state->limit = limits_of(each.quota, quota_excess);
   }
-  // Placements from before the manifest had tenants don't count yet.
+  // Jobs and placements from before the manifest had tenants have none yet.
+  for (std::pair<const std::string, job>& each : pool->jobs) {
+    set_tenant_of(pool, &each.second);
+  }
   count_again(pool);
   remove_unused(pool);
 }
 
-tenant_state* tenant_of(pool_state* pool, const job& job) {
-  if (!pool->has_tenants) return nullptr;
-  return find_or_add(pool, job.submission->tenant());
+void set_tenant_of(pool_state* pool, job* job) {
+  job->tenant = pool->has_tenants ? find_or_add(pool, job->submission->tenant())
+                                  : nullptr;
 }
 
 bool take_share(tenant_state* tenant, unix_time accepted) {
@@ -313,40 +287,74 @@
          !is_within(found->second.used, found->second.limit);
 }
 
-void begin_tenant_round(scheduling_round* round,
-                        std::vector<candidate_step>* waiting) {
-  for (std::pair<const std::string, tenant_state>& each :
-       round->pool->tenants) {
+void begin_tenant_round(pool_state* pool, steady_time now) {
+  for (std::pair<const std::string, tenant_state>& each : pool->tenants) {
     tenant_state& tenant = each.second;
     tenant.waiting_steps = 0;
     tenant.held_steps = 0;
     tenant.held = {};
+    tenant.had_held = false;
     tenant.reserved_for = nullptr;
     tenant.reserved = {};
     tenant.reserved_gang_seen = false;
     if (!uses_under_half(tenant)) {
       tenant.under_half_since = steady_time::max();
     } else if (tenant.under_half_since == steady_time::max()) {
-      tenant.under_half_since = round->now;
+      tenant.under_half_since = now;
     }
   }
-  for (candidate_step& each : *waiting) {
-    each.tenant = tenant_of(round->pool, *each.job);
-    each.over_share = each.job->over_share;
-    each.waiting_need = resources_needed(definition(*each.job, *each.step)) *
-                        count_waiting_tasks(*each.step);
-    ++each.tenant->waiting_steps;
+}
+
+void describe_to_tenant(candidate_step* candidate) {
+  const step_state& step = *candidate->step;
+  candidate->tenant = candidate->job->tenant;
+  candidate->over_share = candidate->job->over_share;
+  candidate->waiting_tasks = count_waiting_tasks(step);
+  candidate->waiting_need =
+      resources_needed(definition(*candidate->job, step)) *
+      candidate->waiting_tasks;
+  ++candidate->tenant->waiting_steps;
+  if (step.held_by_quota_since != steady_time()) {
+    candidate->tenant->had_held = true;
+  }
+}
+
+void reserve_for_longest_held(const scheduling_round& round,
+                              const std::vector<candidate_step>& waiting) {
+  for (const candidate_step& each : waiting) {
+    if (!each.tenant->had_held) continue;
+    steady_time since = each.step->held_by_quota_since;
+    if (since == steady_time() || round.now - since < kHeldBeforeReserve) {
+      continue;
+    }
+    if (round.now < each.tenant->next_keep_off) continue;
+    if (each.tier == tier::no_value || !accumulates(each)) continue;
+    const step_state* other = each.tenant->reserved_for;
+    bool earlier = other == nullptr || since < other->held_by_quota_since;
+    if (earlier) reserve_headroom(each);
+  }
+  for (std::pair<const std::string, tenant_state>& each : round.pool->tenants) {
+    tenant_state& tenant = each.second;
+    if (tenant.reserved_for == nullptr) {
+      tenant.kept_off_since = {};
+    } else if (tenant.kept_off_since == steady_time()) {
+      tenant.kept_off_since = round.now;
+    }
   }
-  reserve_for_longest_held(*round, *waiting);
 }
 
 std::uint32_t tasks_within_quota(const scheduling_round& round,
                                  const candidate_step& candidate) {
   tenant_state* tenant = candidate.tenant;
   if (tenant == nullptr || !is_limited(*tenant)) return kAllTasks;
+  bool fits_at_once =
+      tenant->reserved_for == nullptr &&
+      candidate.step->held_by_quota_since == steady_time() &&
+      is_within(tenant->used + candidate.waiting_need, tenant->limit);
+  if (fits_at_once) return kAllTasks;
   const wire::step_definition& step =
       definition(*candidate.job, *candidate.step);
-  std::uint32_t waiting = count_waiting_tasks(*candidate.step);
+  std::uint32_t waiting = candidate.waiting_tasks;
   // The rest of a gang whose other members are being stopped.
   if (step.gang() && any_placed(*candidate.step)) return kAllTasks;
   // Negative if the tenant uses more than its limit.
@@ -385,7 +393,9 @@
 void observe_starts(const scheduling_round& round,
                     const candidate_step& candidate) {
   tenant_state* tenant = candidate.tenant;
-  if (tenant == nullptr || !any_placed(*candidate.step)) return;
+  if (tenant == nullptr) return;
+  if (candidate.step->held_by_quota_since == steady_time()) return;
+  if (!any_placed(*candidate.step)) return;
   candidate.step->held_by_quota_since = {};
   if (tenant->reserved_for != candidate.step) return;
   tenant->reserved_for = nullptr;
@@ -397,20 +407,19 @@
       round.now + std::max<steady_time::duration>(kMinTimeBetween, kept_off);
 }
 
-void end_tenant_round(scheduling_round* round) {
-  for (std::pair<const std::string, tenant_state>& each :
-       round->pool->tenants) {
+void end_tenant_round(pool_state* pool, steady_time now) {
+  for (std::pair<const std::string, tenant_state>& each : pool->tenants) {
     tenant_state& tenant = each.second;
     if (tenant.held_steps > 0) {
-      tenant.held_at = round->now;
+      tenant.held_at = now;
       if (tenant.reported_holding) continue;
       tenant.reported_holding = true;
-      tenant.holding_since = round->now;
-      add_tenant_event(round->pool, tenant, true, round->now);
+      tenant.holding_since = now;
+      add_tenant_event(pool, tenant, true, now);
     } else if (tenant.reported_holding &&
-               round->now - tenant.held_at >= kHoldEndDelay) {
+               now - tenant.held_at >= kHoldEndDelay) {
       tenant.reported_holding = false;
-      add_tenant_event(round->pool, tenant, false, round->now);
+      add_tenant_event(pool, tenant, false, now);
     }
   }
 }
--- a/src/pool/tenant_usage.h
+++ b/src/pool/tenant_usage.h
@@ -57,6 +57,7 @@
   std::size_t waiting_steps = 0;
   std::size_t held_steps = 0;  // With tasks that the quota holds back.
   resources held;              // What these tasks need.
+  bool had_held = false;       // Has steps that it has held back before.
   // For the gang that accumulates headroom in this round.
   const step_state* reserved_for = nullptr;
   resources reserved;
@@ -90,8 +91,8 @@
 void set_tenants(pool_state* pool, const std::vector<tenant>& tenants,
                  double quota_excess);
 
-// The state of the job's tenant; null in a pool without tenants.
-tenant_state* tenant_of(pool_state* pool, const job& job);
+// Sets the job's tenant, from its submission; null in a pool without tenants.
+void set_tenant_of(pool_state* pool, job* job);
 
 // Takes a job of the tenant from its bucket. True, and takes nothing, if the
 // bucket is empty: the job is over the tenant's share. Acceptance times are
@@ -131,11 +132,14 @@
 inline constexpr std::uint32_t kAllTasks =
     std::numeric_limits<std::uint32_t>::max();
 
-// Sets the tenant of each step, and reserves headroom for the gangs that have
-// waited longest for their tenant's quota. To be called before the first start
-// of a round.
-void begin_tenant_round(scheduling_round* round,
-                        std::vector<candidate_step>* waiting);
+// To be called before the first step of a round.
+void begin_tenant_round(pool_state* pool, steady_time now);
+// Sets the tenant of a waiting step and what it needs, and counts it.
+void describe_to_tenant(candidate_step* candidate);
+// Keeps the steps ahead of it from the headroom of the gang of each tenant that
+// its quota has held back for longest, if that is long enough.
+void reserve_for_longest_held(const scheduling_round& round,
+                              const std::vector<candidate_step>& waiting);
 // How many tasks of the step may start within the quota of its tenant, or
 // kAllTasks. For a gang all or 0; one that is held back accumulates headroom.
 std::uint32_t tasks_within_quota(const scheduling_round& round,
@@ -144,6 +148,6 @@
 void observe_starts(const scheduling_round& round,
                     const candidate_step& candidate);
 // Adds the events of the round.
-void end_tenant_round(scheduling_round* round);
+void end_tenant_round(pool_state* pool, steady_time now);
 
 }  // namespace ebonygrade::pool
