--- a/src/poold/append_pacing.cpp
+++ b/src/poold/append_pacing.cpp
@@ -24,12 +24,13 @@
 constexpr milliseconds kMaxWait{2500};
 constexpr std::chrono::seconds kMinRetryAfter{1};
 constexpr std::chrono::seconds kMaxRetryAfter{5};
-// An append that took longer than this tells of a slow store.
-constexpr milliseconds kSlowAppend{100};
 // Three heartbeats of the owner.
 constexpr milliseconds kJournalTimeout{600};
 // Other daemons claim 1.8 s after an append of a healthy store.
 constexpr milliseconds kMaxAppendAge{1500};
+// Without a reply to an append for this long, although the store replies to
+// other calls. Covers three lost replies at the pace of a healthy store.
+constexpr milliseconds kMaxReplyAge{1300};
 // Covers two lost replies at the pace of a slow store.
 constexpr int kSlowAppendFactor = 4;
 constexpr milliseconds kMaxSlowAppendAge{5000};
@@ -147,8 +148,7 @@
   if (!appends.waiting || appends.store == store_state::silent) return false;
   reply_age = since(std::max(appends.replied, appends.begun), now);
   milliseconds slow = longest_recent(pace) * kSlowAppendFactor;
-  if (longest_recent(pace) < kSlowAppend) slow = milliseconds(0);
-  return reply_age < std::clamp(slow, kMinSilence, kMaxSlowAppendAge) &&
+  return reply_age < std::clamp(slow, kMaxReplyAge, kMaxSlowAppendAge) &&
          append_age < std::clamp(slow, kMaxAppendAge, kMaxSlowAppendAge);
 }
 
--- a/src/poold/append_pacing.h
+++ b/src/poold/append_pacing.h
@@ -85,7 +85,7 @@
   steady_time begun;     // First attempt of the append in flight, if any.
   steady_time replied;   // Time of the last reply to a written append.
   steady_time written;   // When that append was first sent.
-  bool waiting = false;  // An append is in flight.
+  bool waiting = false;  // An append is in flight and wasn't rejected.
   store_state store = store_state::normal;
 };
 
--- a/src/poold/job_api.cpp
+++ b/src/poold/job_api.cpp
@@ -31,6 +31,10 @@
 // takeover by a standby.
 constexpr milliseconds kForwardPeriod{1500};
 constexpr milliseconds kForwardTimeout{600};
+// The same for a cancellation, which the owner writes to a store that may be
+// slow.
+constexpr milliseconds kCancelPeriod{2500};
+constexpr milliseconds kCancelTimeout{1500};
 constexpr milliseconds kForwardRetryInterval{100};
 // Further calls are refused at once.
 constexpr std::size_t kMaxUnservedQueries = 256;
@@ -259,15 +263,17 @@
   query.set_job(request.id);
   query.set_queue(request.queue);
   query.set_cancels(request.method == http::verb::delete_);
+  milliseconds period = query.cancels() ? kCancelPeriod : kForwardPeriod;
   send_query(std::make_shared<forwarded_query>(forwarded_query{
-      std::move(query), now, std::min(request.deadline, now + kForwardPeriod),
+      std::move(query), now, std::min(request.deadline, now + period),
       std::move(respond)}));
 }
 
 void job_api::send_query(std::shared_ptr<forwarded_query> call) {
   milliseconds left =
       std::chrono::duration_cast<milliseconds>(call->deadline - clock_.now());
-  milliseconds timeout = std::min(left, kForwardTimeout);
+  milliseconds timeout =
+      std::min(left, call->query.cancels() ? kCancelTimeout : kForwardTimeout);
   call->query.set_time_left_ms(static_cast<std::uint32_t>(timeout.count()));
   owner_.forward(call->query, timeout,
                  [self = shared_from_this(), call](forward_result result) {
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -180,7 +180,7 @@
   return confirms_journal(
       store_.pace(),
       {journal_->begun(), last_write_, pool_.last_journal_write,
-       !journal_->idle(), journal_->state()},
+       !journal_->idle() && !journal_->is_rejected(), journal_->state()},
       clock_.now());
 }
 
