--- a/src/poold/advice_plan.cpp
+++ b/src/poold/advice_plan.cpp
@@ -50,6 +50,12 @@
   pass->out.push_back(attempt);
 }
 
+bool any_can_send(const planning& pass) {
+  return std::any_of(
+      pass.loads.begin(), pass.loads.end(),
+      [&](const channel_load& each) { return can_send(each, pass.now); });
+}
+
 void repeat(planning* pass, std::uint64_t id, channel_choice by) {
   if (!by.found) return;
   pass->plan->requests.at(id).repeated = true;
@@ -134,7 +140,7 @@
   }
   std::multimap<std::uint32_t, std::uint64_t>::iterator each =
       plan->waiting.begin();
-  while (each != plan->waiting.end()) {
+  while (each != plan->waiting.end() && any_can_send(pass)) {
     std::uint64_t id = each->second;
     const planned_request& request = plan->requests.at(id);
     bool urgent = each->first == kUrgentPriority;
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -174,7 +174,7 @@
   if ((claim_after_read_ || released) && !claiming_) {
     claim_after_read_ = false;
     consider_claim(now);
-    if (claim_after_read_) send_claim();
+    if (claim_after_read_ && !claiming_) send_claim();
   }
   if (owner_moved() && !owner_ && !draining_) announce(now);
   job_api_->on_journal_read();
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -15,6 +15,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "clock/timer.h"
--- a/src/poold/node_ownership.cpp
+++ b/src/poold/node_ownership.cpp
@@ -30,6 +30,8 @@
 // Number of epochs from which claims at one journal offset choose at random.
 constexpr std::uint64_t kEpochsPerOffset = 1000;
 constexpr milliseconds kAnnounceInterval{1000};
+// Of a call to a store that hasn't answered yet.
+constexpr milliseconds kMaxRoundTrip{100};
 
 }  // namespace
 
@@ -105,6 +107,11 @@
   // The claim is conditional on the end of the journal, which moves with each
   // accepted job, so it is sent right after a read.
   claim_after_read_ = true;
+  // Without an owner few records arrive, and a read waits for the next one.
+  milliseconds round_trip = store_.min_round_trip().value_or(kMaxRoundTrip);
+  if (unowned && journal_->is_waiting(now - 2 * round_trip)) {
+    return send_claim();
+  }
   journal_->read_now();
 }
 
@@ -136,7 +143,7 @@
                   // The journal decides whose claim wins. If the end has moved
                   // in the meantime, a new claim follows the next read.
                   claiming_ = false;
-                  ++lost_claims_;
+                  if (!owner_) ++lost_claims_;
                   if (journal_) journal_->read_now();
                 });
 }
--- a/src/poold/topic_follower.cpp
+++ b/src/poold/topic_follower.cpp
@@ -116,10 +116,12 @@
 void topic_follower::read() {
   if (stopped_) return;
   steady_time sent = clock_.now();
+  read_sent_ = sent;
   store_.read(
       options_.topic, next_, options_.max_wait, backoff_.failures,
       [self = shared_from_this(),
        sent](error::result<platform::read_reply> reply) {
+        self->read_sent_.reset();
         if (self->stopped_) return;
         if (reply.has_error()) {
           self->emit_failure("read", sent, reply.error());
--- a/src/poold/topic_follower.h
+++ b/src/poold/topic_follower.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -46,6 +47,12 @@
   // Ends the delay before the next read. No effect while a read is in flight.
   void read_now();
 
+  // Whether a read has been in flight since before `sent_by`. A read that the
+  // store received then would have returned any record after next().
+  bool is_waiting(steady_time sent_by) const {
+    return read_sent_ && *read_sent_ <= sent_by;
+  }
+
   // Drops the records from offset `from` up to `to` when they are read, and
   // avoids reading them. For records that this daemon wrote, by an append first
   // sent at `sent`, and applies before the next read.
@@ -82,6 +89,7 @@
   bool stopped_ = false;
   bool scheduled_ = false;
   steady_time current_as_of_;
+  std::optional<steady_time> read_sent_;  // Of the read in flight.
   http::backoff backoff_{milliseconds(100), 2, 0};
   std::mt19937 random_;
 };
