--- a/src/poold/topic_follower.cpp
+++ b/src/poold/topic_follower.cpp
@@ -128,6 +128,7 @@
       options_.topic, next_, options_.max_wait, backoff_.failures,
       [self = shared_from_this(),
        sent](error::result<platform::read_reply> reply) {
+        self->read_sent_.reset();
         if (self->stopped_) return;
         self->read_sent_.reset();
         if (reply.has_error()) {
