--- a/src/pool/tenant_usage.cpp
+++ b/src/pool/tenant_usage.cpp
@@ -225,6 +225,17 @@
   return false;
 }
 
+bool is_share_used(const pool_state& pool, const std::string& tenant,
+                   unix_time accepted) {
+  std::unordered_map<std::string, tenant_state>::const_iterator found =
+      pool.tenants.find(tenant);
+  if (found == pool.tenants.end()) return false;
+  tenant_state probe;
+  probe.weight = found->second.weight;
+  probe.share = found->second.share;
+  return take_share(&probe, accepted);
+}
+
 std::optional<std::string> exceeds_quota(const wire::job_submission& job,
                                          const manifest& manifest,
                                          double quota_excess) {
--- a/src/pool/tenant_usage.h
+++ b/src/pool/tenant_usage.h
@@ -99,6 +99,10 @@
 // told by several daemons; one that is up to 2 s before the newest counts as
 // the newest, and after a longer step back the bucket is full.
 bool take_share(tenant_state* tenant, unix_time accepted);
+// Whether a job of the tenant that is accepted now would be over its share.
+// False for a tenant that the pool doesn't know.
+bool is_share_used(const pool_state& pool, const std::string& tenant,
+                   unix_time accepted);
 
 // Why the job can never start within the quota of its tenant: a task, or a gang
 // as a whole, needs more than quota x (1 + quota_excess). None if it can, or if
--- a/src/poold/admission_gate.cpp
+++ b/src/poold/admission_gate.cpp
@@ -61,6 +61,7 @@
   if (!submission) return decided(std::nullopt);
   pool::admission_request request = pool::request_of(
       record.key.substr(1), *submission, policy_of(pool_, *submission));
+  request.over_share = pool::is_share_used(pool_, submission->tenant(), wall);
   if (maybe_stored) admitted_.add(request.id, now);
   pool::admission_verdict verdict =
       pool::judge(pool_.admission, request, now, wall);
