--- a/src/poold/peer_paths.h
+++ b/src/poold/peer_paths.h
@@ -18,6 +18,11 @@
 // Tells a standby that the sender has released the pool for it to claim.
 inline constexpr char kHandoverPath[] = "/v1/handover";
 inline constexpr char kEndPath[] = "/v1/end";
+// Returns the manifest in force as the store has it.
+inline constexpr char kManifestPath[] = "/v1/manifest";
+// Header of a presence message and of its reply: the version of the sender's
+// manifest; 0 without one.
+inline constexpr char kManifestVersionHeader[] = "Manifest-Version";
 inline constexpr char kMetricsPath[] = "/metrics";
 
 }  // namespace ebonygrade::poold
