--- a/src/pool/tenant_usage_test.cpp
+++ b/src/pool/tenant_usage_test.cpp
@@ -59,6 +59,32 @@
   }
 }
 
+// Guards against a run that neither its worker nor its tenant is charged for.
+TEST_CASE("a run that is left of a job that has ended counts when reported") {
+  tenant_pool pool({{"a", 1, {1000, 0, 0}}}, 0);
+  pool.add_worker("w1", 32000);
+  pool.submit_for("a", "ended", {pool.step(1, 1000)});
+  std::vector<start_order> starts = pool.round();
+  pool.confirm(starts);
+  pool.add_worker("w2", 32000);
+  start_order late = starts.front();
+  ++late.run;
+  worker_report with_late;
+  with_late.running.push_back(reported_run_of(late));
+  pool.report("w2", with_late);
+  pool.end_all("w1");
+  pool.round();
+  REQUIRE(pool.job_state("ended") == jobs::state::complete);
+  pool.take_over();
+  pool.add_worker("w1", 32000);
+  pool.add_worker("w2", 32000);
+  pool.report("w2", with_late);
+  CHECK(pool.state.workers.at("w2").used.cpu_milli == 1000);
+  CHECK(pool.tenant("a").used.cpu_milli == 1000);
+  pool.submit_for("a", "next", {pool.step(1, 1000)});
+  CHECK(pool.round().empty());
+}
+
 // Guards against a start that was placed under the former quota.
 TEST_CASE("a quota that is lowered before the start is sent holds it back") {
   tenant_pool pool({{"a", 1, {4000, 0, 0}}}, 0);
@@ -167,6 +193,32 @@
   CHECK(pool.ended_of("u") >= 20);
 }
 
+// A burst of small urgent jobs beside wide ones of the same tenant and of
+// another. Guards against urgent work that waits behind headroom, and against
+// wide work that never gets it.
+TEST_CASE("a burst of urgent jobs and wide gangs both go on under a quota") {
+  tenant_pool pool({{"a", 100, {16000, 0, 0}}, {"b", 100, {16000, 0, 0}}}, 0.1);
+  for (int i = 0; i < 4; ++i) pool.add_worker("w" + std::to_string(i), 10000);
+  wire::step_definition wide = pool.gang(8, 1000);
+  wide.set_estimate_ms(5000);
+  pool.play(milliseconds(15000), milliseconds(1000), [&](int tick) {
+    if (tick % 100 == 0) {
+      std::string number = std::to_string(tick);
+      pool.submit_for("a", "ga" + number, {wide}, kLowQueue);
+      pool.submit_for("b", "gb" + number, {wide}, kLowQueue);
+    }
+    bool bursts = tick >= 150 && tick < 350;
+    if (tick % 50 == 0 || (bursts && tick % 4 == 0)) {
+      pool.submit_for("a", "u" + std::to_string(tick), {pool.step(1, 1500)});
+    }
+  });
+  CHECK(pool.most_used("a").cpu_milli <= 17600);
+  CHECK(pool.longest_wait_under_half <= milliseconds(3000));
+  CHECK(pool.ended_of("ga") >= 5);
+  CHECK(pool.ended_of("gb") >= 7);
+  CHECK(pool.ended_of("u") >= 50);
+}
+
 TEST_CASE("a gang beyond a lowered quota doesn't hold back its tenant") {
   tenant_pool pool({{"a", 1, {4000, 0, 0}}}, 0);
   pool.add_worker("w1", 32000);
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -94,6 +94,16 @@
   }
 }
 
+// What a run of the task uses, also if its occurrence has ended. Nothing if the
+// job is unknown.
+resources need_of(pool_state* pool, const task_key& task) {
+  const job* job = find_job(pool, task.job);
+  if (job == nullptr) return {};
+  int step = static_cast<int>(task.step);
+  if (step >= job->submission->steps_size()) return {};
+  return resources_needed(job->submission->steps(step));
+}
+
 void apply_running(pool_state* pool, worker* worker, const reported_run& row,
                    steady_time now) {
   mark_started(pool, row.task.job);
@@ -103,11 +113,7 @@
     placement unexpected;
     unexpected.task = row.task;
     unexpected.run = row.run;
-    task_ref ref = find_task(pool, row.task);
-    job* job = ref.job;
-    step_state* step = ref.step;
-    if (step != nullptr)
-      unexpected.need = resources_needed(definition(*job, *step));
+    unexpected.need = need_of(pool, row.task);
     unexpected.phase = phase::running;
     unexpected.phase_since = now;
     unexpected.last_progress = worker->clock;
