Repeat a lost claim of a released pool only after a read

If that read hangs on a dead connection, the copy may lack another owner's claim, and after two lost claims the third one omits the condition and would supersede that owner. Found by reading.

Change: only the first claim is sent without a completed read.

--- a/src/poold/node_ownership.cpp
+++ b/src/poold/node_ownership.cpp
@@ -108,8 +108,11 @@
   // accepted job, so it is sent right after a read.
   claim_after_read_ = true;
   // Without an owner few records arrive, and a read waits for the next one.
+  // Once only: if the claim is lost, the read may hang on a dead connection,
+  // and the copy may lack the claim of another owner.
   milliseconds round_trip = store_.min_round_trip().value_or(kMaxRoundTrip);
-  if (unowned && journal_->is_waiting(now - 2 * round_trip)) {
+  if (unowned && lost_claims_ == 0 &&
+      journal_->is_waiting(now - 2 * round_trip)) {
     return send_claim();
   }
   journal_->read_now();
--- a/src/poold/standby_test.cpp
+++ b/src/poold/standby_test.cpp
@@ -75,6 +75,21 @@
   CHECK(small == 2);
 }
 
+// Guards against a slow owner that keeps the pool as its standbys are slow,
+// too.
+TEST_CASE("daemons on slow machines are standbys only without fast ones") {
+  std::vector<daemon_info> daemons = make_daemons(100);
+  std::set<std::string> slow = choose_standbys(daemons);
+  for (const std::string& each : slow) {
+    find(daemons, each).slowdown = 7;
+    find(daemons, each).follows_journal = true;
+  }
+  for (const std::string& each : choose_standbys(daemons)) {
+    CHECK(slow.count(each) == 0);
+    CHECK(find(daemons, each).cpu_share == 0.5);
+  }
+}
+
 TEST_CASE("daemons become standbys one after the other without an owner") {
   std::optional<milliseconds> near = milliseconds(5);
   std::optional<milliseconds> far = milliseconds(22);
