Ask for advice again when a wait has lost its far place

Cause: a task kept its state of waiting after the far places had gone, and its step asked for no new tickets any more. Change: only a decision of the same round holds requests back. Forecasts of one round look at 50,000 ends at most, and building them counts.

--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -339,7 +339,7 @@
     }
     record_placements(*round, each, first, had_placed);
     if (each.policy->needs_advice && count_waiting_tasks(*each.step) > 0 &&
-        !all_wait_for_near(each)) {
+        !all_wait_for_near(*round, each)) {
       request_advice(round, each);
       if (each.step->pending_advice > 0) {
         round->cpu_awaiting_advice +=
--- a/src/pool/near_forecast.cpp
+++ b/src/pool/near_forecast.cpp
@@ -22,9 +22,9 @@
 constexpr milliseconds kStopTime{300};
 // Tickets are not used when they expire sooner; see options.cpp.
 constexpr milliseconds kTicketMargin{120};
-// Bound of a round's searches, about 2 ms of processor time. Tasks after it
-// start far.
-constexpr std::size_t kMaxChangesSearched = 200'000;
+// Bound of a round's work on forecasts, in ends of runs: a few milliseconds of
+// processor time. Tasks after it start far.
+constexpr std::size_t kMaxChangesSearched = 50'000;
 
 using real_ms = std::chrono::duration<double, std::milli>;
 
@@ -61,6 +61,7 @@
     return room;
   }
   room.placements = worker->placements.size();
+  round.near->changes_searched += room.placements;
   room.changes.clear();
   for (placement& placed : worker->placements) {
     steady_time end = expected_end(round, *worker, placed);
--- a/src/pool/near_round.cpp
+++ b/src/pool/near_round.cpp
@@ -195,6 +195,7 @@
   }
   if (decision.waits) {
     if (!wait.waiting) begin_wait(round, candidate, options, decision, task);
+    wait.decided = round.now;
     return true;
   }
   if (wait.waiting) {
@@ -297,13 +298,18 @@
   }
 }
 
-bool all_wait_for_near(const candidate_step& candidate) {
+bool all_wait_for_near(const scheduling_round& round,
+                       const candidate_step& candidate) {
+  // Without a far place a task has no decision to make, and needs advice.
+  auto waits = [&](const task& each) {
+    return each.near.waiting && each.near.decided == round.now;
+  };
   const std::vector<task>& tasks = candidate.step->tasks;
   if (definition(*candidate.job, *candidate.step).gang()) {
-    return tasks.front().near.waiting;
+    return waits(tasks.front());
   }
-  return std::all_of(tasks.begin(), tasks.end(), [](const task& each) {
-    return each.done || each.placed || each.near.waiting;
+  return std::all_of(tasks.begin(), tasks.end(), [&](const task& each) {
+    return each.done || each.placed || waits(each);
   });
 }
 
--- a/src/pool/near_wait.h
+++ b/src/pool/near_wait.h
@@ -104,6 +104,7 @@
   steady_time begun;      // While waiting.
   steady_time free_at;    // While waiting: the forecast at the decision.
   steady_time until;      // While waiting.
+  steady_time decided;    // The last decision to wait.
 };
 
 // Error of the forecasts, smoothed.
--- a/src/pool/near_wait_pvt.h
+++ b/src/pool/near_wait_pvt.h
@@ -93,8 +93,9 @@
 // Keeps the room that a waiting gang has been forecast from the steps after it.
 // A waiting gang reserves nothing elsewhere.
 void reserve_near_room(scheduling_round* round);
-// Whether all waiting tasks of the step wait by decision. They have tickets for
-// far and near workers, and new ones wouldn't be used.
-bool all_wait_for_near(const candidate_step& candidate);
+// Whether all waiting tasks of the step wait by a decision of this round. They
+// have tickets for far and near workers, and new ones wouldn't be used.
+bool all_wait_for_near(const scheduling_round& round,
+                       const candidate_step& candidate);
 
 }  // namespace ebonygrade::pool
--- a/src/pool/near_wait_test.cpp
+++ b/src/pool/near_wait_test.cpp
@@ -2,10 +2,12 @@
 // the far place, that outlast a rack or an owner, and that nobody asked for.
 #include "pool/near_wait.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "pool/test_pool.h"
@@ -300,6 +302,12 @@
     CHECK(pool.round(&out).empty());
     CHECK(out.advice.empty());  // The tickets that it has will do.
     CHECK(pool.state.near.counters.waits == 1);
+    // Without any place left, the step must get new tickets.
+    pool.place_on_rack("f1", "far", true);
+    pool.pass(milliseconds(2000));
+    pool.place_on_rack("f1", "far", false);
+    pool.round(&out);
+    CHECK(out.advice.size() == 1);
   }
   SECTION("the tickets expire before the forecast") {
     pool.state.jobs.at(kSecond).occurrences[0][0].ready_since +=
