--- a/src/poold/handover_node_test.cpp
+++ b/src/poold/handover_node_test.cpp
@@ -96,6 +96,21 @@
   CHECK(cell.wait_until([&] { return cell.nodes[former]->owns_pool(); }));
 }
 
+// Guards against a pool that is released for a standby which can't claim it any
+// more: its last announcement is up to 1.5 s old (2.3 s without an owner, while
+// a third of the daemons was cut off).
+TEST_CASE(
+    "an owner on a slow machine keeps the pool until a standby confirms") {
+  paced_cell cell(3);
+  std::size_t former = cell.owner();
+  cell.slow = {0, 1, 2};
+  cell.context.run_for(std::chrono::milliseconds(900));
+  CHECK(cell.nodes[former]->owns_pool());
+  CHECK(cell.has_metric(former, "ebonygrade_pool_handovers_total 0"));
+  cell.slow = {former};
+  CHECK(cell.wait_for_next_owner(former) != former);
+}
+
 // Guards against lost or doubly run jobs: calls arrive at all daemons, most of
 // them without a copy of the journal, while the pool changes hands.
 TEST_CASE("jobs submitted during handovers are accepted once and complete") {
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -121,9 +121,13 @@
   void watch_clocks();
   // Measures how slow the machine is; logs a change of the judgement.
   void watch_pace(steady_time now);
-  // As the owner: releases the pool if the machine is slow and a fit standby
-  // can claim it.
+  // As the owner: if the machine is slow, asks a fit standby whether it can
+  // claim the pool, and releases it once the standby confirms that.
   void consider_handover(steady_time now);
+  void ask_successor(const daemon_info& successor, steady_time now);
+  void hand_over(const daemon_info& successor, steady_time now);
+  // Whether this daemon can claim a pool that is released for it.
+  bool can_succeed(steady_time now) const;
   void notify_successor(const daemon_info& successor, std::uint64_t epoch);
   void handle_handover(const http::request& request,
                        const http::responder& respond);
@@ -191,7 +195,11 @@
   steady_time owner_replied_at_;               // To an announcement.
   steady_time owner_confirmed_at_;
   std::string owner_address_;
-  std::unique_ptr<http::client> successor_link_;  // After a handover.
+  // To the standby that was asked to take the pool over, and after a handover.
+  std::unique_ptr<http::client> successor_link_;
+  bool asking_successor_ = false;
+  // Standbys that didn't confirm, with the time when they were asked.
+  std::map<std::string, steady_time> declined_;
   clock::timer tick_timer_;
   clock::timer drain_timer_;
   steady_time last_owner_contact_;
--- a/src/poold/node_handover.cpp
+++ b/src/poold/node_handover.cpp
@@ -1,6 +1,8 @@
 // Handover of the pool by an owner on a slow machine. docs/design/slow-owner.md
+#include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "events/events.h"
 #include "poold/node.h"
@@ -14,6 +16,15 @@
 constexpr milliseconds kClaimSpread{150};
 // The notice only saves the successor's next read of the journal.
 constexpr milliseconds kNoticeTimeout{500};
+// Longer than a round trip between regions to a busy daemon. A standby that is
+// cut off announced itself up to 1.5 s ago, and a pool that is released for it
+// has no owner for seconds.
+constexpr milliseconds kConfirmTimeout{300};
+// A standby that didn't confirm isn't asked again for this long.
+constexpr milliseconds kDeclinedPeriod{1000};
+// A standby with an older copy may be unable to reach the store. Covers a long
+// poll and the interval between two reads.
+constexpr milliseconds kMaxCopyAge{900};
 
 }  // namespace
 
@@ -30,21 +41,60 @@
 
 void node::consider_handover(steady_time now) {
   bool may = machine_.slow_since != steady_time() && !draining_ &&
-             !owner_->is_releasing();
+             !asking_successor_ && !owner_->is_releasing();
   if (!may) return;
-  std::optional<daemon_info> successor = choose_successor(
-      machine_,
-      {owned_since_, owner_->journal_reachable(), settings_.zone,
-       settings_.region, owner_->daemons().announced()},
-      now);
-  if (!successor) return;
+  std::erase_if(declined_,
+                [now](const std::pair<const std::string, steady_time>& each) {
+                  return now - each.second >= kDeclinedPeriod;
+                });
+  std::vector<announced_daemon> daemons = owner_->daemons().announced();
+  std::erase_if(daemons, [this](const announced_daemon& each) {
+    return declined_.count(each.daemon.id) > 0;
+  });
+  std::optional<daemon_info> successor =
+      choose_successor(machine_,
+                       {owned_since_, owner_->journal_reachable(),
+                        settings_.zone, settings_.region, std::move(daemons)},
+                       now);
+  if (successor) ask_successor(*successor, now);
+}
+
+void node::ask_successor(const daemon_info& successor, steady_time now) {
+  asking_successor_ = true;
+  wire::ownership_record question;
+  question.set_daemon(settings_.id);
+  question.set_epoch(owner_->epoch());
+  question.set_peer_address(settings_.peer_address);
+  http::request request{http::verb::post, kHandoverPath, http::kHttpVersion11};
+  request.body() = question.SerializeAsString();
+  request.prepare_payload();
+  successor_link_ = std::make_unique<http::client>(
+      context_, successor.peer_address, http::client_options());
+  successor_link_->call(
+      "ask successor", std::move(request), kConfirmTimeout,
+      [this, successor, now,
+       epoch = owner_->epoch()](http::call_result&& result) {
+        asking_successor_ = false;
+        if (!owner_ || owner_->epoch() != epoch || draining_) return;
+        if (result.has_error() || result->result() != http::status::ok) {
+          declined_[successor.id] = now;
+          return;
+        }
+        bool still_slow = machine_.slow_since != steady_time();
+        if (still_slow && !owner_->is_releasing()) {
+          hand_over(successor, clock_.now());
+        }
+      });
+}
+
+void node::hand_over(const daemon_info& successor, steady_time now) {
   record_handover(&machine_, now);
   events::emit(
-      events::id::pool_handed_over, "hand over", successor->id,
+      events::id::pool_handed_over, "hand over", successor.id,
       "epoch={} slowdown={:.1f} successor_slowdown={:.1f} owned_ms={}",
-      owner_->epoch(), machine_.slowdown, successor->slowdown,
+      owner_->epoch(), machine_.slowdown, successor.slowdown,
       std::chrono::duration_cast<milliseconds>(now - owned_since_).count());
-  owner_->release([this, successor = std::move(*successor)] {
+  owner_->release([this, successor] {
     std::uint64_t epoch = owner_->epoch();
     owner_.reset();
     directory_writer_->stop();
@@ -75,20 +125,27 @@
                         [](http::call_result&&) {});
 }
 
+bool node::can_succeed(steady_time now) const {
+  return !owner_ && !draining_ && has_journal() &&
+         journal_age() < kMaxCopyAge && machine_.slowdown < kFitRatio &&
+         !holds_back(machine_, now);
+}
+
 void node::handle_handover(const http::request& request,
                            const http::responder& respond) {
-  wire::ownership_record released;
-  if (!released.ParseFromString(request.body()) || !released.released()) {
+  wire::ownership_record offer;
+  if (!offer.ParseFromString(request.body())) {
     return respond(
         http::error_response(http::status::bad_request, "no release"));
   }
-  respond(http::text_response(http::status::ok, "text/plain", ""));
   steady_time now = clock_.now();
-  bool claims = !owner_ && !draining_ && has_journal() && !machine_.slow &&
-                !holds_back(machine_, now) &&
-                released.epoch() >= table_.owner.record.epoch();
-  if (!claims) return;
-  offered_epoch_ = released.epoch();
+  if (!can_succeed(now) || offer.epoch() < table_.owner.record.epoch()) {
+    return respond(http::error_response(http::status::conflict,
+                                        "this daemon can't claim the pool"));
+  }
+  respond(http::text_response(http::status::ok, "text/plain", ""));
+  if (!offer.released()) return;
+  offered_epoch_ = offer.epoch();
   // The journal decides: the claim follows once the release has been read.
   if (!is_offered()) return journal_->read_now();
   claim_after_ = now;
--- a/src/poold/peer_paths.h
+++ b/src/poold/peer_paths.h
@@ -15,7 +15,8 @@
 inline constexpr char kMaybeStoredHeader[] = "Maybe-Stored";
 inline constexpr char kRecordPath[] = "/v1/record";
 inline constexpr char kJobPath[] = "/v1/job";
-// Tells a standby that the sender has released the pool for it to claim.
+// Asks a standby whether it can claim the pool, and, with a record that is
+// marked as released, tells it that the pool is released for it to claim.
 inline constexpr char kHandoverPath[] = "/v1/handover";
 inline constexpr char kEndPath[] = "/v1/end";
 // Returns the manifest in force as the store has it.
