--- a/src/pool/admission.h
+++ b/src/pool/admission.h
@@ -145,8 +145,8 @@
   // Highest capacity of the available workers, until a loss has lasted.
   std::int64_t known_capacity_milli = 0;
   steady_time capacity_seen_at;
-  // Free CPU that waiting work could not use, smoothed: room that gangs collect,
-  // and rests on workers that are too small for a task.
+  // Free CPU that waiting work could not use, smoothed: room that gangs
+  // collect, and rests on workers that are too small for a task.
   double idle_cpu_milli = 0;
   // Accepted lately, and maybe not among the pool's jobs yet.
   std::deque<admitted_job> admitted;
--- a/src/pool/admission_test.cpp
+++ b/src/pool/admission_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
--- a/src/poold/admission_gate.cpp
+++ b/src/poold/admission_gate.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <unordered_map>
 #include <utility>
 
 #include "events/events.h"
@@ -17,8 +18,9 @@
 // While there is no owner, daemons append by themselves, and callers who got no
 // answer come back at other daemons within their time limit of about 3 s.
 constexpr milliseconds kAdmitAllTime{5000};
-// Daemons announce themselves every second.
-constexpr milliseconds kSilentAfter{2500};
+// Daemons announce themselves every second. A caller of a daemon that lost its
+// owner waits for a second at least before it tries another daemon.
+constexpr milliseconds kSilentAfter{1600};
 // A daemon that is silent for longer has ended, or its callers have left.
 constexpr milliseconds kForgetDaemonAfter{12500};
 // Longer than callers repeat a submission.
@@ -160,8 +162,11 @@
 }
 
 void admission_gate::on_submission(const std::string& job, steady_time now) {
-  if (admitted_.may_contain(job, now)) return;
-  // Another daemon has appended it, and may be appending more.
+  // Otherwise another daemon has appended it, and may be appending more.
+  if (!admitted_.may_contain(job, now)) on_direct_append(now);
+}
+
+void admission_gate::on_direct_append(steady_time now) {
   admit_all_until_ = now + kAdmitAllTime;
 }
 
--- a/src/poold/admission_gate.h
+++ b/src/poold/admission_gate.h
@@ -62,6 +62,8 @@
 
   // A submission was applied to the pool, by this owner or from the journal.
   void on_submission(const std::string& job, steady_time now);
+  // Another daemon has an append without an answer.
+  void on_direct_append(steady_time now);
   // The daemon is in contact with the owner.
   void on_daemon(const std::string& daemon, steady_time now);
   void on_job_event(const pool::job_event& event);
--- a/src/poold/job_api.h
+++ b/src/poold/job_api.h
@@ -82,6 +82,8 @@
   // Whether this daemon or an earlier owner may have written the record of an
   // earlier call with the same id.
   bool may_be_stored(const jobs::record& record);
+  // Whether an append by this daemon itself has no answer yet.
+  bool has_open_append() const { return !in_flight_.empty(); }
   // Called after each read of the journal.
   void on_journal_read() { run_current_reads(); }
   void stop();
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -50,11 +50,12 @@
   presence.set_cpu_share(settings_.cpu_share);
   presence.set_follows_journal(journal_ != nullptr);
   std::uint64_t epoch = table_.owner.record.epoch();
+  http::request message = http::json_request(http::verb::post, kPresencePath,
+                                             http::to_compact_json(presence));
+  if (job_api_->has_open_append()) message.set(kMaybeStoredHeader, "1");
   owner_link_->call(
-      "announce",
-      http::json_request(http::verb::post, kPresencePath,
-                         http::to_compact_json(presence)),
-      kProbeTimeout, [this, epoch, now](http::call_result&& result) {
+      "announce", std::move(message), kProbeTimeout,
+      [this, epoch, now](http::call_result&& result) {
         announcing_ = false;
         wire::owner_status status;
         bool replied = result.has_value() &&
@@ -292,6 +293,10 @@
     owner_->record_daemon({presence.daemon(), presence.peer_address(),
                            presence.zone(), presence.region(),
                            presence.cpu_share(), presence.follows_journal()});
+    if (owner_->admission() &&
+        request.find(kMaybeStoredHeader) != request.end()) {
+      owner_->admission()->on_direct_append(now);
+    }
     for (const std::string& each :
          owner_->daemons().relays_for(presence.daemon(), now)) {
       status.add_peer_addresses(each);
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -51,10 +51,10 @@
   // When the caller of a rejected submission is to come back.
   std::chrono::seconds retry_after{0};
 
-  write_reply(owner_reply result,  // NOLINT(google-explicit-constructor)
+  write_reply(owner_reply result,  // NOLINT
               std::chrono::seconds retry_after = std::chrono::seconds(0))
       : result(result), retry_after(retry_after) {}
-  operator owner_reply() const {  // NOLINT(google-explicit-constructor)
+  operator owner_reply() const {  // NOLINT
     return result;
   }
 };
@@ -103,7 +103,7 @@
   std::uint64_t epoch() const { return epoch_; }
   const pool::pool_state& state() const { return pool_; }
   // Null unless the settings ask for it.
-  const admission_gate* admission() const { return admission_.get(); }
+  admission_gate* admission() const { return admission_.get(); }
   // Entries of service discovery that name no worker to use.
   std::size_t unreadable_entries() const { return unreadable_entries_.size(); }
 
--- a/src/poold/peer_paths.h
+++ b/src/poold/peer_paths.h
@@ -11,7 +11,8 @@
 inline constexpr std::string_view kStorePath = "/v1/store";
 // Header of a relayed read whose sender accepts interim replies.
 inline constexpr char kAcceptsInterimHeader[] = "Accepts-Interim";
-// Header of a record that an earlier attempt may have written.
+// Header of a record that an earlier attempt may have written, and of the
+// announcement of a daemon that waits for an answer to an append of its own.
 inline constexpr char kMaybeStoredHeader[] = "Maybe-Stored";
 inline constexpr char kRecordPath[] = "/v1/record";
 inline constexpr char kJobPath[] = "/v1/job";
