--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -66,6 +66,7 @@
   http::request request = http::json_request(http::verb::post, kPresencePath,
                                              http::to_compact_json(presence));
   request.set(kManifestVersionHeader, manifest_version());
+  if (job_api_->has_open_append()) request.set(kMaybeStoredHeader, "1");
   owner_probe_->call(
       "announce", std::move(request), kProbeTimeout,
       [this, epoch, now, address,
@@ -352,6 +353,10 @@
                            presence.zone(), presence.region(),
                            presence.cpu_share(), presence.follows_journal(),
                            presence.slowdown()});
+    if (owner_->admission() &&
+        request.find(kMaybeStoredHeader) != request.end()) {
+      owner_->admission()->on_direct_append(now);
+    }
     for (const std::string& each :
          owner_->daemons().relays_for(presence.daemon(), now)) {
       status.add_peer_addresses(each);
