--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-// A result has no value after this many times the objective.
-constexpr int kValueEndFactor = 3;
 // Run times below this share of their estimates are not expected.
 constexpr double kShortestRunFactor = 0.7;
 // Limit of the workers that are reserved for gangs, relative to all available
@@ -76,6 +74,7 @@
     step_state* step = find_step(job, position.occurrence, position.step);
     if (step == nullptr) continue;
     found.push_back(make_candidate(job, step, policy_of(*pool, *job), wall));
+    if (pool->has_tenants) describe_to_tenant(&found.back());
   }
   // The waiting steps are sorted by job and occurrence, which decides ties.
   std::stable_sort(found.begin(), found.end(), precedes);
@@ -348,7 +347,7 @@
     // Tickets of tasks that a quota holds back would expire.
     bool quota_left = round->pool->unrecorded_starts.size() - first < allowed;
     if (each.policy->needs_advice && quota_left &&
-        count_waiting_tasks(*each.step) > 0 && !all_wait_for_near(each)) {
+        count_waiting_tasks(*each.step) > 0 && !all_wait_for_near(*round, each)) {
       request_advice(round, each);
       if (each.step->pending_advice > 0) {
         round->cpu_awaiting_advice +=
@@ -395,17 +394,19 @@
   process_outstanding_orders(pool, &out, now);
   give_up_jobs(pool, wall);
   scheduling_round round = begin_round(pool, &out, now, wall);
+  if (pool->has_tenants) begin_tenant_round(pool, now);
   std::vector<candidate_step> waiting = candidates(pool, wall);
   if (pool->has_tenants) {
-    begin_tenant_round(&round, &waiting);
+    reserve_for_longest_held(round, waiting);
     order_by_tenant(round, &waiting);
   }
   place_waiting_steps(&round, waiting);
-  if (pool->has_tenants) end_tenant_round(&round);
+  if (pool->has_tenants) end_tenant_round(pool, now);
   for (std::pair<const std::string, worker>& each : pool->workers) {
     each.second.held_for_gang = round.reserved.count(&each.second) > 0;
   }
   pool->load = summarize(round, waiting);
+  update_admission_load(round, waiting);
   pool->counters.stops += out.stops.size();
   return out;
 }
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -38,6 +38,7 @@
 #include <vector>
 
 #include "jobs/job_table.h"
+#include "pool/admission.h"
 #include "pool/near_wait.h"
 #include "pool/tenant_usage.h"
 #include "pool/types.h"
@@ -213,6 +214,9 @@
   wire::job_outcome outcome = wire::OPEN;
   bool placed = false;   // A task has been placed, maybe in vain.
   bool started = false;  // A worker has begun a task.
+  // In pool_state::tenants; null in a pool without tenants. A pool that is
+  // copied needs set_tenants().
+  tenant_state* tenant = nullptr;
   // Accepted when its tenant had used up its share; see take_share().
   bool over_share = false;
   unix_time accepted;
@@ -388,6 +392,7 @@
   steady_time last_journal_write;
   load_summary load;
   near_wait_state near;
+  admission_state admission;
   std::vector<deadly_task> deadly_tasks;    // Their jobs fail next.
   std::vector<job_event> job_events;        // The caller removes them.
   std::vector<worker_event> worker_events;  // The caller removes them.
--- a/src/pool/round_pvt.h
+++ b/src/pool/round_pvt.h
@@ -24,9 +24,10 @@
   pool::job* job = nullptr;
   step_state* step = nullptr;
   const queue_policy* policy = nullptr;
-  // Set by begin_tenant_round(), in a pool with tenants.
+  // Set by describe_to_tenant(), in a pool with tenants.
   tenant_state* tenant = nullptr;
   bool over_share = false;
+  std::uint32_t waiting_tasks = 0;
   resources waiting_need;  // Of all tasks that wait.
 };
 
@@ -144,6 +145,11 @@
                                    task* task,
                                    std::vector<placement_option>* options);
 
+// Makes a forecast of the load for admission control, if that is enabled and
+// the last one is old. `waiting` are the steps in the order of placement.
+void update_admission_load(const scheduling_round& round,
+                           const std::vector<candidate_step>& waiting);
+
 // Requests advice for the step, if a request is useful now.
 void request_advice(scheduling_round* round, const candidate_step& candidate);
 
--- a/src/poold/job_api.cpp
+++ b/src/poold/job_api.cpp
@@ -27,6 +27,9 @@
 constexpr milliseconds kUnknownOutcomeTimeout{1000};
 // Limit for the journal read that precedes a reply about an unknown job.
 constexpr milliseconds kCurrentReadTimeout{1000};
+// Longer than callers repeat a submission whose outcome they don't know.
+constexpr milliseconds kMaybeStoredPeriod{60000};
+constexpr std::size_t kMaxMaybeStored = 16384;
 constexpr milliseconds kDeadlineCheckInterval{50};
 constexpr char kDeadlineHeader[] = "X-Deadline-Ms";
 
@@ -67,6 +70,7 @@
       owner_(std::move(owner)),
       measurements_(measurements),
       access_(clock, measurements),
+      maybe_stored_(kMaybeStoredPeriod, kMaxMaybeStored),
       deadline_timer_(context) {
   // Keeps the sequence numbers apart from those of earlier processes of this
   // daemon. The time of day may repeat.
@@ -271,58 +275,6 @@
 
 // ---- Writing ----------------------------------------------------------------
 
-void job_api::write(std::shared_ptr<pending_write> pending) {
-  milliseconds left = std::chrono::duration_cast<milliseconds>(
-      pending->deadline - clock_.now());
-  owner_.write(pending->record, left,
-               [self = shared_from_this(), pending](owner_reply reply) {
-                 if (self->stopped_) return;
-                 if (reply == owner_reply::written) {
-                   return self->confirm(*pending);
-                 }
-                 if (reply == owner_reply::other_tenant) {
-                   return self->refuse_other_tenant(*pending);
-                 }
-                 // Appends of every daemon in addition to the owner's would
-                 // only slow the store further.
-                 if (reply == owner_reply::unavailable) {
-                   pending->retry_after = self->owner_.retry_after();
-                   return self->refuse(*pending, "the store takes no records");
-                 }
-                 // The owner has the record in hand and may still write it.
-                 if (reply == owner_reply::late) {
-                   pending->maybe_written = true;
-                   return self->refuse(*pending, "the owner has not answered");
-                 }
-                 bool unknown = reply == owner_reply::unknown;
-                 pending->maybe_written |= unknown;
-                 self->write_elsewhere(pending, unknown);
-               });
-}
-
-void job_api::write_elsewhere(std::shared_ptr<pending_write> pending,
-                              bool owner_ended) {
-  if (pending->deadline <= clock_.now()) {
-    return refuse(*pending, "the owner has not answered");
-  }
-  // There may be another owner already. It has read what the former one wrote.
-  if (owner_ended && !std::exchange(pending->repeated, true)) {
-    return write(std::move(pending));
-  }
-  write_directly(std::move(pending));
-}
-
-void job_api::write_directly(std::shared_ptr<pending_write> pending) {
-  // The next append would wait for the current one for too long.
-  if (!is_acceptable(milliseconds(0))) {
-    pending->retry_after = retry_after(appender_->predicted());
-    return refuse(*pending, "the store is silent");
-  }
-  queued_.push_back(std::move(pending));
-  arm_timer();
-  flush();
-}
-
 void job_api::record_latency(const pending_write& pending) {
   measurements_.reply_times.record(pending.queue,
                                    std::chrono::duration_cast<milliseconds>(
@@ -382,25 +334,6 @@
   pending.respond(retry_later(reason, pending.retry_after));
 }
 
-bool job_api::is_acceptable(milliseconds waited) const {
-  return appender_->state() != store_state::silent &&
-         is_in_time(waited, appender_->predicted());
-}
-
-void job_api::refuse_late_writes(steady_time now) {
-  write_list queued = std::exchange(queued_, {});
-  for (std::shared_ptr<pending_write>& each : queued) {
-    milliseconds waited =
-        std::chrono::duration_cast<milliseconds>(now - each->received);
-    if (is_acceptable(std::max(waited, milliseconds(1)))) {
-      queued_.push_back(std::move(each));
-    } else {
-      each->retry_after = retry_after(appender_->predicted());
-      refuse(*each, "the store is silent");
-    }
-  }
-}
-
 void job_api::refuse_queue(std::string_view reason) {
   write_list queued = std::exchange(queued_, {});
   for (const std::shared_ptr<pending_write>& each : queued) {
--- a/src/poold/job_api.h
+++ b/src/poold/job_api.h
@@ -23,6 +23,7 @@
 #include "poold/call_access.h"
 #include "poold/owner.h"
 #include "poold/queue_length.h"
+#include "poold/recent_ids.h"
 #include "poold/store_client.h"
 #include "poold/topic_follower.h"
 #include "tenants/access.h"
@@ -31,9 +32,8 @@
 namespace ebonygrade::poold {
 
 // Requests a journal write from the pool's owner.
-using owner_writer =
-    std::function<void(const jobs::record& record, milliseconds timeout,
-                       std::function<void(owner_reply)> handler)>;
+using owner_writer = std::function<void(
+    const jobs::record& record, milliseconds timeout, write_handler handler)>;
 
 // Queries the pool's owner for the end of a job and applies it to the job
 // table. Calls `then` in any case, also if the owner is unreachable.
@@ -89,6 +89,11 @@
   }
   void set_manifest(std::shared_ptr<const pool::manifest> manifest);
   void handle(http::request&& request, http::responder respond);
+  // Whether this daemon or an earlier owner may have written the record of an
+  // earlier call with the same id.
+  bool may_be_stored(const jobs::record& record);
+  // Whether an append by this daemon itself has no answer yet.
+  bool has_open_append() const { return !in_flight_.empty(); }
   // Called after each read of the journal.
   void on_journal_read() { run_current_reads(); }
   void stop();
@@ -163,6 +168,8 @@
   void refuse(pending_write& pending, std::string_view reason);
   // The owner says that the id is of another tenant's job.
   void refuse_other_tenant(pending_write& pending);
+  // Replies with 429: the owner has no room for the job in time.
+  void reject(pending_write& pending, std::chrono::seconds retry_after);
   void refuse_queue(std::string_view reason);
   // Whether this daemon's append of a record that has waited for `waited` would
   // be acknowledged in time.
@@ -188,8 +195,9 @@
   std::shared_ptr<const pool::manifest> manifest_;
   call_access access_;
   std::shared_ptr<appender> appender_;
-  write_list queued_;     // For the next append.
-  write_list in_flight_;  // In the current append.
+  recent_ids maybe_stored_;  // Keys of such records.
+  write_list queued_;        // For the next append.
+  write_list in_flight_;     // In the current append.
   std::vector<pending_read> pending_reads_;
   // Queries that the owner didn't serve yet; their number is limited.
   std::vector<std::shared_ptr<forwarded_query>> unserved_queries_;
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -5,7 +5,6 @@
 
 #include "events/events.h"
 #include "platform/machines.h"
-#include "platform/manifest.h"
 #include "poold/peer_paths.h"
 
 namespace ebonygrade::poold {
@@ -100,7 +99,7 @@
 error::result<void> node::start() {
   owner_calls calls;
   calls.write = [this](const jobs::record& record, milliseconds timeout,
-                       std::function<void(owner_reply)> handler) {
+                       write_handler handler) {
     write_through_owner(record, timeout, std::move(handler));
   };
   calls.fetch_end = [this](const std::string& job, std::function<void()> then) {
@@ -190,9 +189,10 @@
   if ((claim_after_read_ || released) && !claiming_) {
     claim_after_read_ = false;
     consider_claim(now);
-    if (claim_after_read_) send_claim();
+    if (claim_after_read_ && !claiming_) send_claim();
   }
   if (owner_moved() && !owner_ && !draining_) announce(now);
+  if (owner_) owner_->on_journal_read(journal_->current_as_of());
   job_api_->on_journal_read();
 }
 
@@ -214,20 +214,7 @@
     if (each.value.empty()) continue;
     if (each.key.starts_with(platform::kWaveKeyPrefix)) apply_wave(each);
     if (each.key != platform::kManifestKey) continue;
-    std::optional<pool::manifest> decoded =
-        platform::decode_manifest(each.value);
-    if (!decoded) {
-      events::emit(events::id::bundle_refused, "read manifest", "",
-                   "offset={} is not a valid manifest", each.offset);
-      continue;
-    }
-    if (manifest_ && decoded->version <= manifest_->version) continue;
-    manifest_ = std::make_shared<pool::manifest>(std::move(*decoded));
-    events::emit(events::id::manifest_in_force, "read manifest", "",
-                 "version={} routes={} bytes={} offset={}", manifest_->version,
-                 manifest_->routes.size(), each.value.size(), each.offset);
-    job_api_->set_manifest(manifest_);
-    if (owner_) owner_->on_manifest(*manifest_);
+    apply_manifest("read manifest", "", each.value, each.offset);
   }
 }
 
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -15,6 +15,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "clock/timer.h"
@@ -86,13 +87,13 @@
   void apply_record(const jobs::record& record);
   // Requests a journal write from the owner, which may be this daemon.
   void write_through_owner(const jobs::record& record, milliseconds timeout,
-                           std::function<void(owner_reply)> handler);
+                           write_handler handler);
   // What this daemon knows of the owner while it sees no records of it.
   owner_silence silence_of_owner(steady_time now) const;
   // Ends the writes whose time is up, and asks whether the owner is alive while
   // a write waits.
   void watch_owner_writes(steady_time now);
-  owner_reply owner_reply_of(const http::call_result& result);
+  write_reply owner_reply_of(const http::call_result& result);
   void fetch_end(const std::string& job, std::function<void()> then);
   void forward_query(const wire::job_query& query, milliseconds timeout,
                      std::function<void(forward_result)> handler);
@@ -104,14 +105,29 @@
   void handle_peer_write(http::request&& request, http::responder respond);
   void on_journal_records(const std::vector<jobs::record>& records);
   void on_operator_records(const std::vector<jobs::record>& records);
+  // Takes the manifest into force unless it is older than the one in force.
+  // `value` is a record of the store, `peer` the daemon that passed it on.
+  void apply_manifest(std::string_view step, std::string_view peer,
+                      const std::string& value, std::uint64_t offset);
+  // Version of the manifest in force; 0 without one.
+  std::string manifest_version() const;
+  // Fetches the manifest from the daemon if it has a later one and this daemon
+  // can't read the store.
+  void observe_manifest_version(boost::beast::string_view told,
+                                const std::string& peer);
+  void handle_manifest_query(const http::responder& respond);
   void apply_wave(const jobs::record& record);
   // Logs a pause of this daemon and steps of the time of day.
   void watch_clocks();
   // Measures how slow the machine is; logs a change of the judgement.
   void watch_pace(steady_time now);
-  // As the owner: releases the pool if the machine is slow and a fit standby
-  // can claim it.
+  // As the owner: if the machine is slow, asks a fit standby whether it can
+  // claim the pool, and releases it once the standby confirms that.
   void consider_handover(steady_time now);
+  void ask_successor(const daemon_info& successor, steady_time now);
+  void hand_over(const daemon_info& successor, steady_time now);
+  // Whether this daemon can claim a pool that is released for it.
+  bool can_succeed(steady_time now) const;
   void notify_successor(const daemon_info& successor, std::uint64_t epoch);
   void handle_handover(const http::request& request,
                        const http::responder& respond);
@@ -162,6 +178,8 @@
       directory_writer_;  // While this daemon is the owner.
   std::shared_ptr<topic_follower> operator_;
   std::shared_ptr<const pool::manifest> manifest_;
+  std::string manifest_value_;                      // As in the store.
+  std::shared_ptr<http::client> manifest_fetcher_;  // During a fetch.
   std::map<std::uint64_t, pool::maintenance_wave> waves_;
   std::shared_ptr<job_api> job_api_;
   std::shared_ptr<owner> owner_;
@@ -177,7 +195,11 @@
   steady_time owner_replied_at_;               // To an announcement.
   steady_time owner_confirmed_at_;
   std::string owner_address_;
-  std::unique_ptr<http::client> successor_link_;  // After a handover.
+  // To the standby that was asked to take the pool over, and after a handover.
+  std::unique_ptr<http::client> successor_link_;
+  bool asking_successor_ = false;
+  // Standbys that didn't confirm, with the time when they were asked.
+  std::map<std::string, steady_time> declined_;
   clock::timer tick_timer_;
   clock::timer drain_timer_;
   steady_time last_owner_contact_;
--- a/src/poold/node_ownership.cpp
+++ b/src/poold/node_ownership.cpp
@@ -27,6 +27,8 @@
 // Number of epochs from which claims at one journal offset choose at random.
 constexpr std::uint64_t kEpochsPerOffset = 1000;
 constexpr milliseconds kAnnounceInterval{1000};
+// Of a call to a store that hasn't answered yet.
+constexpr milliseconds kMaxRoundTrip{100};
 
 }  // namespace
 
@@ -125,6 +127,14 @@
   // The claim is conditional on the end of the journal, which moves with each
   // accepted job, so it is sent right after a read.
   claim_after_read_ = true;
+  // Without an owner few records arrive, and a read waits for the next one.
+  // Once only: if the claim is lost, the read may hang on a dead connection,
+  // and the copy may lack the claim of another owner.
+  milliseconds round_trip = store_.min_round_trip().value_or(kMaxRoundTrip);
+  if (unowned && lost_claims_ == 0 &&
+      journal_->is_waiting(now - 2 * round_trip)) {
+    return send_claim();
+  }
   journal_->read_now();
 }
 
@@ -157,7 +167,7 @@
                   // The journal decides whose claim wins. If the end has moved
                   // in the meantime, a new claim follows the next read.
                   claiming_ = false;
-                  ++lost_claims_;
+                  if (!owner_) ++lost_claims_;
                   if (journal_) journal_->read_now();
                 });
 }
@@ -188,6 +198,7 @@
       // The owner has applied its records when they are written.
       [this](std::uint64_t from, std::uint64_t to, steady_time sent) {
         journal_->skip(from, to, sent);
+        if (owner_) owner_->on_journal_read(journal_->current_as_of());
       });
   owner_->start(table_, *manifest_, claim_sent_);
   for (const std::pair<const std::uint64_t, pool::maintenance_wave>& each :
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -63,15 +63,19 @@
   presence.set_follows_journal(journal_ != nullptr);
   presence.set_slowdown(announced_slowdown(machine_, now));
   std::uint64_t epoch = table_.owner.record.epoch();
+  http::request request = http::json_request(http::verb::post, kPresencePath,
+                                             http::to_compact_json(presence));
+  request.set(kManifestVersionHeader, manifest_version());
+  if (job_api_->has_open_append()) request.set(kMaybeStoredHeader, "1");
   owner_probe_->call(
-      "announce",
-      http::json_request(http::verb::post, kPresencePath,
-                         http::to_compact_json(presence)),
-      kProbeTimeout,
-      [this, epoch, now,
+      "announce", std::move(request), kProbeTimeout,
+      [this, epoch, now, address,
        probe = owner_probe_.get()](http::call_result&& result) {
         announcing_ = false;
         if (probe != owner_probe_.get()) return;
+        if (result.has_value()) {
+          observe_manifest_version((*result)[kManifestVersionHeader], address);
+        }
         wire::owner_status status;
         bool replied = result.has_value() &&
                        http::from_json(result->body(), &status).has_value();
@@ -131,7 +135,7 @@
       });
 }
 
-owner_reply node::owner_reply_of(const http::call_result& result) {
+write_reply node::owner_reply_of(const http::call_result& result) {
   if (result.has_error()) {
     // The owner may wait for a slow store. Announcements check whether it is
     // alive.
@@ -157,17 +161,21 @@
       owner_retry_after_ = std::chrono::seconds(std::max(seconds, 1));
       return owner_reply::unavailable;
     }
+    case http::status::too_many_requests:
+      return {owner_reply::rejected, retry_after_of(*result)};
     default:
       return owner_reply::unknown;
   }
 }
 
 void node::write_through_owner(const jobs::record& record, milliseconds timeout,
-                               std::function<void(owner_reply)> handler) {
+                               write_handler handler) {
+  bool maybe_stored = job_api_->may_be_stored(record);
   steady_time now = clock_.now();
   if (owner_) {
     return owner_->write(record,
-                         owner_writes_.add(now, timeout, std::move(handler)));
+                         owner_writes_.add(now, timeout, std::move(handler)),
+                         maybe_stored);
   }
   if (!owner_link_ || !uses_owner(silence_of_owner(now))) {
     return handler(owner_reply::refused);
@@ -178,6 +186,7 @@
   message.set_value(record.value);
   message.set_epoch(table_.owner.record.epoch());
   http::request request{http::verb::post, kRecordPath, http::kHttpVersion11};
+  if (maybe_stored) request.set(kMaybeStoredHeader, "1");
   request.body() = message.SerializeAsString();
   request.prepare_payload();
   owner_link_->call(
@@ -208,7 +217,11 @@
   if (jobs::is_repeated_submission(table_, record)) {
     return respond(http::text_response(http::status::ok, "text/plain", ""));
   }
-  owner_->write(std::move(record), [this, respond](owner_reply reply) {
+  bool maybe_stored = request.find(kMaybeStoredHeader) != request.end();
+  write_handler on_reply = [this, respond](write_reply reply) {
+    if (reply == owner_reply::rejected) {
+      return respond(refusal_response(reply.retry_after));
+    }
     http::status code = http::status::bad_gateway;
     if (reply == owner_reply::written) {
       code = http::status::ok;
@@ -223,7 +236,8 @@
                   std::to_string(owner_->retry_after().count()));
     }
     respond(std::move(message));
-  });
+  };
+  owner_->write(std::move(record), std::move(on_reply), maybe_stored);
 }
 
 void node::forward_query(const wire::job_query& query, milliseconds timeout,
@@ -313,6 +327,7 @@
   if (target.starts_with(kStorePath)) {
     return relay_store_call(std::move(request), std::move(respond));
   }
+  if (request.target() == kManifestPath) return handle_manifest_query(respond);
   if (request.target() == kMetricsPath) {
     return respond(
         http::text_response(http::status::ok, "text/plain", metrics_text()));
@@ -338,6 +353,10 @@
                            presence.zone(), presence.region(),
                            presence.cpu_share(), presence.follows_journal(),
                            presence.slowdown()});
+    if (owner_->admission() &&
+        request.find(kMaybeStoredHeader) != request.end()) {
+      owner_->admission()->on_direct_append(now);
+    }
     for (const std::string& each :
          owner_->daemons().relays_for(presence.daemon(), now)) {
       status.add_peer_addresses(each);
@@ -346,8 +365,15 @@
     status.set_epoch(owner_->epoch());
     status.set_journal_reachable(owner_->journal_reachable());
     add_queue_lengths(table_.not_started, journal_age(), &status);
+    // The owner announces itself to nobody that would name relays to it.
+    store_.set_relays(owner_->daemons().relays_for(settings_.id, now));
+    observe_manifest_version(request[kManifestVersionHeader],
+                             presence.peer_address());
   }
-  respond(http::json_response(http::status::ok, http::to_compact_json(status)));
+  http::response reply =
+      http::json_response(http::status::ok, http::to_compact_json(status));
+  reply.set(kManifestVersionHeader, manifest_version());
+  respond(std::move(reply));
 }
 
 // The advice service limits calls per VM, so this daemon sends the request from
@@ -377,6 +403,8 @@
   measurements_.job_times.append_text(&text);
   measurements_.refused_calls.append_text(&text);
   append_tenant_refusals(&text, measurements_.refused_by_tenant);
+  measurements_.predicted_waits.append_text(&text);
+  measurements_.actual_waits.append_text(&text);
   append_value(&text, "ebonygrade_pool_owner", "gauge",
                "1 while this daemon owns the pool.", owner_ ? 1 : 0);
   append_value(&text, "ebonygrade_pool_standby", "gauge",
@@ -424,6 +452,7 @@
 
 void node::append_owner_metrics(std::string* text) const {
   const pool::pool_state& state = owner_->state();
+  if (owner_->admission()) owner_->admission()->append_metrics(text);
   append_value(text, "ebonygrade_pool_workers", "gauge",
                "Workers known to the owner.", state.workers.size());
   append_value(text, "ebonygrade_pool_unreadable_entries", "gauge",
--- a/src/poold/settings.cpp
+++ b/src/poold/settings.cpp
@@ -163,6 +163,7 @@
   ini.duration_or("placement", "near_wait", "off", &out.near_wait);
   ini.number("placement", "far_factor", &out.far_factor);
   ini.duration_or("placement", "restore_time", "0ms", &out.restore_time);
+  ini.flag("admission", "enabled", &out.admission_enabled);
   if (std::optional<std::string> level = ini.find("log", "level")) {
     out.log_level = *level;
   }
--- a/src/poold/settings.h
+++ b/src/poold/settings.h
@@ -40,6 +40,8 @@
   milliseconds near_wait{0};
   double far_factor = 1;         // Of a run's time away from its data.
   milliseconds restore_time{0};  // To resume a checkpoint away from the data.
+  // Whether the owner refuses jobs that it can't serve in time.
+  bool admission_enabled = false;
   std::string log_level = "info";
 };
 
--- a/src/poold/settings_test.cpp
+++ b/src/poold/settings_test.cpp
@@ -23,6 +23,26 @@
   CHECK(report.value.advice_address.empty());
   CHECK(report.value.lease == milliseconds(6000));
   CHECK(report.value.status_time == milliseconds(120000));
+  CHECK_FALSE(report.value.admission_enabled);
+  report = parse_settings(std::string(kValid) + "[admission]\nenabled = true\n",
+                          "test.ini");
+  CHECK(report.problems.empty());
+  CHECK(report.value.admission_enabled);
+}
+
+// The platform may allow no excess over a quota.
+TEST_CASE("settings of tenants are read") {
+  std::string text = std::string(kValid) +
+                     "[tenants]\nrequired = true\nstrict_revoke = true\n"
+                     "revoke_time = 800ms\nquota_excess = 0\n";
+  settings_report report = parse_settings(text, "test.ini");
+  CHECK(report.problems.empty());
+  CHECK(report.value.tenants_required);
+  CHECK(report.value.strict_revoke);
+  CHECK(report.value.revoke_time == milliseconds(800));
+  CHECK(report.value.quota_excess == 0);
+  text.replace(text.find("quota_excess = 0"), 16, "quota_excess = -1");
+  CHECK(parse_settings(text, "test.ini").problems.size() == 1);
 }
 
 TEST_CASE("durations may be fractions of a second") {
--- a/src/poold/test_cell.h
+++ b/src/poold/test_cell.h
@@ -48,8 +48,9 @@
   std::vector<std::string> peer_addresses;    // By node.
   std::string machines_address;
   std::string advice_address;
-  node_settings defaults;  // Of the nodes that are added.
-  std::string api_key;     // Of the calls that are made; empty: none.
+  node_settings defaults;          // Of the nodes that are added.
+  std::string api_key;             // Of the calls that are made; empty: none.
+  bool admission_enabled = false;  // For further daemons.
   std::uint64_t submitted_tasks = 0;
 
   std::string free_address() {
@@ -75,6 +76,7 @@
     }
     settings.machines_address = machines_address;
     settings.advice_address = advice_address;
+    settings.admission_enabled = admission_enabled;
     caller_addresses.push_back(settings.client_address);
     peer_addresses.push_back(settings.peer_address);
     nodes.push_back(std::make_unique<node>(context, clock, settings));
--- a/src/poold/topic_follower.h
+++ b/src/poold/topic_follower.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -46,12 +47,20 @@
   // Ends the delay before the next read. No effect while a read is in flight.
   void read_now();
 
+  // Whether a read has been in flight since before `sent_by`. A read that the
+  // store received then would have returned any record after next().
+  bool is_waiting(steady_time sent_by) const {
+    return read_sent_ && *read_sent_ <= sent_by;
+  }
+
   // Drops the records from offset `from` up to `to` when they are read, and
   // avoids reading them. For records that this daemon wrote, by an append first
   // sent at `sent`, and applies before the next read.
   void skip(std::uint64_t from, std::uint64_t to, steady_time sent);
 
   bool loaded() const { return loaded_; }
+  // Whether the last call to the store failed.
+  bool failing() const { return backoff_.failures > 0; }
   std::uint64_t next() const { return next_; }
   // Send time of the last call that showed the end of the topic: a read that
   // reached it, an append of this daemon there, or the first page of a load.
