Test that the owner takes quotas from each manifest

Change: a test of the owner with a quota that holds a start back, its event, and a manifest that raises the quota; includes that the lint asked for.

--- a/src/pool/simulated_tenants.cpp
+++ b/src/pool/simulated_tenants.cpp
@@ -1,6 +1,7 @@
 #include "pool/simulated_tenants.h"
 
 #include <algorithm>
+#include <unordered_map>
 
 namespace ebonygrade::pool {
 
--- a/src/pool/tenant_usage.cpp
+++ b/src/pool/tenant_usage.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <unordered_map>
 #include <unordered_set>
 #include <utility>
 
--- a/src/poold/owner_test.cpp
+++ b/src/poold/owner_test.cpp
@@ -56,6 +56,7 @@
       }};
   std::unique_ptr<store_client> calls;
   std::shared_ptr<owner> subject;
+  pool::manifest manifest;
 
   fixture() {
     worker.listen("127.0.0.1:0").value();
@@ -74,7 +75,6 @@
           jobs::apply(&table, record);
         },
         [](std::uint64_t, std::uint64_t, steady_time) {});
-    pool::manifest manifest;
     manifest.routes.emplace_back();
     manifest.routes.back().name = "r";
     manifest.routes.back().policy.service = "pool-a";
@@ -130,9 +130,10 @@
         [&](const standin::stored_record& each) { return each.key == key; });
   }
 
-  void submit() {
+  void submit(const std::string& tenant = {}) {
     wire::job_submission job;
     job.set_queue("r");
+    job.set_tenant(tenant);
     job.set_service("pool-a");
     wire::step_definition* step = job.add_steps();
     step->set_count(1);
@@ -254,6 +255,33 @@
   }
 }
 
+// Guards against an owner that goes on with the quotas of its start.
+TEST_CASE("a manifest with a quota holds a start back until one raises it") {
+  std::ostringstream log;
+  clock::system_clock clock;
+  events::start(
+      std::make_shared<spdlog::logger>(
+          "test", std::make_shared<spdlog::sinks::ostream_sink_mt>(log)),
+      "info", clock);
+  {
+    fixture test;
+    REQUIRE(test.run_until([&] { return test.has_lease(); }));
+    test.manifest.tenants.push_back({"a", {}, 0, 1, {50, 0, 0}});
+    test.subject->on_manifest(test.manifest);
+    test.submit("a");
+    REQUIRE(test.run_until([&] {
+      return log.str().find("862 tenant_held") != std::string::npos;
+    }));
+    CHECK(log.str().find("tenant=a holds=1 used=0/0/0 limit=50/0/0 "
+                         "held=100/1/0 steps=1") != std::string::npos);
+    CHECK_FALSE(test.has_record(jobs::progress_key(kJob)));
+    test.manifest.tenants.back().quota.cpu_milli = 100;
+    test.subject->on_manifest(test.manifest);
+    CHECK(test.run_until([&] { return test.starts > 0; }));
+  }
+  events::stop();
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
