--- a/src/poold/node_ownership.cpp
+++ b/src/poold/node_ownership.cpp
@@ -77,8 +77,10 @@
 owner_silence node::silence_of_owner(steady_time now) const {
   owner_silence silence;
   silence.read_delay = store_.read_delay();
-  if (has_journal()) {
-    silence.read_delay = std::max(silence.read_delay, journal_->overdue(now));
+  for (const topic_follower* each :
+       {journal_.get(), operator_.get(), directory_.get()}) {
+    if (each == nullptr) continue;
+    silence.read_delay = std::max(silence.read_delay, each->overdue(now));
   }
   silence.unconfirmed = owner_unconfirmed_;
   silence.replies = now - owner_replied_at_ < kOwnerReplyAge;
