--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -189,14 +189,16 @@
   if (maybe_stored) request.set(kMaybeStoredHeader, "1");
   request.body() = message.SerializeAsString();
   request.prepare_payload();
-  owner_link_->call(
-      "write record", std::move(request), timeout,
-      [this, link = owner_link_.get(),
-       handler = std::move(handler)](http::call_result&& result) {
-        // A failure that concerns a former owner says nothing about this one.
-        bool former = link != owner_link_.get() && result.has_error();
-        handler(former ? owner_reply::unknown : owner_reply_of(result));
-      });
+  owner_link_->call("write record", std::move(request), timeout,
+                    [this, link = owner_link_.get(),
+                     handler = std::move(handler)](http::call_result&& result) {
+                      // A failure that concerns a former owner says nothing
+                      // about this one.
+                      bool former =
+                          link != owner_link_.get() && result.has_error();
+                      handler(former ? write_reply(owner_reply::unknown)
+                                     : owner_reply_of(result));
+                    });
 }
 
 void node::handle_peer_write(http::request&& request, http::responder respond) {
