Name the calls of a test of keys instead of deducing their type

Cause: the structured binding needs auto, which is for iterators and lambdas. Tests only; the assertions are the same.

--- a/src/poold/access_test.cpp
+++ b/src/poold/access_test.cpp
@@ -66,13 +66,17 @@
 TEST_CASE("every call needs a key of a tenant") {
   tenant_cell cell;
   cell.start();
-  for (const auto& [method, path] :
-       {std::pair{http::verb::get, "/q/"}, std::pair{http::verb::get, kPath},
-        std::pair{http::verb::delete_, kPath},
-        std::pair{http::verb::post, kPath}}) {
-    CAPTURE(path);
-    CHECK(cell.status("", method, path, kBody) == 401);
-    CHECK(cell.status("a-", method, path, kBody) == 401);
+  struct each_call {
+    http::verb method;
+    const char* path;
+  };
+  for (const each_call& each :
+       {each_call{http::verb::get, "/q/"}, each_call{http::verb::get, kPath},
+        each_call{http::verb::delete_, kPath},
+        each_call{http::verb::post, kPath}}) {
+    CAPTURE(each.path);
+    CHECK(cell.status("", each.method, each.path, kBody) == 401);
+    CHECK(cell.status("a-", each.method, each.path, kBody) == 401);
   }
   CHECK(cell.status("", http::verb::get, "/other/") == 404);
   CHECK(cell.status("a-1", http::verb::get, "/q/") == 200);
