--- a/src/pool/admission_load.cpp
+++ b/src/pool/admission_load.cpp
@@ -108,6 +108,7 @@
 
 waiting_work work_of(const candidate_step& candidate) {
   waiting_work work;
+  work.over_share = candidate.job->over_share;
   work.priority = candidate.priority;
   work.late = candidate.tier != tier::in_time;
   work.deadline = candidate.deadline;
