--- a/src/poold/store_client.cpp
+++ b/src/poold/store_client.cpp
@@ -231,7 +231,9 @@
   if (options.attempt % 2 == 1) chosen = choose_other_route(chosen);
   std::shared_ptr<lane> lane = free_lane(*chosen);
   if (!lane) {
-    boost::asio::post(context_, [attempt, handler = std::move(handler)] {
+    boost::asio::post(context_, [alive = std::weak_ptr<bool>(alive_), attempt,
+                                 handler = std::move(handler)] {
+      if (alive.expired()) return;
       handler({append_status::not_applied, {}, attempt});
     });
     return attempt;
