--- a/src/poold/standby.cpp
+++ b/src/poold/standby.cpp
@@ -148,7 +148,9 @@
   for (std::size_t i = 0; i < daemons_.size(); ++i) {
     if (each == daemons_.end()) each = daemons_.begin();
     bool alive = now - each->second.last_contact <= kContactTimeout;
-    if (alive && each->first != daemon) {
+    // An append through a slow machine takes as long as one to a slow store.
+    bool slow = each->second.daemon.slowdown >= kSlowRatio;
+    if (alive && !slow && each->first != daemon) {
       relays.push_back(each->second.daemon.peer_address);
     }
     if (relays.size() == kMaxRelays) break;
