Remove the second copy of the check of a job against its quota

src/tenants/quota_check is the one that the job API calls; the copy in src/pool had no caller but its test. Its cases (a task within the limit, a gang above it) are in tenants_test; jobs of unknown tenants are passed over by call_access.

--- a/src/pool/tenant_usage.cpp
+++ b/src/pool/tenant_usage.cpp
@@ -52,12 +52,6 @@
           limit_of(quota.gpus, excess)};
 }
 
-std::string in_words(const resources& amount) {
-  return "cpu " + std::to_string(amount.cpu_milli) + ", memMb " +
-         std::to_string(amount.memory_mb) + ", gpu " +
-         std::to_string(amount.gpus);
-}
-
 bool is_within(std::int64_t used, std::int64_t limit) {
   return limit == 0 || used <= limit;
 }
@@ -237,26 +231,6 @@
   return take_share(&probe, accepted);
 }
 
-std::optional<std::string> exceeds_quota(const wire::job_submission& job,
-                                         const manifest& manifest,
-                                         double quota_excess) {
-  std::vector<tenant>::const_iterator tenant = std::find_if(
-      manifest.tenants.begin(), manifest.tenants.end(),
-      [&](const pool::tenant& each) { return each.name == job.tenant(); });
-  if (tenant == manifest.tenants.end()) return std::nullopt;
-  resources limit = limits_of(tenant->quota, quota_excess);
-  for (int i = 0; i < job.steps_size(); ++i) {
-    const wire::step_definition& step = job.steps(i);
-    resources need = resources_needed(step) * (step.gang() ? step.count() : 1);
-    if (is_within(need, limit)) continue;
-    return "steps[" + std::to_string(i) +
-           "]: " + (step.gang() ? "the gang" : "a task") + " needs " +
-           in_words(need) + ", the limit of the tenant is " + in_words(limit) +
-           " (0: none)";
-  }
-  return std::nullopt;
-}
-
 std::vector<const known_job*> jobs_to_add(const pool_state& pool,
                                           const jobs::table& table) {
   std::vector<const known_job*> found;
--- a/src/pool/tenant_usage.h
+++ b/src/pool/tenant_usage.h
@@ -15,7 +15,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
-#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,7 +26,6 @@
 
 struct candidate_step;
 struct job;
-struct manifest;
 struct placement;
 struct pool_state;
 struct scheduling_round;
@@ -104,13 +102,6 @@
 bool is_share_used(const pool_state& pool, const std::string& tenant,
                    unix_time accepted);
 
-// Why the job can never start within the quota of its tenant: a task, or a gang
-// as a whole, needs more than quota x (1 + quota_excess). None if it can, or if
-// the manifest doesn't have its tenant.
-std::optional<std::string> exceeds_quota(const wire::job_submission& job,
-                                         const manifest& manifest,
-                                         double quota_excess);
-
 // A job of the journal, by its id.
 using known_job = std::pair<const std::string, jobs::entry>;
 // The jobs of the journal in the order for add_job(): by acceptance in a pool
--- a/src/pool/tenant_usage_test.cpp
+++ b/src/pool/tenant_usage_test.cpp
@@ -245,20 +245,6 @@
   CHECK(pool.state.tenant_events[1].held_for > milliseconds(4000));
 }
 
-TEST_CASE("a job that can never start within its quota is told") {
-  manifest in_force;
-  in_force.tenants.push_back({"a", {}, 0, 1, {3000, 0, 0}});
-  wire::job_submission job;
-  job.set_tenant("a");
-  *job.add_steps() = test_pool::step(10, 3300);
-  CHECK_FALSE(exceeds_quota(job, in_force, 0.1));
-  *job.add_steps() = tenant_pool::gang(4, 1000);
-  CHECK(exceeds_quota(job, in_force, 0.1)->find("cpu 3300") !=
-        std::string::npos);
-  job.set_tenant("unknown");
-  CHECK_FALSE(exceeds_quota(job, in_force, 0.1));
-}
-
 }  // namespace
 
 }  // namespace ebonygrade::pool
