--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -347,7 +347,8 @@
     // Tickets of tasks that a quota holds back would expire.
     bool quota_left = round->pool->unrecorded_starts.size() - first < allowed;
     if (each.policy->needs_advice && quota_left &&
-        count_waiting_tasks(*each.step) > 0 && !all_wait_for_near(*round, each)) {
+        count_waiting_tasks(*each.step) > 0 &&
+        !all_wait_for_near(*round, each)) {
       request_advice(round, each);
       if (each.step->pending_advice > 0) {
         round->cpu_awaiting_advice +=
