--- a/bench/near_wait_bench.cpp
+++ b/bench/near_wait_bench.cpp
@@ -97,7 +97,7 @@
   milliseconds longest;
   pool::near_rule decide;
 };
-const rule kRules[] = {
+constexpr rule kRules[] = {
     {"none", milliseconds(0), pool::choose_place},
     {"fixed_500ms", milliseconds(500), wait_fixed},
     {"fixed_1s", milliseconds(1000), wait_fixed},
