--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -119,6 +119,16 @@
   pool->last_journal_write = std::max(pool->last_journal_write, sent);
 }
 
+void observe_journal_read(pool_state* pool, steady_time current_as_of) {
+  pool->journal_current_as_of = current_as_of;
+}
+
+milliseconds journal_age(const pool_state& pool, steady_time now) {
+  if (pool.journal_current_as_of == steady_time()) return milliseconds(0);
+  return std::chrono::duration_cast<milliseconds>(now -
+                                                  pool.journal_current_as_of);
+}
+
 bool is_isolated(const pool_state& pool, steady_time now) {
   return now - pool.last_journal_write > isolation_limit(pool.limits);
 }
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -390,6 +390,7 @@
   bool superseded = false;  // A worker has seen a newer owner.
   // When the last append that the journal confirmed was first sent.
   steady_time last_journal_write;
+  steady_time journal_current_as_of;  // Default value: not read yet.
   load_summary load;
   near_wait_state near;
   admission_state admission;
@@ -467,6 +468,10 @@
 
 // The journal confirmed an append of this owner that was first sent at `sent`.
 void observe_journal_write(pool_state* pool, steady_time sent);
+// The owner's copy of the journal is complete as of `current_as_of`.
+void observe_journal_read(pool_state* pool, steady_time current_as_of);
+// Age of that copy; 0 before the first read.
+milliseconds journal_age(const pool_state& pool, steady_time now);
 // Whether another owner may exist for so long that leases of this one would
 // outlast max_previous_owner_lease().
 bool is_isolated(const pool_state& pool, steady_time now);
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -420,7 +420,7 @@
       "epoch={} workers={} available={} free={} reserved_workers={} "
       "reserved_free={} waiting={} advice={} advice_requests={} in_time={} "
       "late={} no_value={} unconfirmed_starts={} unconfirmed_jobs={} "
-      "oldest_unconfirmed_ms={} round_ms={:.1f}",
+      "oldest_unconfirmed_ms={} round_ms={:.1f} journal_age_ms={}",
       epoch_, pool_.workers.size(), load.available_workers, load.free_cpu_milli,
       load.reserved_workers, load.reserved_free_cpu_milli,
       load.waiting_cpu_milli, load.waiting_for_advice_milli,
@@ -429,7 +429,8 @@
       unconfirmed.oldest.count(),
       std::chrono::duration<double, std::milli>(
           std::exchange(longest_round_, {}))
-          .count());
+          .count(),
+      pool::journal_age(pool_, now).count());
 }
 
 void owner::record_latency(const pool::job_event& event) {
--- a/src/poold/owner_callers.cpp
+++ b/src/poold/owner_callers.cpp
@@ -51,6 +51,7 @@
 
 void owner::on_journal_read(steady_time current_as_of) {
   journal_current_as_of_ = current_as_of;
+  pool::observe_journal_read(&pool_, current_as_of);
   if (!admission_ || stopped_) return;
   admission_->settle(current_as_of, clock_.now(), wall_now());
 }
