Add failing tests: an owner that starts tasks from old copies, silent ways to the store

Callers saw tasks of cancelled jobs start up to 9.7 s after the acknowledgement, and tasks on workers that had announced that they leave.

The way to the store that can be made silent moves from the test of manifests into a header.

--- /dev/null
+++ b/src/poold/blind_owner_test.cpp
@@ -0,0 +1,70 @@
+// An owner whose appends work while its reads of the store get no reply.
+#include <catch2/catch.hpp>
+#include <cstddef>
+#include <string>
+
+#include "poold/test_cell.h"
+
+namespace ebonygrade::poold {
+
+namespace {
+
+// The platform's shortest limits for starts after a cancellation, and after a
+// worker's notice that it leaves, was acknowledged.
+constexpr milliseconds kCancelTime{3000};
+constexpr milliseconds kDrainTime{2500};
+constexpr milliseconds kTaskTime{150};
+// One task fills the worker, so that starts go on for half a minute.
+constexpr std::uint32_t kTasks = 200;
+constexpr std::uint32_t kTaskCpu = 3000;
+
+struct blind_cell : cell {
+  // The owner has begun a job of many tasks and can't read the topic any more.
+  explicit blind_cell(const std::string& topic) {
+    store.put("keyed.op", "config", kManifest);
+    add_worker("w1", kTaskTime);
+    add_node("n1");
+    REQUIRE(wait_until([&] { return nodes[0]->owns_pool(); }));
+    submit(kJob, kTasks, kTaskCpu);
+    REQUIRE(wait_until([&] { return ledger.starts() > 0; }));
+    store.block_reads(topic);
+  }
+  void pass(milliseconds time) {
+    steady_time end = clock.now() + time;
+    wait_until([&] { return clock.now() >= end; });
+  }
+  // Starts later than `limit` from now on, within half of it.
+  std::uint64_t starts_after(milliseconds limit) {
+    pass(limit);
+    std::uint64_t before = ledger.starts();
+    REQUIRE(before < kTasks);
+    pass(limit / 2);
+    return ledger.starts() - before;
+  }
+};
+
+// Guards against UNASKED: other daemons acknowledge a cancellation once they
+// have appended it, and an owner whose copy was 10 s old went on with the job.
+TEST_CASE("no task of a cancelled job starts while the owner can't read",
+          "[!shouldfail]") {
+  blind_cell cell("keyed.journal");
+  wire::job_cancellation cancellation;
+  cancellation.set_accepted_ms(1);
+  cell.store.put("keyed.journal", jobs::cancellation_key(kJob),
+                 cancellation.SerializeAsString());
+  CHECK(cell.starts_after(kCancelTime) == 0);
+  cell.store.block_reads("");
+  CHECK(cell.reaches_state(0, "cancelled"));
+}
+
+// Guards against DRAIN, by the same cause.
+TEST_CASE("no task starts on a worker that leaves while the owner can't read",
+          "[!shouldfail]") {
+  blind_cell cell("keyed.servers");
+  cell.workers[0]->announce("draining");
+  CHECK(cell.starts_after(kDrainTime) == 0);
+}
+
+}  // namespace
+
+}  // namespace ebonygrade::poold
--- a/src/poold/manifest_delay_test.cpp
+++ b/src/poold/manifest_delay_test.cpp
@@ -2,13 +2,11 @@
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
-#include "http/client.h"
-#include "http/server.h"
 #include "poold/node.h"
 #include "poold/test_cell.h"
+#include "poold/test_gateway.h"
 
 namespace ebonygrade::poold {
 
@@ -17,54 +15,6 @@
 // The platform's limit for a revoked key.
 constexpr milliseconds kMaxDelay{4000};
 
-enum class service { serves, rejects, is_silent };
-
-// The store as one daemon sees it.
-class store_gateway {
- public:
-  store_gateway(boost::asio::io_context& context, const std::string& store)
-      : client_(context, store, options()),
-        server_(context, {},
-                [this](http::request&& request, http::responder answer) {
-                  if (state == service::is_silent) {
-                    return unanswered_.push_back(std::move(answer));
-                  }
-                  if (state == service::rejects) {
-                    return answer(http::error_response(
-                        http::status::service_unavailable, "turned away"));
-                  }
-                  request.erase(boost::beast::http::field::connection);
-                  client_.call(
-                      "store", std::move(request),
-                      [this, answer](http::call_result&& result) {
-                        if (state != service::serves || result.has_error()) {
-                          return unanswered_.push_back(answer);
-                        }
-                        answer(http::text_response(result->result(),
-                                                   "application/octet-stream",
-                                                   std::move(result->body())));
-                      });
-                }) {
-    server_.listen("127.0.0.1:0").value();
-  }
-  std::string address() const {
-    return "127.0.0.1:" + std::to_string(server_.port());
-  }
-
-  service state = service::serves;
-
- private:
-  static http::client_options options() {
-    http::client_options options;
-    options.connections = 32;
-    return options;
-  }
-
-  std::vector<http::responder> unanswered_;
-  http::client client_;
-  http::server server_;
-};
-
 struct gateway_cell : cell {
   static constexpr std::size_t kDaemons = 6;
   std::vector<std::unique_ptr<store_gateway>> gateways;
--- a/src/poold/topic_follower_test.cpp
+++ b/src/poold/topic_follower_test.cpp
@@ -7,6 +7,8 @@
 #include <vector>
 
 #include "http/server.h"
+#include "poold/test_gateway.h"
+#include "standin/pool/keyed_store.h"
 
 namespace ebonygrade::poold {
 
@@ -77,6 +79,72 @@
   CHECK(test.follower->current_as_of() == before);
 }
 
+// A follower whose ways to the store can be made silent one by one.
+struct routed_follower {
+  static constexpr std::size_t kRelays = 3;
+  boost::asio::io_context context{1};
+  clock::system_clock clock;
+  standin::keyed_store platform{context};
+  std::vector<std::unique_ptr<store_gateway>> ways;  // The direct one first.
+  std::unique_ptr<store_client> calls;
+  std::shared_ptr<topic_follower> follower;
+  std::string last;  // Value of the last record.
+
+  routed_follower() {
+    std::vector<std::string> addresses;
+    for (std::size_t i = 0; i <= kRelays; ++i) {
+      ways.push_back(
+          std::make_unique<store_gateway>(context, platform.address()));
+      addresses.push_back(ways.back()->address());
+    }
+    calls = std::make_unique<store_client>(context, addresses.front(), clock);
+    addresses.erase(addresses.begin());
+    calls->set_relays(addresses);
+    follower = std::make_shared<topic_follower>(
+        context, *calls, clock, follower_options{"keyed.op"},
+        topic_follower::handlers{
+            [](const std::vector<jobs::record>&) {},
+            [this](const std::vector<jobs::record>& records) {
+              for (const jobs::record& each : records) last = each.value;
+            }});
+    follower->start();
+    while (!follower->loaded()) context.run_one();
+  }
+  ~routed_follower() { follower->stop(); }
+
+  // Time until a record that is written now is read, or the limit.
+  milliseconds delay(const std::string& value, milliseconds limit) {
+    steady_time begun = clock.now();
+    steady_time end = begun + limit;
+    platform.put("keyed.op", "config", value);
+    while (last != value && clock.now() < end) {
+      context.run_one_for(milliseconds(10));
+    }
+    return std::chrono::duration_cast<milliseconds>(clock.now() - begun);
+  }
+};
+
+// The users' shortest limit for a new manifest to apply.
+constexpr milliseconds kManifestLimit{2500};
+
+// Guards against CONFIG and UNASKED: with each read that got no reply, the next
+// one waited longer, and a daemon saw nothing of the store for up to 7.8 s.
+TEST_CASE("a daemon reads on while several ways to the store are silent",
+          "[!shouldfail]") {
+  std::size_t silent = GENERATE(1, 2, 3);
+  CAPTURE(silent);
+  routed_follower test;
+  REQUIRE(test.delay("before", kManifestLimit) < kManifestLimit);
+  for (std::size_t i = 0; i < silent; ++i) {
+    test.ways[i]->state = service::is_silent;
+  }
+  // Each long poll may meet the silence anew.
+  for (const char* value : {"first", "second", "third"}) {
+    CAPTURE(value);
+    CHECK(test.delay(value, 2 * kManifestLimit) < kManifestLimit);
+  }
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
