Repeat an overdue read over another route while earlier attempts are awaited

Cause: a long poll whose way to the store was silent was waited for alone, for 1.7 s at first and up to 3.8 s after further failures, as the limit doubled for a slow store. Each failure made the next blind span longer, and a silent relay that was tried in turn was never left.

A read that is overdue by 300 ms (by twice the delay of a slow store's last reply, up to 700 ms) is sent again over a route that it hasn't tried, with no wait, and the first reply counts; the earlier attempts live on for 2.8 s, so that a slow store is still waited for. A daemon that lags itself gives its replies a turn first. A follower jumps over records that its own daemon wrote instead of reading them again behind a foreign record. New: event 870, ebonygrade_pool_repeated_reads_total.

One existing check changes: "unresponsive relays don't keep a daemon from the store" took the first read as failed; it is answered now, which is stricter.

--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -79,6 +79,9 @@
   near_wait_begun = 867,
   near_wait_ended = 868,
   submission_refused = 869,
+  read_repeated = 870,
+  owner_outdated = 871,
+  owner_current = 872,
 };
 
 struct definition {
@@ -257,6 +260,14 @@
     definition{id::submission_refused, "submission_refused", level::info,
                "A job was not accepted, as it can't be served in time.",
                "none"},
+    definition{id::read_repeated, "read_repeated", level::info,
+               "A read of the store is overdue and was sent again.", "route"},
+    definition{id::owner_outdated, "owner_outdated", level::warning,
+               "The owner starts nothing; its copy of the journal or of the "
+               "directory of workers is too old.",
+               "none"},
+    definition{id::owner_current, "owner_current", level::info,
+               "The owner starts tasks again.", "none"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -414,6 +414,9 @@
                has_journal() ? 1 : 0);
   append_value(&text, "ebonygrade_pool_store_calls_total", "counter",
                "Calls to the platform's store.", store_.calls());
+  append_value(&text, "ebonygrade_pool_repeated_reads_total", "counter",
+               "Reads of the store sent again while an earlier was awaited.",
+               store_.repeated_reads());
   append_value(&text, "ebonygrade_pool_append_ms", "gauge",
                "Smoothed time of appends to the store, in milliseconds.",
                static_cast<std::uint64_t>(store_.pace().smoothed.count()));
--- a/src/poold/store_client.cpp
+++ b/src/poold/store_client.cpp
@@ -13,14 +13,29 @@
 
 // Four times the reply time of a store that is slowed down by a factor of 60.
 constexpr milliseconds kCallTimeout{1000};
-// Added to the wait of a long poll. Limits the time without progress. It
-// doubles with each failure, as the store may be slower than that.
-constexpr milliseconds kReadTimeoutMargin{700};
-constexpr std::uint32_t kMaxReadMarginDoublings = 2;
-// Limits the time without progress while a page with the newest records loads.
-// It doubles with each failure, as the store or a shared link may be slow.
-constexpr milliseconds kNewestTimeout{1000};
-constexpr std::uint32_t kMaxNewestTimeoutDoublings = 3;
+// A read is repeated when its reply is overdue by twice the delay of the last
+// reply, within these limits: a round trip between regions to a busy store, and
+// the reply time of a store that is slowed down by a factor of 170.
+constexpr milliseconds kMinReadRepeatDelay{300};
+constexpr milliseconds kMaxReadRepeatDelay{700};
+// The same for a page with the newest records, which may come over a link that
+// is shared with many others.
+constexpr milliseconds kNewestRepeatDelay{1000};
+// Added once bytes of a reply have arrived, as a repetition transfers the same
+// record again.
+constexpr milliseconds kProgressGrace{700};
+// A timer that is later shows that this daemon has no CPU for its events.
+constexpr milliseconds kMaxTimerDelay{50};
+// From the third attempt on, the time to the next one doubles.
+constexpr std::size_t kSteadyReadAttempts = 3;
+// A read fails after this many attempts, or when all of them have failed.
+constexpr std::size_t kMaxReadAttempts = 5;
+// Limits the time without progress of one attempt of a read, beyond the wait of
+// a long poll, as the store may be slower than ever before.
+constexpr milliseconds kReadPatience{2800};
+constexpr milliseconds kNewestPatience{8000};
+// Limits the rate of log lines about repetitions.
+constexpr milliseconds kRepetitionLogInterval{1000};
 // Limits the time of a read that makes progress, for which the largest record
 // needs 0.5 Mbit/s. It doubles with each failure, as a read that is broken off
 // transfers the same record again.
@@ -33,7 +48,8 @@
 // progress over a slow link, too: 128 KB take 0.2 s at 5 Mbit/s. A larger
 // record is returned whole.
 constexpr std::uint32_t kMaxReadKilobytes = 128;
-constexpr std::size_t kReadConnections = 6;
+// Three followers with the attempts that they may await over one route.
+constexpr std::size_t kReadConnections = 12;
 // For appends that are relayed for other daemons.
 constexpr std::size_t kRelayedAppendConnections = 16;
 // Further attempts of appends over one route are refused. Replies that were
@@ -43,6 +59,9 @@
 // of a relay makes the direct route eligible at once, as the store may be
 // reachable again.
 constexpr milliseconds kRouteRetryDelay{1000};
+// The delay doubles with each failure of a read in a row. Each attempt on a
+// silent route costs the time until the read is repeated.
+constexpr std::uint32_t kMaxRetryDelayDoublings = 2;
 
 http::client_options options_with(std::size_t connections) {
   http::client_options options;
@@ -164,13 +183,18 @@
   route_client& route_client = client_for(route, appends);
   if (result.has_value() && !is_rejection(*result)) {
     route_client.retry_at = steady_time();
+    route_client.failures = 0;
     last_reply_ = clock_.now();
     if (std::exchange(unreachable_, false)) {
       events::emit(events::id::log_up, step, route.address, "");
     }
     return;
   }
-  route_client.retry_at = clock_.now() + kRouteRetryDelay;
+  if (appends) {
+    route_client.retry_at = clock_.now() + kRouteRetryDelay;
+  } else {
+    avoid_for_reads(&route);
+  }
   if (!route.path_prefix.empty()) {
     client_for(*direct_, appends).retry_at = steady_time();
   }
@@ -182,24 +206,128 @@
   }
 }
 
-void store_client::call(std::string_view step, http::request&& request,
-                        bool appends, http::call_options options,
-                        std::function<void(http::call_result&&)> handler) {
+void store_client::avoid_for_reads(route* route) {
+  route_client& reads = route->reads;
+  reads.retry_at = clock_.now() + doubled(kRouteRetryDelay, reads.failures,
+                                          kMaxRetryDelayDoublings);
+  ++reads.failures;
+}
+
+std::shared_ptr<store_client::route> store_client::choose_read_route(
+    const open_read& read) {
+  if (read.tried.empty()) return choose_route(false);
+  auto is_tried = [&](const std::shared_ptr<route>& each) {
+    return std::count(read.tried.begin(), read.tried.end(), each) > 0;
+  };
+  if (!is_tried(direct_)) return direct_;
+  steady_time now = clock_.now();
+  for (std::size_t i = 0; i < relays_.size(); ++i) {
+    std::size_t index = (next_relay_ + i) % relays_.size();
+    const std::shared_ptr<route>& each = relays_[index];
+    if (is_tried(each) || each->reads.retry_at > now) continue;
+    next_relay_ = index;
+    return each;
+  }
+  return direct_;
+}
+
+void store_client::begin_read(std::shared_ptr<open_read> read) {
+  read->begun = clock_.now();
+  read->repeat_at = read->begun + read->wait + read->repeat_delay;
+  send_read(read);
+  watch_read(read);
+}
+
+void store_client::send_read(const std::shared_ptr<open_read>& read) {
+  std::shared_ptr<route> chosen = choose_read_route(*read);
+  milliseconds wait = read->tried.empty() ? read->wait : milliseconds(0);
+  read->tried.push_back(chosen);
+  ++read->awaited;
   ++calls_;
-  std::shared_ptr<route> chosen = choose_route(appends);
+  http::request request = read->encode(wait);
   if (!chosen->path_prefix.empty()) {
     request.target(chosen->path_prefix + std::string(request.target()));
-    if (options.stall_timeout) request.set(kAcceptsInterimHeader, "1");
+    request.set(kAcceptsInterimHeader, "1");
+  }
+  http::call_options options = read->options;
+  *options.stall_timeout += wait;
+  options.on_progress = [this, alive = std::weak_ptr<bool>(alive_),
+                         weak = std::weak_ptr<open_read>(read)] {
+    std::shared_ptr<open_read> wanted = weak.lock();
+    if (alive.expired() || !wanted || !wanted->handler) return false;
+    wanted->repeat_at =
+        std::max(wanted->repeat_at,
+                 clock_.now() + wanted->repeat_delay + kProgressGrace);
+    return true;
+  };
+  chosen->reads.client->call(
+      read->step, std::move(request), std::move(options),
+      [this, alive = std::weak_ptr<bool>(alive_), read, chosen, wait,
+       sent = clock_.now()](http::call_result&& result) {
+        if (alive.expired()) return;
+        // A failure after another attempt got a reply may be its break-off.
+        if (!read->handler && result.has_error()) return;
+        record_result(*chosen, false, read->step, result);
+        on_read_reply(read, std::move(result), wait, sent);
+      });
+}
+
+void store_client::on_read_reply(const std::shared_ptr<open_read>& read,
+                                 http::call_result&& result, milliseconds wait,
+                                 steady_time sent) {
+  --read->awaited;
+  if (!read->handler) return;
+  bool failed = result.has_error() || is_rejection(*result);
+  if (failed && read->awaited > 0) return;
+  read->timer.cancel();
+  std::exchange(read->handler, nullptr)(std::move(result), wait, sent);
+}
+
+void store_client::watch_read(const std::shared_ptr<open_read>& read) {
+  read->timer.expires_after(read->repeat_at - clock_.now());
+  read->timer.async_wait([this, alive = std::weak_ptr<bool>(alive_),
+                          read](boost::system::error_code cancelled) {
+    if (cancelled || alive.expired() || !read->handler) return;
+    steady_time now = clock_.now();
+    // A daemon that lags may have the reply in hand.
+    if (now - read->repeat_at > kMaxTimerDelay) {
+      read->repeat_at = now + read->repeat_delay;
+    }
+    // The reply may also have made progress.
+    if (now < read->repeat_at) return watch_read(read);
+    repeat_read(read);
+  });
+}
+
+void store_client::repeat_read(const std::shared_ptr<open_read>& read) {
+  route* silent = read->tried.back().get();
+  if (read->tried.size() >= kMaxReadAttempts) {
+    http::call_failure failure;
+    failure.cause = {error::code::timeout, read->step, silent->address,
+                     "no reply over any route"};
+    failure.maybe_sent = true;
+    return std::exchange(read->handler, nullptr)(std::move(failure),
+                                                 milliseconds(0), read->begun);
+  }
+  avoid_for_reads(silent);
+  send_read(read);
+  ++repeated_reads_;
+  steady_time now = clock_.now();
+  if (now - repetition_logged_ >= kRepetitionLogInterval) {
+    repetition_logged_ = now;
+    events::emit(
+        events::id::read_repeated, read->step, read->tried.back()->address,
+        "silent={} attempt={} waited_ms={} repeated={}", silent->address,
+        read->tried.size(),
+        std::chrono::duration_cast<milliseconds>(now - read->begun).count(),
+        repeated_reads_);
   }
-  http::client& client = *client_for(*chosen, appends).client;
-  client.call(step, std::move(request), std::move(options),
-              [this, alive = std::weak_ptr<bool>(alive_), chosen, appends,
-               step = std::string(step),
-               handler = std::move(handler)](http::call_result&& result) {
-                if (alive.expired()) return;
-                record_result(*chosen, appends, step, result);
-                handler(std::move(result));
-              });
+  std::size_t doublings = read->tried.size() < kSteadyReadAttempts
+                              ? 0
+                              : read->tried.size() - kSteadyReadAttempts + 1;
+  read->repeat_at =
+      now + read->repeat_delay * (1 << static_cast<int>(doublings));
+  watch_read(read);
 }
 
 void store_client::relay(http::request&& request,
@@ -284,43 +412,53 @@
   }
 }
 
-void store_client::read(
-    std::string_view topic, std::uint64_t from, milliseconds wait,
-    std::uint32_t failed_attempts,
-    std::function<void(error::result<platform::read_reply>)> handler) {
-  call("read log", platform::encode_read(topic, from, wait, kMaxReadKilobytes),
-       false,
-       read_options(wait + doubled(kReadTimeoutMargin, failed_attempts,
-                                   kMaxReadMarginDoublings),
-                    failed_attempts),
-       [this, sent = clock_.now(), wait, from,
-        handler = std::move(handler)](http::call_result&& result) {
-         if (result.has_error()) return handler(result.error().cause);
-         steady_time now = clock_.now();
-         milliseconds taken =
-             std::chrono::duration_cast<milliseconds>(now - sent);
-         observe_read(wait, taken, &read_delay_);
-         if (is_on_time(wait, taken)) pace_.on_time = now;
-         handler(platform::decode_read(*result, from));
-       });
+void store_client::read(std::string_view topic, std::uint64_t from,
+                        milliseconds wait, std::uint32_t failed_attempts,
+                        read_handler handler) {
+  std::shared_ptr<open_read> made = std::make_shared<open_read>(context_);
+  made->step = "read log";
+  made->encode = [topic = std::string(topic), from](milliseconds wait) {
+    return platform::encode_read(topic, from, wait, kMaxReadKilobytes);
+  };
+  made->wait = failed_attempts > 0 ? milliseconds(0) : wait;
+  made->repeat_delay =
+      std::clamp(read_delay_ * 2, kMinReadRepeatDelay, kMaxReadRepeatDelay);
+  made->options = read_options(kReadPatience, failed_attempts);
+  made->handler = [this, from, handler = std::move(handler)](
+                      http::call_result&& result, milliseconds wait,
+                      steady_time sent) {
+    if (result.has_error()) return handler(result.error().cause, sent);
+    steady_time now = clock_.now();
+    milliseconds taken = std::chrono::duration_cast<milliseconds>(now - sent);
+    observe_read(wait, taken, &read_delay_);
+    if (is_on_time(wait, taken)) pace_.on_time = now;
+    handler(platform::decode_read(*result, from), sent);
+  };
+  begin_read(std::move(made));
 }
 
 void store_client::newest(
     std::string_view topic, std::string_view after,
     std::uint32_t failed_attempts,
     std::function<void(error::result<platform::newest_reply>)> handler) {
-  steady_time sent = clock_.now();
-  milliseconds stall_timeout =
-      doubled(kNewestTimeout, failed_attempts, kMaxNewestTimeoutDoublings);
-  call("read newest", platform::encode_newest(topic, after), false,
-       read_options(stall_timeout, failed_attempts),
-       [this, sent, handler = std::move(handler)](http::call_result&& result) {
-         if (result.has_error()) return handler(result.error().cause);
-         milliseconds taken =
-             std::chrono::duration_cast<milliseconds>(clock_.now() - sent);
-         min_round_trip_ = std::min(min_round_trip_.value_or(taken), taken);
-         handler(platform::decode_newest(*result));
-       });
+  std::shared_ptr<open_read> made = std::make_shared<open_read>(context_);
+  made->step = "read newest";
+  made->encode = [topic = std::string(topic),
+                  after = std::string(after)](milliseconds) {
+    return platform::encode_newest(topic, after);
+  };
+  made->repeat_delay = kNewestRepeatDelay;
+  made->options = read_options(kNewestPatience, failed_attempts);
+  made->handler = [this, handler = std::move(handler)](
+                      http::call_result&& result, milliseconds,
+                      steady_time sent) {
+    if (result.has_error()) return handler(result.error().cause);
+    milliseconds taken =
+        std::chrono::duration_cast<milliseconds>(clock_.now() - sent);
+    min_round_trip_ = std::min(min_round_trip_.value_or(taken), taken);
+    handler(platform::decode_newest(*result));
+  };
+  begin_read(std::move(made));
 }
 
 }  // namespace ebonygrade::poold
--- a/src/poold/store_client.h
+++ b/src/poold/store_client.h
@@ -16,7 +16,7 @@
 #include <string_view>
 #include <vector>
 
-#include "clock/clock.h"
+#include "clock/timer.h"
 #include "error/error.h"
 #include "http/client.h"
 #include "platform/store.h"
@@ -59,14 +59,18 @@
   // Drops an attempt whose reply must be lost, as a later one got its reply.
   // The handler isn't called. Avoids the attempt's route for a while.
   void abandon(std::uint64_t attempt);
-  // Long poll: waits up to `wait` for a record at offset `from`. A reply that
+  // Called once. `sent` is when the attempt that got the reply was sent.
+  using read_handler = std::function<void(
+      error::result<platform::read_reply> reply, steady_time sent)>;
+  // Long poll: waits up to `wait` for a record at offset `from`. A read whose
+  // reply is overdue is repeated over another route while the earlier attempts
+  // are awaited, as the store may be slow or the route silent. A reply that
   // makes progress is not broken off before a total time limit, which doubles
-  // with each of `failed_attempts`, up to a limit.
+  // with each of `failed_attempts`, up to a limit. After a failure the store is
+  // asked not to wait, so that a silent route shows at once.
   void read(std::string_view topic, std::uint64_t from, milliseconds wait,
-            std::uint32_t failed_attempts,
-            std::function<void(error::result<platform::read_reply>)> handler);
-  // Reads a page. The time limits are like those of read(); the limit without
-  // progress doubles, too.
+            std::uint32_t failed_attempts, read_handler handler);
+  // Reads a page; repeated like read().
   void newest(
       std::string_view topic, std::string_view after,
       std::uint32_t failed_attempts,
@@ -84,6 +88,8 @@
   // Time of the last reply that was not a rejection.
   steady_time last_reply() const { return last_reply_; }
   std::uint64_t calls() const { return calls_; }
+  // Reads that were sent again while an earlier attempt was awaited.
+  std::uint64_t repeated_reads() const { return repeated_reads_; }
   // Round trips of appends, replies to earlier writes included.
   const append_pace& pace() const { return pace_; }
   // How much later than asked for the store replies to reads. 0 if on time.
@@ -100,6 +106,7 @@
   struct route_client {
     std::unique_ptr<http::client> client;
     steady_time retry_at;
+    std::uint32_t failures = 0;  // Since the last reply; of reads only.
   };
   // Connection for one attempt of an append.
   struct lane {
@@ -115,6 +122,24 @@
     route_client appends;  // Its client serves relayed appends only.
     std::vector<std::shared_ptr<lane>> lanes;
   };
+  // A read and its attempts.
+  struct open_read {
+    std::string step;
+    // Encodes the request; the store waits up to `wait` for a record.
+    std::function<http::request(milliseconds wait)> encode;
+    milliseconds wait{0};          // Of the first attempt.
+    milliseconds repeat_delay{0};  // From when the reply is due.
+    http::call_options options;    // The stall timeout without the wait.
+    // Called once with the reply to an attempt, and its wait and send time.
+    std::function<void(http::call_result&&, milliseconds, steady_time)> handler;
+    std::vector<std::shared_ptr<route>> tried;  // One for each attempt.
+    std::size_t awaited = 0;
+    steady_time repeat_at;
+    steady_time begun;
+    clock::timer timer;
+
+    explicit open_read(boost::asio::io_context& context) : timer(context) {}
+  };
   static route_client& client_for(route& route, bool appends);
 
   std::shared_ptr<route> make_route(const std::string& address,
@@ -126,9 +151,19 @@
   std::shared_ptr<lane> free_lane(route& route);
   void on_append_reply(steady_time sent, http::call_result&& result,
                        append_result* out);
-  void call(std::string_view step, http::request&& request, bool appends,
-            http::call_options options,
-            std::function<void(http::call_result&&)> handler);
+  // Avoids the route for reads for a while, longer with each failure.
+  void avoid_for_reads(route* route);
+  // The route of the next attempt: one that this read hasn't tried yet if there
+  // is one.
+  std::shared_ptr<route> choose_read_route(const open_read& read);
+  void begin_read(std::shared_ptr<open_read> read);
+  void send_read(const std::shared_ptr<open_read>& read);
+  void on_read_reply(const std::shared_ptr<open_read>& read,
+                     http::call_result&& result, milliseconds wait,
+                     steady_time sent);
+  // Repeats the read when it is overdue.
+  void watch_read(const std::shared_ptr<open_read>& read);
+  void repeat_read(const std::shared_ptr<open_read>& read);
   // Updates the health of the route with the result of a call.
   void record_result(route& route, bool appends, std::string_view step,
                      const http::call_result& result);
@@ -143,6 +178,8 @@
   append_pace pace_;
   milliseconds read_delay_{0};
   std::uint64_t append_attempts_ = 0;
+  std::uint64_t repeated_reads_ = 0;
+  steady_time repetition_logged_;
   bool unreachable_ = false;
   std::uint64_t calls_ = 0;
   // Expires with this object; later replies are dropped.
--- a/src/poold/store_client_test.cpp
+++ b/src/poold/store_client_test.cpp
@@ -24,7 +24,7 @@
     bool done = false;
     bool answered = false;
     calls.read("keyed.op", 0, kWait, 0,
-               [&](error::result<platform::read_reply> reply) {
+               [&](error::result<platform::read_reply> reply, steady_time) {
                  done = true;
                  answered = reply.has_value();
                });
@@ -53,7 +53,8 @@
   for (int i = 0; i < 3; ++i) CHECK_FALSE(test.read());
   test.calls.set_relays({first.address(), second.address()});
   test.platform.set_unavailable(false);
-  CHECK_FALSE(test.read());
+  // Each of the relays would keep a read from the store until its time limit.
+  CHECK(test.read());
   CHECK(test.read());
 }
 
@@ -81,7 +82,7 @@
   for (int i = 0; i < 3; ++i) {
     bool done = false;
     rejected.read("keyed.op", 0, kWait, 0,
-                  [&](error::result<platform::read_reply> reply) {
+                  [&](error::result<platform::read_reply> reply, steady_time) {
                     done = true;
                     answered += reply.has_value() ? 1 : 0;
                   });
--- a/src/poold/topic_follower.cpp
+++ b/src/poold/topic_follower.cpp
@@ -7,6 +7,13 @@
 
 namespace ebonygrade::poold {
 
+namespace {
+
+// A read that is overdue by this much has been sent again.
+constexpr milliseconds kOverdueRead{300};
+
+}  // namespace
+
 topic_follower::topic_follower(boost::asio::io_context& context,
                                store_client& store, const clock::clock& clock,
                                follower_options options, handlers handlers)
@@ -88,11 +95,20 @@
   if (!loaded_) return;
   skipped_.emplace_back(from, to);
   if (next_ != from) return;
-  next_ = to;
+  pass_skipped();
   // The topic ended at `from` when the append was applied.
   current_as_of_ = std::max(current_as_of_, sent);
 }
 
+void topic_follower::pass_skipped() {
+  // Appends are in order, so the ranges are.
+  for (const std::pair<std::uint64_t, std::uint64_t>& each : skipped_) {
+    if (each.first <= next_) next_ = std::max(next_, each.second);
+  }
+  std::erase_if(skipped_,
+                [&](const auto& each) { return each.second <= next_; });
+}
+
 bool topic_follower::is_skipped(std::uint64_t offset) const {
   return std::any_of(skipped_.begin(), skipped_.end(), [&](const auto& each) {
     return each.first <= offset && offset < each.second;
@@ -113,6 +129,10 @@
       cause.detail);
 }
 
+bool topic_follower::failing() const {
+  return backoff_.failures > 0 || overdue(clock_.now()) > kOverdueRead;
+}
+
 milliseconds topic_follower::overdue(steady_time now) const {
   if (!read_sent_) return milliseconds(0);
   milliseconds age =
@@ -122,15 +142,13 @@
 
 void topic_follower::read() {
   if (stopped_) return;
-  steady_time sent = clock_.now();
-  read_sent_ = sent;
+  read_sent_ = clock_.now();
   store_.read(
       options_.topic, next_, options_.max_wait, backoff_.failures,
-      [self = shared_from_this(),
-       sent](error::result<platform::read_reply> reply) {
+      [self = shared_from_this()](error::result<platform::read_reply> reply,
+                                  steady_time sent) {
         self->read_sent_.reset();
         if (self->stopped_) return;
-        self->read_sent_.reset();
         if (reply.has_error()) {
           self->emit_failure("read", sent, reply.error());
           return self->schedule(next_delay(self->backoff_, self->random_),
@@ -139,17 +157,19 @@
         record_success(self->backoff_);
         if (reply->trimmed) return self->load();
         std::erase_if(reply->records, [&](const jobs::record& each) {
-          return self->is_skipped(each.offset);
+          // A read that was sent earlier may return what has been passed.
+          return each.offset < self->next_ || self->is_skipped(each.offset);
         });
         // Records may have been skipped while the read was in flight.
         self->next_ = std::max(self->next_, reply->next);
-        std::erase_if(self->skipped_, [&](const auto& each) {
-          return each.second <= self->next_;
-        });
-        if (reply->next >= reply->end) self->current_as_of_ = sent;
+        self->pass_skipped();
+        bool behind = self->next_ < reply->end;
+        // An append may have shown a later end in the meantime.
+        if (!behind) {
+          self->current_as_of_ = std::max(self->current_as_of_, sent);
+        }
         self->handlers_.on_records(reply->records);
         if (self->stopped_) return;
-        bool behind = reply->next < reply->end;
         self->schedule(behind ? milliseconds(0) : self->options_.read_interval,
                        &topic_follower::read);
       });
--- a/src/poold/topic_follower.h
+++ b/src/poold/topic_follower.h
@@ -59,8 +59,8 @@
   void skip(std::uint64_t from, std::uint64_t to, steady_time sent);
 
   bool loaded() const { return loaded_; }
-  // Whether the last call to the store failed.
-  bool failing() const { return backoff_.failures > 0; }
+  // Whether the last call to the store failed, or its reply is overdue.
+  bool failing() const;
   std::uint64_t next() const { return next_; }
   // Send time of the last call that showed the end of the topic: a read that
   // reached it, an append of this daemon there, or the first page of a load.
@@ -74,6 +74,8 @@
   void load_page(const std::string& after);
   void read();
   bool is_skipped(std::uint64_t offset) const;
+  // Passes the records at next() that are to be skipped.
+  void pass_skipped();
   void emit_failure(std::string_view step, steady_time sent,
                     const error::failure& cause) const;
   void schedule(milliseconds delay, void (topic_follower::*step)());
--- a/src/poold/topic_follower_test.cpp
+++ b/src/poold/topic_follower_test.cpp
@@ -129,8 +129,7 @@
 
 // Guards against CONFIG and UNASKED: with each read that got no reply, the next
 // one waited longer, and a daemon saw nothing of the store for up to 7.8 s.
-TEST_CASE("a daemon reads on while several ways to the store are silent",
-          "[!shouldfail]") {
+TEST_CASE("a daemon reads on while several ways to the store are silent") {
   std::size_t silent = GENERATE(1, 2, 3);
   CAPTURE(silent);
   routed_follower test;
