Leave two thirds of the owner's time between scheduling rounds

The time from the begin of a round to the next is three times its length at least. "long rounds leave two thirds of the time for other work" holds for the new function; the old clamp gave 100 ms for every round of 12.5 ms or more.

--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -6,18 +6,13 @@
 
 #include "events/events.h"
 #include "platform/discovery.h"
+#include "poold/round_pacing.h"
 #include "poold/tenant_reports.h"
 
 namespace ebonygrade::poold {
 
 namespace {
 
-constexpr milliseconds kMinRoundInterval{10};
-// The interval between rounds is at least this many times the last round, so
-// that reports, orders and callers get their share of the CPU under load.
-constexpr int kRoundIntervalFactor = 8;
-// Applies without an event that starts a scheduling round earlier.
-constexpr milliseconds kMaxRoundInterval{100};
 constexpr milliseconds kLoadEventInterval{1000};
 // Records that arrive within this interval share one append.
 constexpr milliseconds kMinFlushInterval{20};
@@ -395,7 +390,8 @@
   measure_round(last_round_);
   emit_load(last_round_);
   schedule_flush();
-  schedule_round_at(last_round_ + kMaxRoundInterval);
+  schedule_round_at(last_round_ + std::max<std::chrono::microseconds>(
+                                      kMaxRoundInterval, round_interval_));
 }
 
 void owner::measure_round(steady_time begun) {
@@ -405,8 +401,7 @@
   longest_round_ = std::max(longest_round_, taken);
   round_time_.elapsed += taken;
   round_time_.processor += thread_processor_time() - round_processor_begun_;
-  round_interval_ = std::clamp<std::chrono::microseconds>(
-      taken * kRoundIntervalFactor, kMinRoundInterval, kMaxRoundInterval);
+  round_interval_ = round_interval(taken);
 }
 
 void owner::emit_load(steady_time now) {
