Simulate cancellations that owners learn of late

Checked at the workers: no start over 3 s after the acknowledgement by an order that was sent after it, no run that goes on for 3.1 s, and CANCELLED as the outcome unless the job had ended before its owner read the cancellation. All of it is off by default and has draws of its own.

A job that completes before its owner has read the cancellation counts as ended before, also if the cancellation had been acknowledged.

--- a/src/pool/simulated_cell.cpp
+++ b/src/pool/simulated_cell.cpp
@@ -50,14 +50,19 @@
           a.deadly_given_up + b.deadly_given_up,
           a.sound_given_up + b.sound_given_up,
           a.resizes + b.resizes,
-          a.held_rounds + b.held_rounds};
+          a.held_rounds + b.held_rounds,
+          a.cancellations + b.cancellations,
+          a.cancelled_starts + b.cancelled_starts,
+          a.cancelled_runs + b.cancelled_runs,
+          a.outdated_rounds + b.outdated_rounds};
 }
 
 simulated_cell::simulated_cell(const cell_options& options)
     : options_(options),
       random_(static_cast<std::mt19937::result_type>(options.seed)),
       lapse_random_(static_cast<std::mt19937::result_type>(~options.seed)),
-      tenants_(options.tenants) {
+      tenants_(options.tenants),
+      cancellations_(options.cancellations, options.seed) {
   queue_policy policy;
   policy.service = kService;
   policy.attempts = kAttempts;
@@ -125,8 +130,13 @@
     change_quotas();
     at(options_.tenants.change_every, repeating_events_[7]);
   };
-  repeating_events_ = {claims, crashes,       outages, lapses,
-                       jumps,  resubmissions, resizes, quota_changes};
+  std::function<void()> cancels = [this] {
+    if (!faulty()) return;
+    cancel_one();
+    at(cancellations_.draw_interval(), repeating_events_[8]);
+  };
+  repeating_events_ = {claims,        crashes, outages,       lapses, jumps,
+                       resubmissions, resizes, quota_changes, cancels};
   if (options.takeover_every.count() > 0) at(options.takeover_every, claims);
   if (options.crash_every.count() > 0) at(options.crash_every, crashes);
   if (options.outage_every.count() > 0) at(options.outage_every, outages);
@@ -138,6 +148,8 @@
   if (options.tenants.change_every.count() > 0) {
     at(options.tenants.change_every, quota_changes);
   }
+  if (cancellations_.present()) at(cancellations_.draw_interval(), cancels);
+  if (cancellations_.copies_lag()) lag_copy();
   if (options.resubmit_every.count() > 0) {
     at(options.resubmit_every, resubmissions);
   }
@@ -490,6 +502,11 @@
   for (const known_job* each : jobs_to_add(result->state, table_)) {
     add_job(&result->state, each->first, each->second, now_);
   }
+  if (cancellations_.present()) {
+    if (owner_) observe_unread_ends();
+    cancel_known(result.get());
+    read_journal(result);
+  }
   owner_ = result;
   for (const std::pair<const std::string, std::unique_ptr<simulated_worker>>&
            each : workers_) {
@@ -504,6 +521,7 @@
   if (!owner->alive || owner->state.superseded) return;
   tenants_.check_usage(owner->state, &ledger_);
   tenants_.miscount(&owner->state);
+  if (is_outdated(owner->state, time_of(*owner))) ++reached_.outdated_rounds;
   decisions result = decide(&owner->state, time_of(*owner), wall_of(*owner));
   for (const std::pair<const std::string, tenant_state>& each :
        owner->state.tenants) {
@@ -704,11 +722,16 @@
                                 const start_order& order) {
   std::shared_ptr<start_outcome> answer =
       std::make_shared<start_outcome>(start_outcome::unknown);
+  steady_time sent = now_;
   deliver(
       owner, order.worker, order.fencing_token,
-      [this, order, answer] {
+      [this, order, answer, sent] {
+        std::uint64_t starts = ledger_.starts();
         *answer =
             workers_[order.worker]->start(order, order.fencing_token, now_);
+        if (ledger_.starts() == starts) return;
+        cancellations_.check_start(order.worker, order.task, order.run, sent,
+                                   now_, &ledger_);
       },
       [this, owner, order, answer] {
         observe_start(&owner->state, order, *answer, time_of(*owner));
@@ -721,6 +744,7 @@
 
 void simulated_cell::send_stop(std::shared_ptr<owner> owner,
                                const stop_order& order) {
+  if (cancellations_.has_fault(cancellation_fault::stops_not_sent)) return;
   std::shared_ptr<bool> done = std::make_shared<bool>(false);
   deliver(
       owner, order.worker, order.fencing_token,
@@ -731,7 +755,9 @@
       [this, owner, order, done] {
         observe_stop(&owner->state, order, *done, time_of(*owner));
       },
-      [] {});
+      [this, order] {
+        cancellations_.excuse(order.worker, order.task, order.run, now_);
+      });
 }
 
 std::vector<std::string> simulated_cell::open_jobs() const {
@@ -774,7 +800,8 @@
   bool submits =
       options_.submit_every.count() > 0 || options_.resubmit_every.count() > 0;
   while (!events_.empty() && now_ < end &&
-         (!open_jobs().empty() || (submits && faulty()))) {
+         (!open_jobs().empty() || (submits && faulty()) ||
+          cancellations_.has_active_runs())) {
     std::multimap<steady_time, event>::iterator first = events_.begin();
     milliseconds passed = std::chrono::duration_cast<milliseconds>(
         std::max(first->first, now_) - now_);
@@ -788,8 +815,13 @@
       each.second->tick(now_);
     }
     tenants_.check_starts(workers_, now_, &ledger_);
+    if (cancellations_.present()) check_cancelled_runs();
     if (options_.deadly_share > 0) watch_crashes();
   }
+  observe_unread_ends();
+  cancellations_.check_outcomes(table_, &ledger_);
+  reached_.cancelled_starts = cancellations_.starts_after();
+  reached_.cancelled_runs = cancellations_.runs_after();
   for (const std::pair<const std::string, jobs::entry>& each : table_.jobs) {
     if (each.second.progress.outcome() != wire::FAILED) continue;
     if (ledger_.has_deadly_task(each.first)) {
--- a/src/pool/simulated_cell.h
+++ b/src/pool/simulated_cell.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "pool/pool.h"
+#include "pool/simulated_cancellations.h"
 #include "pool/simulated_tenants.h"
 #include "pool/simulated_worker.h"
 
@@ -79,6 +80,7 @@
   // Interval of repeated submissions while jobs are visible; 0: none.
   milliseconds resubmit_every{0};
   tenant_options tenants;
+  cancellation_options cancellations;
 };
 
 // How often a simulation came into the situations that it is meant for.
@@ -98,6 +100,12 @@
   std::size_t sound_given_up = 0;   // Jobs that could be done.
   std::size_t resizes = 0;
   std::size_t held_rounds = 0;  // In which a quota held work back.
+  std::size_t cancellations = 0;
+  // Starts of cancelled jobs after the acknowledgement, and runs that were
+  // active then or later.
+  std::size_t cancelled_starts = 0;
+  std::size_t cancelled_runs = 0;
+  std::size_t outdated_rounds = 0;  // Of owners whose copy was too old.
 };
 situations operator+(const situations& a, const situations& b);
 
@@ -146,6 +154,8 @@
     milliseconds jumped{0};     // Its time of day is ahead by this.
     link_cuts journal_cuts;
     std::map<std::string, link_cuts> worker_cuts;
+    std::size_t cancellations_read = 0;
+    steady_time copy_lags_until;  // Reads of the journal get no reply.
   };
   struct append {
     journal_batch batch;
@@ -229,6 +239,19 @@
   // Carries out a call on the worker, and counts what superseded owners do.
   void carry_out(const owner& owner, const std::string& worker,
                  const std::function<void()>& call);
+  // Appends a cancellation, which no owner has seen yet.
+  void cancel_one();
+  // Lets the present owner's copy of the journal lag from time to time.
+  void lag_copy();
+  bool can_read(const owner& owner) const;
+  void read_journal(std::shared_ptr<owner> owner);
+  // The first `end` cancellations are in the reply to a read.
+  void observe_read(owner* owner, steady_time sent, std::size_t end);
+  // Jobs that have ended before the present owner read their cancellations.
+  void observe_unread_ends();
+  // A new owner has read all cancellations.
+  void cancel_known(owner* owner);
+  void check_cancelled_runs();
   // Whether callers may ask for the job.
   bool is_visible(const std::string& job) const;
   void apply(const jobs::record& record);
@@ -246,6 +269,8 @@
   simulated_worker::behaviour behaviour_;
   simulated_workers workers_;
   simulated_tenants tenants_;
+  simulated_cancellations cancellations_;
+  std::uint64_t checked_epoch_ = 0;  // Of the last check of cancelled runs.
   std::set<std::string> replaced_;
   // The incarnations whose entries are on their way or have been read.
   std::map<std::string, std::int64_t> announced_;
