Let the stand-in store apply appends late, and test what callers were told

Change: keyed_store::apply_late() leaves a seeded share of the appends without a reply and checks producer, epoch and sequence when it applies them. The whole poold_test wasn't built.

--- a/src/poold/appender_test.cpp
+++ b/src/poold/appender_test.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "http/server.h"
 #include "standin/pool/keyed_store.h"
@@ -31,13 +32,30 @@
         context, *calls, kTopic, platform::producer{"owner", kEpoch, sequence});
   }
 
+  // Runs until the store has applied or refused all late appends.
+  void finish_late_appends() {
+    steady_time end = clock.now() + kConditionTimeout;
+    while (store.waiting_late_appends() > 0 && clock.now() < end) {
+      context.run_one_for(kConditionTimeout);
+    }
+    REQUIRE(store.waiting_late_appends() == 0);
+  }
+
+  std::vector<std::string> stored_values() {
+    std::vector<std::string> values;
+    for (const standin::stored_record& each : store.records(kTopic)) {
+      values.push_back(each.value);
+    }
+    return values;
+  }
+
   // Writes a record and returns the outcome and the time that it took.
   std::pair<std::optional<write_outcome>, milliseconds> write(
-      appender& subject) {
+      appender& subject, const std::string& value = "v") {
     std::optional<write_outcome> outcome;
     steady_time begun = clock.now();
     subject.write(
-        {{"k", "v", 0}}, [] { return true; },
+        {{"k", value, 0}}, [] { return true; },
         [&](write_outcome got) { outcome = got; });
     steady_time end = begun + kConditionTimeout;
     while (!outcome && clock.now() < end)
@@ -138,6 +156,76 @@
   CHECK(test.store.records(kTopic).size() == 2);
 }
 
+// Guards against attempts of earlier writes that the store applies after later
+// ones, and against a record that is stored by each attempt.
+TEST_CASE("appends that are applied late are stored once and in order") {
+  constexpr std::size_t kWrites = 8;
+  for (std::uint32_t seed : {1u, 2u}) {
+    fixture test;
+    test.store.apply_late({0.5, milliseconds(50), milliseconds(1200)}, seed);
+    std::shared_ptr<appender> subject = test.add_appender();
+    std::vector<std::string> written;
+    for (std::size_t i = 0; i < kWrites; ++i) {
+      written.push_back(std::to_string(i));
+      CHECK(test.write(*subject, written.back()).first ==
+            write_outcome::written);
+      CHECK(test.stored_values() == written);
+    }
+    test.finish_late_appends();
+    CAPTURE(seed, test.store.applied_late_appends());
+    CHECK(test.store.void_late_appends() > 0);
+    CHECK(test.stored_values() == written);
+  }
+}
+
+// Guards against a write that is told as not written because the store rejects
+// the repetitions, while the first attempt is applied later.
+TEST_CASE("a write with a late attempt isn't abandoned") {
+  fixture test;
+  std::shared_ptr<appender> subject = test.add_appender();
+  test.store.apply_late({1, milliseconds(900), milliseconds(900)});
+  std::optional<write_outcome> outcome;
+  subject->write(
+      {{"k", "v", 0}}, [] { return false; },
+      [&](write_outcome got) { outcome = got; });
+  while (test.store.waiting_late_appends() == 0) test.context.run_one();
+  test.store.apply_late({});
+  test.store.set_unavailable(true);
+  test.finish_late_appends();
+  CHECK(subject->is_rejected());
+  CHECK_FALSE(outcome.has_value());
+  CHECK(test.store.records(kTopic).size() == 1);
+  test.store.set_unavailable(false);
+  while (!outcome) test.context.run_one();
+  CHECK(outcome == write_outcome::written);
+  CHECK(test.store.records(kTopic).size() == 1);
+}
+
+// Guards against records of an owner that stand after the claim of a later one.
+TEST_CASE("late attempts of a fenced writer store nothing") {
+  fixture test;
+  std::shared_ptr<appender> subject = test.add_appender();
+  CHECK(test.write(*subject, "former").first == write_outcome::written);
+  test.store.apply_late({1, milliseconds(800), milliseconds(1500)});
+  std::optional<write_outcome> outcome;
+  subject->write(
+      {{"k", "late", 0}}, [] { return true; },
+      [&](write_outcome got) { outcome = got; });
+  while (test.store.waiting_late_appends() < 2) test.context.run_one();
+  test.store.apply_late({});
+  std::shared_ptr<appender> later =
+      std::make_shared<appender>(test.context, *test.calls, kTopic,
+                                 platform::producer{"owner", kEpoch + 1, 0});
+  CHECK(test.write(*later, "claim").first == write_outcome::written);
+  while (!outcome) test.context.run_one();
+  CHECK(outcome == write_outcome::fenced);
+  CHECK(test.write(*later, "after").first == write_outcome::written);
+  test.finish_late_appends();
+  CHECK(test.store.void_late_appends() >= 2);
+  CHECK(test.stored_values() ==
+        std::vector<std::string>{"former", "claim", "after"});
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
--- a/standin/pool/keyed_store.cpp
+++ b/standin/pool/keyed_store.cpp
@@ -154,6 +154,7 @@
   if (call == "log-read") return read(*target, std::move(answer));
   if (call == "log-newest") return reply(answer, newest(*target));
   if (call != "log-append") return reply(answer, json_reply(404, "{}"));
+  if (delay_append(*target, request.body(), answer)) return;
   if (times_.append.count() == 0) {
     return run_append(*target, request.body(), std::move(answer));
   }
@@ -168,6 +169,34 @@
              answer = std::move(answer)] { run_append(target, body, answer); });
 }
 
+void keyed_store::apply_late(const late_appends& late, std::uint32_t seed) {
+  late_ = late;
+  late_random_.seed(seed);
+}
+
+bool keyed_store::delay_append(const http::target_parts& target,
+                               const std::string& body,
+                               const http::responder& answer) {
+  if (late_.share <= 0) return false;
+  bool is_late =
+      std::uniform_real_distribution<double>(0, 1)(late_random_) < late_.share;
+  if (!is_late) return false;
+  std::uniform_int_distribution<std::int64_t> delay(late_.shortest.count(),
+                                                    late_.longest.count());
+  lost_replies_.push_back(answer);
+  ++waiting_late_appends_;
+  run_after(
+      std::chrono::milliseconds(delay(late_random_)), [this, target, body] {
+        std::string name = http::query_value(target, "topic").value_or("");
+        std::size_t before = topics_[name].records.size();
+        append(target, body);
+        --waiting_late_appends_;
+        bool added = topics_[name].records.size() > before;
+        ++(added ? applied_late_appends_ : void_late_appends_);
+      });
+  return true;
+}
+
 void keyed_store::run_append(const http::target_parts& target,
                              const std::string& body, http::responder answer) {
   bool conflicts = !conflict_topic_.empty() &&
@@ -212,12 +241,12 @@
   if (!name || !records) return json_reply(400, "{}");
   if (*name == "keyed.op" || *name == "keyed.servers")
     return json_reply(403, "{}");
-  return append_records(&topics_[*name], target, *records);
+  return append_records(&topics_[*name], target, std::move(*records));
 }
 
-http::response keyed_store::append_records(
-    topic* into, const http::target_parts& target,
-    const std::vector<stored_record>& records) {
+http::response keyed_store::append_records(topic* into,
+                                           const http::target_parts& target,
+                                           std::vector<stored_record> records) {
   std::optional<std::string> producer = http::query_value(target, "producer");
   std::uint64_t epoch = query_number(target, "epoch");
   std::uint64_t sequence = query_number(target, "seq");
@@ -252,6 +281,10 @@
     if (state->replies.size() > kMaxRememberedAppends) {
       state->replies.pop_front();
     }
+    for (stored_record& each : records) {
+      each.producer = *producer;
+      each.epoch = epoch;
+    }
   }
   add(into, records);
   return json_reply(200, reply);
--- a/standin/pool/keyed_store.h
+++ b/standin/pool/keyed_store.h
@@ -7,7 +7,8 @@
 // the newest record of each key. A store with set_times() applies the appends
 // to a topic one after the other and delays its replies; with lose_replies() a
 // share of the replies to appends never arrives, on a connection that stays
-// open.
+// open. With apply_late() a share of the appends gets no reply and is applied
+// only later, after appends that were sent in the meantime.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -31,7 +32,9 @@
 struct stored_record {
   std::string key;
   std::string value;
-  std::string raw;  // As appended, without the length prefix.
+  std::string raw;          // As appended, without the length prefix.
+  std::string producer;     // Empty: appended without one.
+  std::uint64_t epoch = 0;  // Of the producer.
 };
 
 // How long the store takes. Appends beyond 2 s of waiting work get 503.
@@ -40,6 +43,15 @@
   std::chrono::milliseconds answer{0};  // Before each reply.
 };
 
+// Appends that get no reply and are applied late. The rules for conditions,
+// producers, epochs and sequence numbers are checked when an append is applied.
+struct late_appends {
+  double share = 0;  // Of the appends, 0 to 1.
+  // Each is applied after a time between these.
+  std::chrono::milliseconds shortest{1000};
+  std::chrono::milliseconds longest{6000};
+};
+
 class keyed_store {
  public:
   explicit keyed_store(boost::asio::io_context& context);
@@ -53,6 +65,16 @@
   void set_times(const store_times& times) { times_ = times; }
   // Loses this share (0 to 1) of the replies to appends, from a fixed seed.
   void lose_replies(double share) { lost_share_ = share; }
+  // For further appends; those that wait stay late. The choice and the times
+  // follow from the seed. Waiting appends are applied even if the connection
+  // they came over closes, and while the store is unavailable.
+  void apply_late(const late_appends& late, std::uint32_t seed = 1);
+  // Late appends that are still to be applied.
+  std::size_t waiting_late_appends() const { return waiting_late_appends_; }
+  // Late appends that were applied and added their records.
+  std::uint64_t applied_late_appends() const { return applied_late_appends_; }
+  // Late appends that added nothing: refused, or repeats of an earlier one.
+  std::uint64_t void_late_appends() const { return void_late_appends_; }
   void drop_replies(int count) { replies_to_drop_ = count; }
   int replies_to_drop() const { return replies_to_drop_; }
   // Leaves all reads of the topic without a reply, those that wait included.
@@ -92,6 +114,9 @@
   };
 
   void handle(http::request&& request, http::responder answer);
+  // Whether the append is left for later.
+  bool delay_append(const http::target_parts& target, const std::string& body,
+                    const http::responder& answer);
   void run_append(const http::target_parts& target, const std::string& body,
                   http::responder answer);
   http::response append(const http::target_parts& target,
@@ -100,7 +125,7 @@
   void reply(const http::responder& answer, http::response&& message);
   void run_after(std::chrono::nanoseconds delay, std::function<void()> step);
   http::response append_records(topic* into, const http::target_parts& target,
-                                const std::vector<stored_record>& records);
+                                std::vector<stored_record> records);
   http::response newest(const http::target_parts& target);
   void read(const http::target_parts& target, http::responder answer);
   http::response make_read_reply(topic& from, std::uint64_t offset);
@@ -116,6 +141,11 @@
   store_times times_;
   double lost_share_ = 0;
   std::mt19937 random_{1};
+  late_appends late_;
+  std::mt19937 late_random_{1};
+  std::size_t waiting_late_appends_ = 0;
+  std::uint64_t applied_late_appends_ = 0;
+  std::uint64_t void_late_appends_ = 0;
   int replies_to_drop_ = 0;
   std::string blocked_topic_;
   std::string conflict_topic_;
