Check a worker's room before its ticket in the search for options

The search looked for the ticket of every available worker, a hash of its name, before it saw that the worker is reserved or has too little memory. The checks have no effects, so their order doesn't matter.

--- a/src/pool/options.cpp
+++ b/src/pool/options.cpp
@@ -68,18 +68,24 @@
   return std::min(slots, step.max_per_worker() - running);
 }
 
-// Adds the worker to the options if it can run a task of the step.
+// Whether the worker has free capacity for a task and isn't reserved. Cheaper
+// than the search for a ticket.
+bool has_room(const scheduling_round& round, const resources& need,
+              const worker& worker) {
+  return fits(need, free_resources_of(worker)) &&
+         round.reserved.count(&worker) == 0;
+}
+
+// Adds the worker, which has room, to the options if it can run a task of the
+// step.
 void add_option(const scheduling_round& round, const candidate_step& candidate,
                 worker* target, std::string_view ticket,
                 std::uint32_t max_slots, std::vector<placement_option>* found) {
   const wire::step_definition& step =
       definition(*candidate.job, *candidate.step);
-  resources need = resources_needed(step);
   placement_option result;
   result.free = free_resources_of(*target);
-  if (!fits(need, result.free)) return;
   if (!is_eligible(*target, *candidate.job, step)) return;
-  if (round.reserved.count(target) > 0) return;
   // A trial may have been placed in this round.
   if (target->trials > 0) return;
   bool kept_free = is_emptied(*target, round.now);
@@ -126,6 +132,8 @@
 std::vector<placement_option> options_by_ticket(const scheduling_round& round,
                                                 const candidate_step& candidate,
                                                 std::uint32_t max_slots) {
+  resources need =
+      resources_needed(definition(*candidate.job, *candidate.step));
   std::vector<placement_option> found;
   for (const std::pair<const std::string, cached_ticket>& each :
        candidate.step->tickets) {
@@ -133,6 +141,7 @@
     worker* target = find_worker(round.pool, each.first);
     if (target == nullptr || !is_available(*target, round.now)) continue;
     if (!is_for(each.second, *target)) continue;
+    if (!has_room(round, need, *target)) continue;
     add_option(round, candidate, target, each.second.value, max_slots, &found);
   }
   return found;
@@ -234,14 +243,15 @@
   bool advised = candidate.policy->needs_advice;
   bool needs_ticket = advised && mode == ticket_mode::required;
   const step_state& step = *candidate.step;
-  std::size_t with_free_cpu = count_with_free_cpu(
-      round, resources_needed(definition(*candidate.job, step)).cpu_milli);
+  resources need = resources_needed(definition(*candidate.job, step));
+  std::size_t with_free_cpu = count_with_free_cpu(round, need.cpu_milli);
   if (needs_ticket && step.tickets.size() < with_free_cpu) {
     return options_by_ticket(round, candidate, max_slots);
   }
   std::vector<placement_option> found;
   for (std::size_t i = 0; i < with_free_cpu; ++i) {
     worker* target = round.available[i].worker;
+    if (!has_room(round, need, *target)) continue;
     const cached_ticket* cached =
         advised ? valid_ticket(step, *target, round.now) : nullptr;
     if (needs_ticket && cached == nullptr) continue;
