Search the unreserved workers for a gang's if these are fewer

To collect room for a gang, each worker that is granted to it was looked up by name, though most of them were reserved. With fewer unreserved workers than granted ones these are searched instead. The result is sorted by a whole order, so it is the same.

--- a/src/pool/options.cpp
+++ b/src/pool/options.cpp
@@ -319,8 +319,21 @@
          count_step_slots(*each, candidate, free_resources_of(*each), count),
          each});
   };
-  if (candidate.policy->needs_advice) {
-    for (const std::string& id : candidate.step->granted) {
+  const std::unordered_set<std::string>& granted_ids = candidate.step->granted;
+  std::size_t unreserved =
+      round.available.size() -
+      std::min(round.available.size(), round.reserved.size());
+  if (candidate.policy->needs_advice && unreserved < granted_ids.size()) {
+    // No worker becomes available during a round.
+    for (const available_worker& each : round.available) {
+      if (round.reserved.count(each.worker) == 0 &&
+          is_available(*each.worker, round.now) &&
+          granted_ids.count(each.worker->entry.id) > 0) {
+        consider(each.worker);
+      }
+    }
+  } else if (candidate.policy->needs_advice) {
+    for (const std::string& id : granted_ids) {
       worker* granted = find_worker(round.pool, id);
       if (granted != nullptr && is_available(*granted, round.now)) {
         consider(granted);
