Answer 504 for a cancellation that an earlier attempt may have stored

If the first call got no reply in time and the repetition was refused (503), the caller was told that the job goes on, while the record of the first call may be stored. The new test fails without the change: it gets 503 for both calls.

--- a/src/poold/job_api_test.cpp
+++ b/src/poold/job_api_test.cpp
@@ -6,8 +6,10 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "http/client.h"
 #include "standin/pool/keyed_store.h"
@@ -32,6 +34,8 @@
         api->handle(std::move(request), std::move(respond));
       }};
   std::unique_ptr<http::client> caller;
+  // Results of the calls that are passed to the owner, in order.
+  std::vector<forward_result> forwarded;
 
   fixture() {
     server.listen("127.0.0.1:0").value();
@@ -49,6 +53,15 @@
                         const std::function<void(owner_reply)>& handler) {
       handler(owner_reply::refused);
     };
+    no_owner.forward = [this](const wire::job_query&, milliseconds,
+                              const std::function<void(forward_result)>& then) {
+      forward_result next;
+      if (!forwarded.empty()) {
+        next = std::move(forwarded.front());
+        forwarded.erase(forwarded.begin());
+      }
+      then(std::move(next));
+    };
     api = std::make_shared<job_api>(context, calls, clock, "n1", table,
                                     std::move(no_owner), measured);
     std::shared_ptr<pool::manifest> manifest =
@@ -74,6 +87,22 @@
     return accepted;
   }
 
+  http::status cancel(const std::string& job) {
+    http::request request{http::verb::delete_, "/q/" + job,
+                          http::kHttpVersion11};
+    request.prepare_payload();
+    std::optional<http::status> status;
+    caller->call("cancel", std::move(request), [&](http::call_result&& result) {
+      status = result->result();
+    });
+    while (!status) {
+      context.run_one();
+      // Towards the next attempt.
+      clock.advance(milliseconds(20));
+    }
+    return *status;
+  }
+
   bool is_stored(const std::string& job) {
     const std::vector<standin::stored_record>& records =
         store.records("keyed.journal");
@@ -94,6 +123,21 @@
   CHECK(test.is_stored("00000000000000bb"));
 }
 
+// Guards against a caller who is told that a job goes on while its cancellation
+// is stored: the owner had no time to reply and refused the repetition.
+TEST_CASE("a cancellation that may be stored isn't answered as refused") {
+  fixture test;
+  forward_result no_reply;
+  no_reply.maybe_served = true;
+  forward_result refusal;
+  refusal.reply = http::error_response(http::status::service_unavailable,
+                                       "the store takes no records");
+  test.forwarded = {no_reply, refusal};
+  CHECK(test.cancel("00000000000000aa") == http::status::gateway_timeout);
+  test.forwarded = {refusal};
+  CHECK(test.cancel("00000000000000aa") == http::status::service_unavailable);
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
--- a/src/poold/job_forwarding.cpp
+++ b/src/poold/job_forwarding.cpp
@@ -66,6 +66,12 @@
 
 void job_api::on_query_result(std::shared_ptr<forwarded_query> call,
                               forward_result result) {
+  // A refusal says nothing of what an earlier owner, or attempt, has stored.
+  bool refused = result.reply &&
+                 result.reply->result() == http::status::service_unavailable;
+  if (refused && call->query.cancels() && call->maybe_served) {
+    return refuse_query(*call);
+  }
   if (result.reply) {
     if (call->query.cancels() && result.reply->result() == http::status::ok) {
       events::emit(events::id::job_cancelled, "forward", "", "job={} queue={}",
