Send no recorded or repeated start to a worker that leaves

A start whose record or reply took long left after the worker's notice had been read (DRAIN, found by an independent review of the guard): whether a worker drains was asked when a task was placed only. The new test fails without the change.

--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -54,8 +54,8 @@
   if (responsive && !worker->knows_token) return;
   if (is_outdated(*pool, now)) return;
   bool may_repeat = placed->starts_sent < kMaxStartSends &&
-                    !placed->stop_wanted && responsive &&
-                    !is_over_capacity(*worker);
+                    !placed->stop_wanted && !worker->entry.draining &&
+                    responsive && !is_over_capacity(*worker);
   if (!may_repeat) {
     placed->stop_wanted = true;
     return;
@@ -178,7 +178,8 @@
     bool restarted = worker->entry.incarnation_ms != key.incarnation_ms;
     // If a quota was lowered, the first member of a gang that is dropped here
     // stops the others, and none of them is sent.
-    bool wanted = !placed->stop_wanted && !is_over_capacity(*worker) &&
+    bool wanted = !placed->stop_wanted && !worker->entry.draining &&
+                  !is_over_capacity(*worker) &&
                   !is_over_quota(*pool, *placed) && !is_outdated(*pool, now);
     if (wanted && !restarted) order = make_start(pool, worker, placed, now);
     if (order.job == nullptr || order.until == worker_time(0)) {
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -581,6 +581,31 @@
   CHECK(pool.state.workers["w1"].lease_end == lease_end);
 }
 
+// Guards against DRAIN: the record of a start, or the reply to it, may take
+// longer than the notice allows.
+TEST_CASE("a worker that leaves gets no start that was decided before") {
+  test_pool pool;
+  pool.add_worker("w1");
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  bool repeats = GENERATE(false, true);
+  std::vector<start_order> starts;
+  if (repeats) {
+    starts = pool.round();
+    REQUIRE(starts.size() == 1);
+    observe_start(&pool.state, starts[0], start_outcome::unknown, pool.now);
+  } else {
+    decide(&pool.state, pool.now, pool.wall);
+  }
+  pool.state.workers["w1"].entry.draining = true;
+  pool.advance(milliseconds(100));
+  if (!repeats) {
+    journal_batch batch = take_batch(&pool.state, pool.now);
+    REQUIRE(batch.starts.size() == 1);
+    CHECK(observe_batch_written(&pool.state, batch, pool.now).empty());
+  }
+  CHECK(decide(&pool.state, pool.now, pool.wall).repeated_starts.empty());
+}
+
 // Guards against the loss of all runs when an owner wakes up: the reports that
 // it handles then are as old as its pause.
 TEST_CASE("an owner that was paused stops no run for an old report") {
