Let the owner's copies use up the time limits but for an order's way

The age of a copy is checked again after the record of a start, so half of cancel_time and drain_time was stricter than needed: at a drain_time of 2.5 s a quiet directory is 1.1 s old, and older on a slow store. An order takes 0.6 s at most; 0.8 s are left for it.

--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -25,6 +25,7 @@
 // - every lease that the worker may have has expired.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -60,14 +61,19 @@
 inline milliseconds isolation_limit(const limits& limits) {
   return limits.lease / 2;
 }
+// The part of a time limit that an owner with copies of the store's records may
+// have used up when it sends an order: a call to a worker may take 600 ms.
+inline milliseconds copy_age_limit(milliseconds time_limit) {
+  constexpr milliseconds kOrderTime{800};
+  return std::max(time_limit - kOrderTime, time_limit / 4);
+}
 // An owner starts nothing while its copy of the journal, or of the directory of
-// workers, is older than this. The other half of the time is for the record and
-// the order of a start that was decided before.
+// workers, is older than this.
 inline milliseconds journal_age_limit(const limits& limits) {
-  return limits.cancel_time / 2;
+  return copy_age_limit(limits.cancel_time);
 }
 inline milliseconds directory_age_limit(const limits& limits) {
-  return limits.drain_time / 2;
+  return copy_age_limit(limits.drain_time);
 }
 // Upper bound for the remaining time of leases of earlier owners when a new
 // owner claims the pool. The drift allows for worker clocks that are 2% slow.
