Keep relayed reads apart from a daemon's own, and try the next route at once

Reads of other daemons, which are long polls, went through the connections of the owner's own reads: "no free connection" in the trace of UNASKED. They have connections of their own now. A repetition that a relay refuses is followed by the next route at once; a route that is known to be silent is tried last; and a daemon that lags gives its replies one turn for each attempt, not any number.

--- a/src/poold/store_client.cpp
+++ b/src/poold/store_client.cpp
@@ -50,6 +50,8 @@
 constexpr std::uint32_t kMaxReadKilobytes = 128;
 // Three followers with the attempts that they may await over one route.
 constexpr std::size_t kReadConnections = 12;
+// For reads that are relayed for other daemons, each of them a long poll.
+constexpr std::size_t kRelayedReadConnections = 48;
 // For appends that are relayed for other daemons.
 constexpr std::size_t kRelayedAppendConnections = 16;
 // Further attempts of appends over one route are refused. Replies that were
@@ -95,7 +97,11 @@
 store_client::store_client(boost::asio::io_context& context,
                            const std::string& address,
                            const clock::clock& clock)
-    : context_(context), clock_(clock), direct_(make_route(address, "")) {}
+    : context_(context),
+      clock_(clock),
+      relayed_reads_(std::make_unique<http::client>(
+          context, address, options_with(kRelayedReadConnections))),
+      direct_(make_route(address, "")) {}
 
 std::shared_ptr<store_client::route> store_client::make_route(
     const std::string& address, const std::string& path_prefix) {
@@ -219,8 +225,8 @@
   auto is_tried = [&](const std::shared_ptr<route>& each) {
     return std::count(read.tried.begin(), read.tried.end(), each) > 0;
   };
-  if (!is_tried(direct_)) return direct_;
   steady_time now = clock_.now();
+  if (!is_tried(direct_) && direct_->reads.retry_at <= now) return direct_;
   for (std::size_t i = 0; i < relays_.size(); ++i) {
     std::size_t index = (next_relay_ + i) % relays_.size();
     const std::shared_ptr<route>& each = relays_[index];
@@ -278,7 +284,12 @@
   --read->awaited;
   if (!read->handler) return;
   bool failed = result.has_error() || is_rejection(*result);
-  if (failed && read->awaited > 0) return;
+  if (failed && read->awaited > 0) {
+    if (read->tried.size() >= kMaxReadAttempts) return;
+    // Another route may serve it at once.
+    read->repeat_at = clock_.now();
+    return watch_read(read);
+  }
   read->timer.cancel();
   std::exchange(read->handler, nullptr)(std::move(result), wait, sent);
 }
@@ -290,7 +301,8 @@
     if (cancelled || alive.expired() || !read->handler) return;
     steady_time now = clock_.now();
     // A daemon that lags may have the reply in hand.
-    if (now - read->repeat_at > kMaxTimerDelay) {
+    if (now - read->repeat_at > kMaxTimerDelay &&
+        !std::exchange(read->lagged, true)) {
       read->repeat_at = now + read->repeat_delay;
     }
     // The reply may also have made progress.
@@ -311,6 +323,7 @@
   }
   avoid_for_reads(silent);
   send_read(read);
+  read->lagged = false;
   ++repeated_reads_;
   steady_time now = clock_.now();
   if (now - repetition_logged_ >= kRepetitionLogInterval) {
@@ -346,8 +359,9 @@
     options = read_options(kRelayTimeout, kMaxTotalReadTimeoutDoublings);
     options.on_progress = std::move(on_progress);
   }
-  route_client.client->call("relay", std::move(request), std::move(options),
-                            std::move(handler));
+  http::client& client = appends ? *route_client.client : *relayed_reads_;
+  client.call("relay", std::move(request), std::move(options),
+              std::move(handler));
 }
 
 std::uint64_t store_client::append(const platform::append_request& request,
--- a/src/poold/store_client.h
+++ b/src/poold/store_client.h
@@ -135,6 +135,7 @@
     std::vector<std::shared_ptr<route>> tried;  // One for each attempt.
     std::size_t awaited = 0;
     steady_time repeat_at;
+    bool lagged = false;  // The last attempt was given more time for a lag.
     steady_time begun;
     clock::timer timer;
 
@@ -170,6 +171,8 @@
 
   boost::asio::io_context& context_;
   const clock::clock& clock_;
+  // Direct reads for other daemons, so that this daemon's don't wait for them.
+  std::unique_ptr<http::client> relayed_reads_;
   std::shared_ptr<route> direct_;
   std::vector<std::shared_ptr<route>> relays_;
   std::size_t next_relay_ = 0;
