Let a copy that catches up count as current as of each end it reaches

A follower behind the end of its topic counted as old as its gap until it had caught up with the newest end. A read shows an end; once the follower has passed it, the copy is complete as of that read.

--- a/src/poold/topic_follower.cpp
+++ b/src/poold/topic_follower.cpp
@@ -80,6 +80,7 @@
           return self->load_page(self->pages_.back().key);
         }
         self->next_ = self->first_page_end_;
+        self->known_end_.reset();
         self->loaded_ = true;
         self->current_as_of_ = self->first_page_sent_;
         std::vector<jobs::record> all = std::exchange(self->pages_, {});
@@ -107,6 +108,10 @@
   }
   std::erase_if(skipped_,
                 [&](const auto& each) { return each.second <= next_; });
+  if (known_end_ && next_ >= known_end_->first) {
+    current_as_of_ = std::max(current_as_of_, known_end_->second);
+    known_end_.reset();
+  }
 }
 
 bool topic_follower::is_skipped(std::uint64_t offset) const {
@@ -162,12 +167,12 @@
         });
         // Records may have been skipped while the read was in flight.
         self->next_ = std::max(self->next_, reply->next);
+        // An end further on follows once this one has been reached.
+        if (!self->known_end_ || self->next_ >= reply->end) {
+          self->known_end_ = {reply->end, sent};
+        }
         self->pass_skipped();
         bool behind = self->next_ < reply->end;
-        // An append may have shown a later end in the meantime.
-        if (!behind) {
-          self->current_as_of_ = std::max(self->current_as_of_, sent);
-        }
         self->handlers_.on_records(reply->records);
         if (self->stopped_) return;
         self->schedule(behind ? milliseconds(0) : self->options_.read_interval,
--- a/src/poold/topic_follower.h
+++ b/src/poold/topic_follower.h
@@ -91,6 +91,8 @@
   std::uint64_t next_ = 0;
   // Offsets to skip that may still be read: first, and one after the last.
   std::vector<std::pair<std::uint64_t, std::uint64_t>> skipped_;
+  // An end of the topic that a read showed, and when that read was sent.
+  std::optional<std::pair<std::uint64_t, steady_time>> known_end_;
   bool loaded_ = false;
   bool stopped_ = false;
   bool scheduled_ = false;
