--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -414,6 +414,9 @@
                has_journal() ? 1 : 0);
   append_value(&text, "ebonygrade_pool_store_calls_total", "counter",
                "Calls to the platform's store.", store_.calls());
+  append_value(&text, "ebonygrade_pool_repeated_reads_total", "counter",
+               "Reads of the store sent again while an earlier was awaited.",
+               store_.repeated_reads());
   append_value(&text, "ebonygrade_pool_append_ms", "gauge",
                "Smoothed time of appends to the store, in milliseconds.",
                static_cast<std::uint64_t>(store_.pace().smoothed.count()));
@@ -516,6 +519,9 @@
   append_value(text, "ebonygrade_pool_unexpected_runs_total", "counter",
                "Reported runs without a valid order.",
                state.counters.unexpected_runs);
+  append_value(text, "ebonygrade_pool_outdated_rounds_total", "counter",
+               "Rounds without starts, as a copy of the store was too old.",
+               state.counters.outdated_rounds);
   append_tenant_gauges(text, state);
   append_near_waits(text, state.near);
 }
