--- a/src/poold/topic_follower_test.cpp
+++ b/src/poold/topic_follower_test.cpp
@@ -1,6 +1,7 @@
 #include "poold/topic_follower.h"
 
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <utility>
@@ -79,6 +80,43 @@
   CHECK(test.follower->current_as_of() == before);
 }
 
+// Appends the number as 8 bytes, or as 4 for the length of a record.
+void append_number(std::uint64_t number, int bytes, std::string* out) {
+  for (int i = bytes; i-- > 0;) {
+    out->push_back(static_cast<char>(number >> (8 * i)));
+  }
+}
+
+// Guards against an owner that never counts as current: while the topic grows,
+// a follower that catches up may not reach its newest end for long.
+TEST_CASE("a copy that catches up is as old as the last end it has reached") {
+  fixture test;
+  const std::string record = std::string("\x01", 1) + "ax";
+  // Replies to the open read with one record and this end of the topic.
+  auto reply = [&](std::uint64_t end) {
+    while (test.open_reads.empty()) test.context.run_one();
+    std::string body;
+    append_number(end, 8, &body);
+    append_number(0, 8, &body);
+    append_number(record.size(), 4, &body);
+    http::responder answer = std::move(test.open_reads.back());
+    test.open_reads.clear();
+    answer(http::text_response(http::status::ok, "application/octet-stream",
+                               body + record));
+    std::uint64_t next = test.follower->next() + 1;
+    while (test.follower->next() < next) test.context.run_one();
+  };
+  steady_time loaded = test.follower->current_as_of();
+  steady_time first_read = test.clock.now();
+  test.clock.advance(std::chrono::seconds(1));
+  reply(4);
+  CHECK(test.follower->current_as_of() == loaded);
+  test.clock.advance(std::chrono::seconds(1));
+  reply(9);
+  REQUIRE(test.follower->next() == 4);
+  CHECK(test.follower->current_as_of() == first_read);
+}
+
 // A follower whose ways to the store can be made silent one by one.
 struct routed_follower {
   static constexpr std::size_t kRelays = 3;
