--- a/src/pool/cancellation_simulation_test.cpp
+++ b/src/pool/cancellation_simulation_test.cpp
@@ -112,7 +112,7 @@
   return options;
 }
 
-// Guards against UNASKED: owners started tasks of jobs whose cancellation had
+// Guards against lost cancellations: owners started tasks of jobs whose one had
 // been acknowledged and wasn't in their copy of the journal yet.
 TEST_CASE("no task of a cancelled job starts while the owner's copy lags") {
   situations reached = check_cells(lagging_copies());
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -581,7 +581,7 @@
   CHECK(pool.state.workers["w1"].lease_end == lease_end);
 }
 
-// Guards against DRAIN: the record of a start, or the reply to it, may take
+// Guards against late starts: the record of one, or the reply to it, may take
 // longer than the notice allows.
 TEST_CASE("a worker that leaves gets no start that was decided before") {
   test_pool pool;
--- a/src/poold/blind_owner_test.cpp
+++ b/src/poold/blind_owner_test.cpp
@@ -43,7 +43,7 @@
   }
 };
 
-// Guards against UNASKED: other daemons acknowledge a cancellation once they
+// Guards against lost cancellations: other daemons acknowledge one once they
 // have appended it, and an owner whose copy was 10 s old went on with the job.
 TEST_CASE("no task of a cancelled job starts while the owner can't read") {
   blind_cell cell("keyed.journal");
@@ -56,7 +56,7 @@
   CHECK(cell.reaches_state(0, "cancelled"));
 }
 
-// Guards against DRAIN, by the same cause.
+// Guards against the same for the notice of a worker.
 TEST_CASE("no task starts on a worker that leaves while the owner can't read") {
   blind_cell cell("keyed.servers");
   cell.workers[0]->announce("draining");
--- a/src/poold/round_pacing_test.cpp
+++ b/src/poold/round_pacing_test.cpp
@@ -15,8 +15,8 @@
   CHECK(round_interval(milliseconds(20)) == milliseconds(100));
 }
 
-// Guards against UNASKED: rounds that took longer than the largest interval ran
-// back to back, and the owner read the journal 10 s late.
+// Guards against old reads: rounds that took longer than the largest interval
+// ran back to back, and the owner read the journal 10 s late.
 TEST_CASE("long rounds leave two thirds of the time for other work") {
   for (int number : {50, 100, 150, 1000}) {
     milliseconds taken(number);
--- a/src/poold/topic_follower_test.cpp
+++ b/src/poold/topic_follower_test.cpp
@@ -165,8 +165,9 @@
 // The users' shortest limit for a new manifest to apply.
 constexpr milliseconds kManifestLimit{2500};
 
-// Guards against CONFIG and UNASKED: with each read that got no reply, the next
-// one waited longer, and a daemon saw nothing of the store for up to 7.8 s.
+// Guards against old manifests and lost cancellations: the wait for a reply
+// grew with each read that got none, and a daemon saw nothing of the store for
+// 8 s.
 TEST_CASE("a daemon reads on while several ways to the store are silent") {
   std::size_t silent = GENERATE(1, 2, 3);
   CAPTURE(silent);
