Log why a step waits, and when the entry of a worker with runs is removed

Nothing in the logs told what a waiting gang waits for: a member that isn't known to be over, advice, or room.

No decision changes; request_advice() asks advice_hindrance() what it decided itself before.

--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -82,6 +82,8 @@
   read_repeated = 870,
   owner_outdated = 871,
   owner_current = 872,
+  step_waits = 873,
+  worker_removed = 874,
 };
 
 struct definition {
@@ -268,6 +270,10 @@
                "none"},
     definition{id::owner_current, "owner_current", level::info,
                "The owner starts tasks again.", "none"},
+    definition{id::step_waits, "step_waits", level::info,
+               "A step has waited for more than 3 s; with the reason.", "none"},
+    definition{id::worker_removed, "worker_removed", level::info,
+               "The entry of a worker that has runs was removed.", "worker"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/pool/advice.cpp
+++ b/src/pool/advice.cpp
@@ -11,6 +11,7 @@
 #include "pool/near_wait_pvt.h"
 #include "pool/pool_pvt.h"
 #include "pool/round_pvt.h"
+#include "pool/step_wait.h"
 
 namespace ebonygrade::pool {
 
@@ -256,18 +257,29 @@
 
 }  // namespace
 
-void request_advice(scheduling_round* round, const candidate_step& candidate) {
-  step_state& step = *candidate.step;
-  if (step.pending_advice > 0 || step.advice_retry_at > round->now) return;
-  if (any_placed(step) && definition(*candidate.job, step).gang()) return;
-  if (!capacity_is_expected(*round, candidate)) return;
+std::optional<wait_reason> advice_hindrance(const scheduling_round& round,
+                                            const candidate_step& candidate) {
+  const step_state& step = *candidate.step;
+  if (step.pending_advice > 0) return wait_reason::advice_pending;
+  if (step.advice_retry_at > round.now) return wait_reason::advice_delayed;
+  bool gang = definition(*candidate.job, step).gang();
+  if (gang && any_placed(step)) return wait_reason::member_placed;
+  if (!capacity_is_expected(round, candidate)) {
+    return wait_reason::advice_backlog;
+  }
   // Steps whose results have no value any more can wait.
   bool urgent =
       candidate.policy->priority == 0 && candidate.tier != tier::no_value;
-  if (!urgent && round->pool->pending_advice_requests >=
-                     pending_request_limit(*round->pool)) {
-    return;
+  if (!urgent && round.pool->pending_advice_requests >=
+                     pending_request_limit(*round.pool)) {
+    return wait_reason::advice_limit;
   }
+  return std::nullopt;
+}
+
+void request_advice(scheduling_round* round, const candidate_step& candidate) {
+  if (advice_hindrance(*round, candidate)) return;
+  step_state& step = *candidate.step;
   std::vector<std::string> names =
       step.queried.empty() ? workers_for_first_request(*round, candidate)
                            : workers_for_renewal(*round, candidate);
--- a/src/pool/crash_test.cpp
+++ b/src/pool/crash_test.cpp
@@ -25,7 +25,7 @@
     const worker_entry& entry = state.workers.at(id).entry;
     observe_worker_replaced(&state, id, entry.incarnation_ms, entry.address,
                             now);
-    observe_worker_removed(&state, id);
+    observe_worker_removed(&state, id, now);
   }
   // Starts what waits and confirms it.
   std::vector<start_order> start_all() {
--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -7,6 +7,7 @@
 #include "pool/near_wait_pvt.h"
 #include "pool/pool_pvt.h"
 #include "pool/round_pvt.h"
+#include "pool/step_wait.h"
 #include "pool/tenant_order.h"
 
 namespace ebonygrade::pool {
@@ -109,6 +110,7 @@
       {task.worker, task.incarnation_ms, placed.task, run});
   add_placement(round.pool, at->worker, std::move(placed));
   candidate.job->placed = true;
+  candidate.step->waits_since = {};
   round.pool->changed_jobs.insert(candidate.job->id);
 }
 
@@ -331,7 +333,10 @@
                          const std::vector<candidate_step>& candidates) {
   for (const candidate_step& each : candidates) {
     std::uint32_t allowed = tasks_within_quota(*round, each);
-    if (allowed == 0) continue;
+    if (allowed == 0) {
+      report_step_wait(*round, each, allowed);
+      continue;
+    }
     bool gang = definition(*each.job, *each.step).gang();
     bool placed = true;
     std::size_t first = round->pool->unrecorded_starts.size();
@@ -344,6 +349,7 @@
     }
     observe_starts(*round, each);
     record_placements(*round, each, first, had_placed);
+    report_step_wait(*round, each, allowed);
     // Tickets of tasks that a quota holds back would expire.
     bool quota_left = round->pool->unrecorded_starts.size() - first < allowed;
     if (each.policy->needs_advice && quota_left &&
@@ -401,8 +407,12 @@
     reserve_for_longest_held(round, waiting);
     order_by_tenant(round, &waiting);
   }
+  choose_step_waits(&round, waiting);
   if (is_outdated(*pool, now)) {
     ++pool->counters.outdated_rounds;
+    for (const candidate_step& each : waiting) {
+      report_step_wait(round, each, count_waiting_tasks(*each.step));
+    }
   } else {
     place_waiting_steps(&round, waiting);
   }
--- a/src/pool/incarnation_test.cpp
+++ b/src/pool/incarnation_test.cpp
@@ -192,7 +192,7 @@
   std::vector<start_order> starts = pool.round();
   REQUIRE(starts.size() == 1);
   observe_start(&pool.state, starts[0], start_outcome::unknown, pool.now);
-  observe_worker_removed(&pool.state, "w1");
+  observe_worker_removed(&pool.state, "w1", pool.now);
   for (int i = 0; i < 2; ++i) {
     pool.advance(milliseconds(10000));
     pool.round();
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -139,6 +139,8 @@
   // which is the newest that is known.
   std::int64_t described_incarnation_ms = 0;
   bool listed = false;  // Present in service discovery.
+  // Its newest entry was written after this time; default value: not known.
+  steady_time entry_written_after;
   bool fenced = false;  // This incarnation has replied to this owner's token.
   bool knows_token = false;     // Has replied to the current fencing token.
   bool token_in_start = false;  // A start has carried the current token.
@@ -218,6 +220,9 @@
   // Since when it has been ready. For a later step that was ready before a
   // takeover: the acceptance of its job, which is earlier.
   unix_time ready_since;
+  // When the owner first saw it wait, since its last task was placed; default
+  // value: it doesn't wait. For reports only.
+  steady_time waits_since;
   // Advice: the workers that may run the step, and the tickets that prove this.
   std::uint32_t pending_advice = 0;         // Requests without a reply.
   steady_time advice_retry_at;              // No request before this.
@@ -285,6 +290,7 @@
   given_up,         // It crashes its workers; the job fails.
   near_wait_begun,  // A task waits for a place near its data.
   near_wait_ended,
+  step_waits,  // Has waited for long; see step_wait.h.
 };
 
 struct job_event {
@@ -302,6 +308,7 @@
   run_unexpected,  // It reports a run without a valid order.
   entry_outdated,  // Its entry is older than its known incarnation.
   crashed,         // Its incarnation ended without draining, with its runs.
+  removed,         // Its entry was removed while it has runs.
 };
 
 struct worker_event {
@@ -415,6 +422,8 @@
   steady_time journal_current_as_of;
   steady_time directory_current_as_of;
   load_summary load;
+  steady_time step_waits_reported_at;
+  std::size_t long_step_waits = 0;  // Steps with a long wait, at that time.
   near_wait_state near;
   admission_state admission;
   std::vector<deadly_task> deadly_tasks;    // Their jobs fail next.
@@ -467,10 +476,14 @@
 // Returns false, and changes nothing, if the entry is of an earlier incarnation
 // than the known one, which a report or the journal may have told first, or
 // older than the known entry: reads of the discovery topic may fall back.
+//
+// `written_after`: the entry was written after this time; default value: not
+// known.
 bool observe_worker_entry(pool_state* pool, const worker_entry& entry,
-                          steady_time now);
+                          steady_time now, steady_time written_after = {});
 // The worker is no longer in service discovery.
-void observe_worker_removed(pool_state* pool, const std::string& worker);
+void observe_worker_removed(pool_state* pool, const std::string& worker,
+                            steady_time now);
 
 // The token of orders to the worker. Workers refuse orders with a lower token
 // than they have seen. It rises with the epoch and whenever the next call may
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -301,7 +301,7 @@
   observe_advice(&pool.state, first.advice[0], true, {{"w1", "t1"}}, pool.now,
                  pool.now);
   // The only granted worker leaves, and another worker joins.
-  observe_worker_removed(&pool.state, "w1");
+  observe_worker_removed(&pool.state, "w1", pool.now);
   pool.advance(milliseconds(500));
   pool.add_worker("w2");
   decisions second;
@@ -720,7 +720,7 @@
   std::uint64_t token = fencing_token(pool.state, "w1");
   observe_poll_fenced(&pool.state, "w1", earlier);
   CHECK_FALSE(pool.state.superseded);
-  observe_worker_removed(&pool.state, "w1");
+  observe_worker_removed(&pool.state, "w1", pool.now);
   pool.advance(milliseconds(10000));
   pool.round();
   REQUIRE(pool.state.workers.count("w1") == 0);
@@ -773,7 +773,7 @@
   CHECK(known.entry.incarnation_ms == 2);
   REQUIRE(pool.state.worker_events.size() == 1);
   CHECK(pool.state.worker_events[0].kind == worker_event_kind::entry_outdated);
-  observe_worker_removed(&pool.state, "w1");
+  observe_worker_removed(&pool.state, "w1", pool.now);
   observe_worker_entry(&pool.state, outdated, pool.now);
   CHECK_FALSE(known.listed);
 }
--- a/src/pool/round_pvt.h
+++ b/src/pool/round_pvt.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -53,6 +54,7 @@
   std::int64_t cpu_awaiting_advice = 0;
   // Null if no task waits for a near place.
   std::shared_ptr<near_round> near;
+  std::unordered_set<const step_state*> waits_to_report;
 };
 
 scheduling_round begin_round(pool_state* pool, decisions* out, steady_time now,
@@ -150,6 +152,11 @@
 void update_admission_load(const scheduling_round& round,
                            const std::vector<candidate_step>& waiting);
 
+enum class wait_reason;  // See step_wait.h.
+// Why no request for advice may be sent for the step now, whatever workers it
+// would name. Nothing if one may be sent.
+std::optional<wait_reason> advice_hindrance(const scheduling_round& round,
+                                            const candidate_step& candidate);
 // Requests advice for the step, if a request is useful now.
 void request_advice(scheduling_round* round, const candidate_step& candidate);
 
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -27,6 +27,10 @@
       static_cast<double>(lease.count()) * kClockDrift));
 }
 
+std::string milliseconds_text(steady_time::duration time) {
+  return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
+}
+
 // It may have granted leases until it was isolated.
 steady_time last_order_of_previous_owner(const pool_state& pool) {
   return pool.time.base_at + isolation_limit(pool.limits);
@@ -363,7 +367,7 @@
 }
 
 bool observe_worker_entry(pool_state* pool, const worker_entry& entry,
-                          steady_time now) {
+                          steady_time now, steady_time written_after) {
   worker& worker = pool->workers[entry.id];
   bool is_new = worker.entry.id.empty();
   std::int64_t incarnation = worker.entry.incarnation_ms;
@@ -381,6 +385,7 @@
   bool was_draining = worker.entry.draining;
   worker.entry = entry;
   worker.described_incarnation_ms = entry.incarnation_ms;
+  worker.entry_written_after = written_after;
   if (!worker.listed) worker.last_reply = now;
   worker.listed = true;
   if (!is_new && entry.incarnation_ms > incarnation) {
@@ -393,9 +398,27 @@
   return true;
 }
 
-void observe_worker_removed(pool_state* pool, const std::string& id) {
+void observe_worker_removed(pool_state* pool, const std::string& id,
+                            steady_time now) {
   worker* worker = find_worker(pool, id);
-  if (worker != nullptr) worker->listed = false;
+  if (worker == nullptr || !worker->listed) return;
+  worker->listed = false;
+  if (worker->placements.empty()) return;
+  std::string text =
+      "incarnation=" + std::to_string(worker->entry.incarnation_ms) +
+      " draining=" + (worker->entry.draining ? "1" : "0") +
+      " runs=" + std::to_string(worker->placements.size());
+  // No more than this has passed since its newest entry was written.
+  if (worker->entry_written_after != steady_time()) {
+    text += " entry_ms=" + milliseconds_text(now - worker->entry_written_after);
+  }
+  if (worker->last_reply != steady_time()) {
+    text += " silent_ms=" + milliseconds_text(now - worker->last_reply);
+  }
+  if (worker->contact_lost_at != steady_time()) {
+    text += " broken_ms=" + milliseconds_text(now - worker->contact_lost_at);
+  }
+  add_worker_event(pool, worker_event_kind::removed, id, std::move(text));
 }
 
 std::uint64_t fencing_token(const pool_state& pool, const std::string& worker) {
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -219,6 +219,8 @@
 void owner::on_discovery_records(const std::vector<jobs::record>& records,
                                  bool all) {
   if (stopped_) return;
+  // Of the entries of a load nothing is known.
+  if (all) directory_ended_at_ = {};
   std::unordered_set<std::string> seen;
   for (const jobs::record& each : records) {
     seen.insert(each.key);
@@ -228,26 +230,28 @@
     for (const std::pair<const std::string, pool::worker>& each :
          pool_.workers) {
       if (seen.count(each.first) == 0) {
-        pool::observe_worker_removed(&pool_, each.first);
+        pool::observe_worker_removed(&pool_, each.first, clock_.now());
       }
     }
     std::erase_if(unreadable_entries_,
                   [&](const std::string& key) { return seen.count(key) == 0; });
   }
+  directory_ended_at_ = discovery_->current_as_of();
   schedule_round();
 }
 
 void owner::on_discovery_record(const jobs::record& record) {
   if (record.value.empty()) {
     unreadable_entries_.erase(record.key);
-    pool::observe_worker_removed(&pool_, record.key);
+    pool::observe_worker_removed(&pool_, record.key, clock_.now());
     return;
   }
   error::result<pool::worker_entry> entry =
       platform::decode_worker_entry(record.key, record.value);
   if (entry.has_error()) return on_unreadable_entry(record.key, entry.error());
   unreadable_entries_.erase(record.key);
-  if (pool::observe_worker_entry(&pool_, *entry, clock_.now())) {
+  if (pool::observe_worker_entry(&pool_, *entry, clock_.now(),
+                                 directory_ended_at_)) {
     open_link(entry->id, entry->address);
   }
 }
@@ -258,7 +262,7 @@
     events::emit(events::id::worker_entry_unreadable, "observe", key, "{}",
                  cause.detail);
   }
-  pool::observe_worker_removed(&pool_, key);
+  pool::observe_worker_removed(&pool_, key, clock_.now());
 }
 
 void owner::open_link(const std::string& worker, const std::string& address) {
@@ -514,6 +518,10 @@
         events::emit(events::id::near_wait_ended, "decide", "", "job={} {}",
                      each.job, each.detail);
         break;
+      case pool::job_event_kind::step_waits:
+        events::emit(events::id::step_waits, "decide", "", "job={} {}",
+                     each.job, each.detail);
+        break;
       case pool::job_event_kind::worker_avoided:
         events::emit(events::id::worker_avoided, "decide", each.worker,
                      "job={} {}", each.job, each.detail);
@@ -538,6 +546,10 @@
         events::emit(events::id::worker_entry_outdated, "observe", each.worker,
                      "{}", each.detail);
         break;
+      case pool::worker_event_kind::removed:
+        events::emit(events::id::worker_removed, "observe", each.worker, "{}",
+                     each.detail);
+        break;
       case pool::worker_event_kind::crashed:
         events::emit(events::id::worker_crashed, "observe", each.worker, "{}",
                      each.detail);
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -205,6 +205,9 @@
   steady_time journal_current_as_of_;
   std::shared_ptr<appender> journal_;
   std::shared_ptr<topic_follower> discovery_;
+  // When the directory ended with the records that have been read; later ones
+  // were written after this.
+  steady_time directory_ended_at_;
   advice_dispatcher advice_dispatcher_;
   daemon_registry daemons_;
   // Null if the settings have no machines address.
