--- /dev/null
+++ b/src/pool/departure_test.cpp
@@ -0,0 +1,149 @@
+// Tests of workers that leave: they say so, serve on for some seconds and exit
+// with what they run.
+#include <catch2/catch.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "pool/test_pool.h"
+
+namespace ebonygrade::pool {
+
+namespace {
+
+constexpr char kJob[] = "00000000000000aa";
+constexpr std::uint32_t kMembers = 2;
+constexpr milliseconds kHeartbeat{1500};
+// Target: what could run starts within 3 s. Reading the directory and asking
+// for advice take the rest.
+constexpr milliseconds kRestartTime{500};
+
+// A gang with a member on each of w1 and w2, and room on w3.
+struct leaving_pool : test_pool {
+  explicit leaving_pool(bool lasts = false) {
+    for (const char* id : {"w1", "w2", "w3"}) add_worker(id, 1000);
+    wire::step_definition gang = step(kMembers, 1000);
+    gang.set_gang(true);
+    gang.set_long_running(lasts);
+    submit(kJob, {gang});
+    first = round();
+    REQUIRE(first.size() == kMembers);
+    confirm(first);
+    serve(milliseconds(1000));
+  }
+
+  // The workers but `absent` report what they run.
+  void serve(milliseconds time, const std::string& absent = "") {
+    advance(time);
+    for (const std::pair<const std::string, worker>& each : state.workers) {
+      if (each.first == absent) continue;
+      std::vector<reported_run> runs;
+      for (const start_order& start : first) {
+        if (start.worker == each.first) runs.push_back(reported_run_of(start));
+      }
+      report(each.first, {{}, 1, std::move(runs), {}});
+    }
+  }
+
+  void write_entry(const std::string& id, bool draining,
+                   steady_time written_after) {
+    worker_entry entry = state.workers.at(id).entry;
+    entry.draining = draining;
+    REQUIRE(observe_worker_entry(&state, entry, now, written_after));
+  }
+
+  // The members at other workers than `worker` end, as one has ended there.
+  void break_gang(const std::string& worker) {
+    for (const start_order& each : first) {
+      if (each.worker == worker) continue;
+      report(each.worker,
+             {{}, 1, {}, {reported_end_of(1, each, end_kind::broken)}});
+    }
+  }
+
+  // The starts of the next rounds, with the other workers idle.
+  std::vector<start_order> restart(const std::string& absent) {
+    first.clear();
+    serve(kRestartTime, absent);
+    return round();
+  }
+
+  // The worker leaves: it notes that it drains, and its entry is removed at
+  // most `since_entry` after it was written last. Returns what starts then.
+  std::vector<start_order> leave(const std::string& id, bool draining,
+                                 milliseconds since_entry) {
+    write_entry(id, draining, now);
+    serve(since_entry, id);
+    break_gang(id);
+    observe_worker_removed(&state, id, now);
+    return restart(id);
+  }
+
+  std::vector<start_order> first;
+};
+
+// Guards against a gang that waits for the lease of a worker that has left with
+// one of its members, although others have room.
+TEST_CASE("a gang doesn't wait for the lease of a worker that has left",
+          "[!shouldfail]") {
+  leaving_pool pool;
+  std::string left = pool.first.front().worker;
+  std::vector<start_order> starts = pool.leave(left, true, kHeartbeat);
+  REQUIRE(starts.size() == kMembers);
+  for (const start_order& each : starts) CHECK(each.worker != left);
+}
+
+TEST_CASE("a lasting gang doesn't wait for a worker that has left",
+          "[!shouldfail]") {
+  leaving_pool pool(true);
+  std::string left = pool.first.front().worker;
+  CHECK(pool.leave(left, true, kHeartbeat).size() == kMembers);
+}
+
+TEST_CASE("a later owner doesn't wait for a worker that leaves",
+          "[!shouldfail]") {
+  leaving_pool pool;
+  std::string left = pool.first.front().worker;
+  pool.take_over();
+  for (const char* id : {"w1", "w2", "w3"}) {
+    worker_entry entry;
+    entry.id = id;
+    entry.service = kService;
+    entry.address = "127.0.0.1:1";
+    entry.capacity = {1000, 10000, 0};
+    entry.incarnation_ms = 1;
+    observe_worker_entry(&pool.state, entry, pool.now);
+  }
+  // It doesn't answer the new owner any more.
+  CHECK(pool.leave(left, true, kHeartbeat).size() == kMembers);
+}
+
+// A worker that is cut off from the store and from the owner loses its entry
+// after three heartbeats, and runs on until its lease has passed.
+TEST_CASE("a draining worker whose entry may have expired keeps its runs") {
+  leaving_pool pool;
+  std::string cut = pool.first.front().worker;
+  CHECK(pool.leave(cut, true, 3 * kHeartbeat).empty());
+  pool.serve(milliseconds(6200), cut);
+  CHECK(pool.round().size() == kMembers);
+}
+
+TEST_CASE("a worker that doesn't drain keeps its runs without an entry") {
+  leaving_pool pool;
+  std::string id = pool.first.front().worker;
+  CHECK(pool.leave(id, false, milliseconds(500)).empty());
+}
+
+TEST_CASE("a worker keeps its runs if the age of its entry isn't known") {
+  leaving_pool pool;
+  std::string id = pool.first.front().worker;
+  pool.write_entry(id, true, steady_time());
+  pool.serve(milliseconds(500), id);
+  pool.break_gang(id);
+  observe_worker_removed(&pool.state, id, pool.now);
+  CHECK(pool.restart(id).empty());
+}
+
+}  // namespace
+
+}  // namespace ebonygrade::pool
