Tell the next owner in a release how long workers' leases last

Callers saw gangs wait for 9.3 s (15.5 s with leases of 10 s) after a change of owner, and longer if daemons restart one after another.

Cause: an owner that takes over assumes that its predecessor granted the longest lease just before it was replaced, and assumes so anew at each change, whoever the predecessor was. Runs on a silent worker, and the gangs and steps that need them, waited for that time each time.

A planned release now records the leases of the workers with runs (at most 2,000; the silent ones first), and the owner grants none after that. The owner whose claim follows directly takes the lease as passed by then. A claim in between, another incarnation or a takeover without a release leave the longest lease, as before.

--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -117,10 +117,16 @@
 change apply_owner(table* table, const record& record) {
   ++table->owner_records;
   if (record.offset < table->owner.offset) return {};
-  if (!table->owner.record.ParseFromString(record.value)) {
+  wire::ownership_record parsed;
+  if (!parsed.ParseFromString(record.value)) {
     ++table->unreadable_records;
     return {};
   }
+  wire::ownership_record& known = table->owner.record;
+  if (parsed.epoch() != known.epoch()) {
+    table->released_leases.assign(known.leases().begin(), known.leases().end());
+  }
+  known = std::move(parsed);
   table->owner.offset = record.offset;
   return {change_kind::owner, {}};
 }
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -54,6 +54,9 @@
   std::unordered_map<std::string, std::int64_t> not_started;
   std::unordered_map<std::string, wire::wave_record> waves;  // By number.
   observed_owner owner;
+  // What the release told that the claim in force follows directly. Later
+  // owners may have granted longer leases.
+  std::vector<wire::worker_lease> released_leases;
   std::chrono::milliseconds pool_time{0};  // Highest one read.
   // Records that prove that an owner is alive.
   std::uint64_t owner_records = 0;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -431,6 +431,9 @@
   std::unordered_map<std::string, double> grant_shares;
   pool::cpu_release_rate cpu_release_rate;
   bool superseded = false;  // A worker has seen a newer owner.
+  bool releasing = false;   // Its record of leases holds: it grants no more.
+  // Of the former owner, if it released the pool.
+  std::unordered_map<std::string, wire::worker_lease> released_leases;
   // When the last append that the journal confirmed was first sent.
   steady_time last_journal_write;
   // Default value: not read yet.
@@ -568,6 +571,19 @@
                     const std::vector<ticket>& tickets, steady_time valid_until,
                     steady_time now);
 
+// ---- Release --------------------------------------------------------------
+
+// The leases of the workers with runs, for the record of the release. The owner
+// grants none from now on. At most kMaxReleasedLeases, the silent workers
+// first.
+inline constexpr std::size_t kMaxReleasedLeases = 2000;
+std::vector<wire::worker_lease> release_leases(pool_state* pool,
+                                               steady_time now);
+// The former owner's record of leases. To be called before the first job is
+// added.
+void set_released_leases(pool_state* pool,
+                         const std::vector<wire::worker_lease>& leases);
+
 // ---- Decisions ------------------------------------------------------------
 
 struct decisions {
--- a/src/pool/test_pool.h
+++ b/src/pool/test_pool.h
@@ -114,12 +114,25 @@
     set_queues(&state, {{kQueue, policy}});
     continue_pool_time(&state, table.pool_time, now);
     observe_journal_write(&state, now);
+    wire::ownership_record claim;
+    claim.set_epoch(table.owner.record.epoch() + 1);
+    apply({jobs::kOwnerKey, claim.SerializeAsString(), 0});
+    set_released_leases(&state, table.released_leases);
     for (const std::pair<const std::string, jobs::entry>& each : table.jobs) {
       add_job(&state, each.first, each.second, now);
       if (each.second.cancelled) cancel_job(&state, each.first, wall);
     }
   }
 
+  void release() {
+    wire::ownership_record record;
+    record.set_epoch(table.owner.record.epoch());
+    record.set_released(true);
+    std::vector<wire::worker_lease> leases = release_leases(&state, now);
+    record.mutable_leases()->Add(leases.begin(), leases.end());
+    apply({jobs::kOwnerKey, record.SerializeAsString(), 0});
+  }
+
   jobs::state job_state(const std::string& id) const {
     return jobs::state_of(*jobs::find(table, id));
   }
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -96,6 +96,7 @@
   pool::continue_pool_time(&pool_, table.pool_time, now);
   pool::set_queues(&pool_, pool::policies(manifest));
   pool::set_tenants(&pool_, manifest.tenants, settings_.quota_excess);
+  pool::set_released_leases(&pool_, table.released_leases);
   for (const pool::known_job* each : pool::jobs_to_add(pool_, table)) {
     pool::add_job(&pool_, each->first, each->second, now);
     if (each->second.cancelled) {
@@ -698,12 +699,17 @@
       });
 }
 
-jobs::record owner::ownership_record(bool released) const {
+jobs::record owner::ownership_record(bool released) {
   wire::ownership_record record;
   record.set_daemon(settings_.id);
   record.set_epoch(epoch_);
   record.set_peer_address(settings_.peer_address);
   record.set_released(released);
+  if (released) {
+    std::vector<wire::worker_lease> leases =
+        pool::release_leases(&pool_, clock_.now());
+    record.mutable_leases()->Add(leases.begin(), leases.end());
+  }
   return {jobs::kOwnerKey, record.SerializeAsString(), 0};
 }
 
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -186,7 +186,8 @@
   bool is_acceptable(milliseconds waited) const;
   void reply_to_callers(const std::vector<caller_write>& callers,
                         write_outcome outcome);
-  jobs::record ownership_record(bool released) const;
+  // A release tells the leases, and none is granted after that.
+  jobs::record ownership_record(bool released);
   void step_down();
   void finish_release();
 
