Record when the lease of a silent worker ends, so that no takeover prolongs it

Cause: workers crash at 79.4 s, and their leases end at 89.7 s. The owner is killed at 86 s. The next one, from 87.4 s on, knows only that the runs are on workers that don't reply, assumes that its predecessor granted the longest lease until the end, and waits until 102.9 s; each change of owner begins this anew.

The pool time is never ahead of the time that has passed. An owner records what it assumes of workers that it never reached as well. A worker that may still get a start has no record, as its next incarnation may carry the start out late.

Tests: recorded_leases_test.cpp; a later owner waited for the longest lease before, as "without a release a later owner waits ..." still shows for a worker that fell silent just before the change.

--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -12,6 +12,7 @@
 constexpr char kCancellation = 'c';
 constexpr char kProgress = 'p';
 constexpr char kWave = 'w';
+constexpr char kSilentWorker = 'l';
 
 bool waits_for_start(const entry& job) {
   return job.submission && job.submission->repeats() == 0 &&
@@ -131,6 +132,38 @@
   return {change_kind::owner, {}};
 }
 
+void apply_silent_worker(table* table, const std::string& id,
+                         const record& record) {
+  ++table->owner_records;
+  std::unordered_map<std::string, known_silent_worker>::iterator known =
+      table->silent_workers.find(id);
+  bool is_known = known != table->silent_workers.end();
+  if (is_known && record.offset < known->second.offset) return;
+  if (is_known) table->silent_workers.erase(known);
+  if (record.value.empty()) return;
+  wire::silent_worker parsed;
+  if (!parsed.ParseFromString(record.value)) {
+    ++table->unreadable_records;
+    return;
+  }
+  table->silent_workers[id] = {std::move(parsed), record.offset};
+}
+
+// Those without a record in `newest`, but for later ones.
+void remove_missing_silent_workers(table* table,
+                                   const std::vector<record>& newest,
+                                   std::uint64_t end) {
+  std::unordered_set<std::string> present;
+  for (const record& each : newest) {
+    if (each.key.starts_with(kSilentWorker)) {
+      present.insert(each.key.substr(1));
+    }
+  }
+  std::erase_if(table->silent_workers, [&](const auto& each) {
+    return each.second.offset < end && present.count(each.first) == 0;
+  });
+}
+
 void apply_pool_time(table* table, const record& record) {
   ++table->owner_records;
   wire::pool_time parsed;
@@ -163,6 +196,10 @@
   }
   char kind = record.key.front();
   std::string id = record.key.substr(1);
+  if (kind == kSilentWorker) {
+    apply_silent_worker(table, id, record);
+    return {};
+  }
   if (record.value.empty()) {
     remove_record(table, kind, id, record.offset);
     return {};
@@ -200,6 +237,7 @@
 
 void remove_missing(table* table, const std::vector<record>& newest,
                     std::uint64_t end) {
+  remove_missing_silent_workers(table, newest, end);
   std::unordered_set<std::string_view> present;
   for (const record& each : newest) {
     if (each.key.size() > 1) {
@@ -278,4 +316,8 @@
   return std::string(1, kWave) + std::string(number);
 }
 
+std::string silent_worker_key(std::string_view worker) {
+  return std::string(1, kSilentWorker) + std::string(worker);
+}
+
 }  // namespace ebonygrade::jobs
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -48,6 +48,11 @@
   std::uint64_t offset = 0;
 };
 
+struct known_silent_worker {
+  wire::silent_worker record;
+  std::uint64_t offset = 0;
+};
+
 struct table {
   std::unordered_map<std::string, entry> jobs;
   // Number of jobs without a started task, by queue.
@@ -57,6 +62,7 @@
   // What the release told that the claim in force follows directly. Later
   // owners may have granted longer leases.
   std::vector<wire::worker_lease> released_leases;
+  std::unordered_map<std::string, known_silent_worker> silent_workers;
   std::chrono::milliseconds pool_time{0};  // Highest one read.
   // Records that prove that an owner is alive.
   std::uint64_t owner_records = 0;
@@ -110,5 +116,6 @@
 std::string cancellation_key(std::string_view id);
 std::string progress_key(std::string_view id);
 std::string wave_key(std::string_view number);
+std::string silent_worker_key(std::string_view worker);
 
 }  // namespace ebonygrade::jobs
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -5,6 +5,7 @@
 
 #include "pool/manifest.h"
 #include "pool/pool_pvt.h"
+#include "pool/recorded_leases.h"
 
 namespace ebonygrade::pool {
 
@@ -42,17 +43,6 @@
                      });
 }
 
-// Upper bound of the leases that earlier owners may have granted to the worker.
-milliseconds previous_lease(const pool_state& pool, const std::string& worker,
-                            std::int64_t incarnation_ms) {
-  milliseconds longest = max_previous_owner_lease(pool.limits);
-  std::unordered_map<std::string, wire::worker_lease>::const_iterator told =
-      pool.released_leases.find(worker);
-  if (told == pool.released_leases.end()) return longest;
-  if (told->second.incarnation_ms() != incarnation_ms) return longest;
-  return std::min(longest, milliseconds(told->second.remaining_ms()));
-}
-
 void restore_task(pool_state* pool, job* job, step_state* step,
                   const wire::task_progress& saved, steady_time now) {
   if (saved.index() >= step->tasks.size()) return;
@@ -78,10 +68,8 @@
   worker.entry.id = saved.worker();
   worker.entry.incarnation_ms =
       std::max(worker.entry.incarnation_ms, saved.incarnation_ms());
-  extend_lease(
-      &worker,
-      now + previous_lease(*pool, saved.worker(), saved.incarnation_ms()),
-      false);
+  milliseconds rest = restore_lease(pool, &worker, saved.incarnation_ms(), now);
+  extend_lease(&worker, now + rest, false);
   placement placed;
   placed.task = {job->id, step->occurrence, step->step, saved.index()};
   placed.run = saved.last_run();
--- a/src/pool/journal.cpp
+++ b/src/pool/journal.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "pool/pool_pvt.h"
+#include "pool/recorded_leases.h"
 
 namespace ebonygrade::pool {
 
@@ -179,6 +180,7 @@
   pool->changed_jobs.clear();
   drop_expired_jobs(pool, &batch, time);
   append_pool_time(pool, &batch, time);
+  append_leases(pool, &batch, now);
   batch.starts = std::exchange(pool->unrecorded_starts, {});
   for (const std::pair<const std::string, worker>& each : pool->workers) {
     if (each.second.last_end > each.second.acked_end) {
--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "pool/pool_pvt.h"
+#include "pool/recorded_leases.h"
 
 namespace ebonygrade::pool {
 
@@ -181,8 +182,10 @@
 
 void process_outstanding_orders(pool_state* pool, decisions* out,
                                 steady_time now) {
+  end_restoring_leases(pool);
   for (std::pair<const std::string, worker>& each : pool->workers) {
     process_worker_orders(pool, &each.second, out, now);
+    update_recorded_lease(pool, &each.second, now);
   }
   remove_departed_workers(pool, out, now);
 }
@@ -196,6 +199,7 @@
         pool->ended_jobs.find(id);
     if (ended != pool->ended_jobs.end()) ended->second = pool_time(*pool, now);
   }
+  observe_leases_deleted(pool, batch);
   for (const applied_end& end : batch.ends_to_acknowledge) {
     worker* worker = find_worker(pool, end.worker);
     if (worker == nullptr) continue;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -137,6 +137,13 @@
   steady_time forecast_end;
 };
 
+// The journal's record of the end of a worker's lease; see recorded_leases.h.
+enum class lease_record {
+  none,
+  kept,     // In the journal, or about to be written.
+  deleted,  // The deletion isn't confirmed yet.
+};
+
 // Run times on a worker relative to the estimates.
 struct speed {
   double slowdown = 1;  // Run time / estimate, smoothed.
@@ -168,6 +175,8 @@
   steady_time clock_read_at;
   steady_time lease_end;        // No leased run continues after this.
   steady_time last_lease_sent;  // In an order of this owner.
+  // It gets a lease only without a record of the end of its last one.
+  pool::lease_record lease_record = lease_record::none;
   // Whether lease_end follows from a lease that this owner sent, rather than
   // from what earlier owners may have sent. For logs only.
   bool lease_granted = false;
@@ -432,8 +441,13 @@
   pool::cpu_release_rate cpu_release_rate;
   bool superseded = false;  // A worker has seen a newer owner.
   bool releasing = false;   // Its record of leases holds: it grants no more.
-  // Of the former owner, if it released the pool.
+  // What the journal told at the takeover of the leases of earlier owners; see
+  // recorded_leases.h. Both are empty once the first round has begun.
   std::unordered_map<std::string, wire::worker_lease> released_leases;
+  std::unordered_map<std::string, wire::silent_worker> silent_workers;
+  // Workers whose record of a lease is to be written, or deleted, next.
+  std::set<std::string> leases_to_record;
+  std::set<std::string> leases_to_delete;
   // When the last append that the journal confirmed was first sent.
   steady_time last_journal_write;
   // Default value: not read yet.
@@ -571,19 +585,6 @@
                     const std::vector<ticket>& tickets, steady_time valid_until,
                     steady_time now);
 
-// ---- Release --------------------------------------------------------------
-
-// The leases of the workers with runs, for the record of the release. The owner
-// grants none from now on. At most kMaxReleasedLeases, the silent workers
-// first.
-inline constexpr std::size_t kMaxReleasedLeases = 2000;
-std::vector<wire::worker_lease> release_leases(pool_state* pool,
-                                               steady_time now);
-// The former owner's record of leases. To be called before the first job is
-// added.
-void set_released_leases(pool_state* pool,
-                         const std::vector<wire::worker_lease>& leases);
-
 // ---- Decisions ------------------------------------------------------------
 
 struct decisions {
@@ -614,6 +615,7 @@
   std::vector<placement_key> starts;
   std::vector<std::string>
       ended_jobs;  // Whose end is recorded for the first time.
+  std::vector<std::string> deleted_leases;  // Workers; see recorded_leases.h.
 };
 
 journal_batch take_batch(pool_state* pool, steady_time now);
--- a/src/pool/simulated_cell.cpp
+++ b/src/pool/simulated_cell.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "pool/recorded_leases.h"
+
 namespace ebonygrade::pool {
 
 namespace {
@@ -499,6 +501,7 @@
   }
   observe_journal_write(&result->state, now_);
   continue_pool_time(&result->state, table_.pool_time, now_);
+  restore_leases(&result->state, table_);
   for (const known_job* each : jobs_to_add(result->state, table_)) {
     add_job(&result->state, each->first, each->second, now_);
   }
--- a/src/pool/test_pool.h
+++ b/src/pool/test_pool.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "pool/pool.h"
+#include "pool/recorded_leases.h"
 
 namespace ebonygrade::pool {
 
@@ -117,7 +118,7 @@
     wire::ownership_record claim;
     claim.set_epoch(table.owner.record.epoch() + 1);
     apply({jobs::kOwnerKey, claim.SerializeAsString(), 0});
-    set_released_leases(&state, table.released_leases);
+    restore_leases(&state, table);
     for (const std::pair<const std::string, jobs::entry>& each : table.jobs) {
       add_job(&state, each.first, each.second, now);
       if (each.second.cancelled) cancel_job(&state, each.first, wall);
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "pool/pool_pvt.h"
+#include "pool/recorded_leases.h"
 
 namespace ebonygrade::pool {
 
@@ -189,6 +190,7 @@
 void begin_incarnation(pool_state* pool, worker* worker,
                        std::int64_t incarnation_ms, const std::string& source,
                        bool planned, steady_time now) {
+  delete_recorded_lease(pool, worker);
   record_crash(pool, worker, "new_incarnation", true, planned, now);
   worker->contact_lost_at = {};
   std::int64_t previous = worker->entry.incarnation_ms;
@@ -450,47 +452,14 @@
   worker->contact_lost_at = now;
 }
 
-std::vector<wire::worker_lease> release_leases(pool_state* pool,
-                                               steady_time now) {
-  pool->releasing = true;
-  std::vector<const worker*> with_runs;
-  for (const std::pair<const std::string, worker>& each : pool->workers) {
-    if (!each.second.placements.empty()) with_runs.push_back(&each.second);
-  }
-  std::sort(with_runs.begin(), with_runs.end(),
-            [](const worker* a, const worker* b) {
-              if (a->last_reply != b->last_reply) {
-                return a->last_reply < b->last_reply;
-              }
-              return a->entry.id < b->entry.id;
-            });
-  if (with_runs.size() > kMaxReleasedLeases) {
-    with_runs.resize(kMaxReleasedLeases);
-  }
-  std::vector<wire::worker_lease> leases;
-  for (const worker* each : with_runs) {
-    wire::worker_lease lease;
-    lease.set_worker(each->entry.id);
-    lease.set_incarnation_ms(each->entry.incarnation_ms);
-    lease.set_remaining_ms(std::max<std::int64_t>(
-        0, std::chrono::ceil<milliseconds>(each->lease_end - now).count()));
-    leases.push_back(std::move(lease));
-  }
-  return leases;
-}
-
-void set_released_leases(pool_state* pool,
-                         const std::vector<wire::worker_lease>& leases) {
-  for (const wire::worker_lease& each : leases) {
-    pool->released_leases[each.worker()] = each;
-  }
-}
-
 worker_time grant_lease(pool_state* pool, const std::string& id,
                         steady_time now) {
   worker* worker = find_worker(pool, id);
   if (worker == nullptr || !worker->fenced) return worker_time(0);
-  if (pool->releasing || is_isolated(*pool, now)) return worker_time(0);
+  if (pool->releasing || awaits_lease_deletion(*pool, *worker)) {
+    return worker_time(0);
+  }
+  if (is_isolated(*pool, now)) return worker_time(0);
   if (now - worker->last_reply > kUnresponsiveAfter) return worker_time(0);
   milliseconds since_read =
       std::chrono::duration_cast<milliseconds>(now - worker->clock_read_at);
@@ -509,6 +478,7 @@
   worker* worker = find_worker(pool, id);
   if (worker == nullptr) return;
   if (report.incarnation_ms < worker->entry.incarnation_ms) return;
+  delete_recorded_lease(pool, worker);
   if (report.incarnation_ms > worker->entry.incarnation_ms) {
     begin_incarnation(pool, worker, report.incarnation_ms, "report",
                       worker->entry.draining, now);
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -6,6 +6,7 @@
 
 #include "events/events.h"
 #include "platform/discovery.h"
+#include "pool/recorded_leases.h"
 #include "poold/round_pacing.h"
 #include "poold/tenant_reports.h"
 
@@ -96,7 +97,7 @@
   pool::continue_pool_time(&pool_, table.pool_time, now);
   pool::set_queues(&pool_, pool::policies(manifest));
   pool::set_tenants(&pool_, manifest.tenants, settings_.quota_excess);
-  pool::set_released_leases(&pool_, table.released_leases);
+  pool::restore_leases(&pool_, table);
   for (const pool::known_job* each : pool::jobs_to_add(pool_, table)) {
     pool::add_job(&pool_, each->first, each->second, now);
     if (each->second.cancelled) {
