Test four limits of taking runs as over; they fail

A worker that replied after its entry was removed loses its runs when its connection breaks later. A later owner drops a start that a worker may still carry out once it has left and returned under its id. A gang is started in part if a worker of its later members is found to drain before the starts are sent, and a second takeover puts off the end of leases that nobody can have renewed, by as much as the first.

--- a/src/pool/departure_test.cpp
+++ b/src/pool/departure_test.cpp
@@ -172,6 +172,104 @@
   CHECK(pool.state.workers.at("w1").placements.size() == 1);
 }
 
+// Guards against runs that are taken as over at a worker that lives: it has
+// replied since its entry was removed, so it hadn't left, and a connection that
+// breaks later proves nothing.
+TEST_CASE("a worker that replied without an entry keeps its runs when cut off",
+          "[!shouldfail]") {
+  leaving_pool pool;
+  std::string id = pool.first.front().worker;
+  pool.write_entry(id, true, pool.now);
+  pool.serve(milliseconds(200));
+  observe_worker_removed(&pool.state, id, pool.now);
+  pool.serve(milliseconds(500));
+  observe_contact_lost(&pool.state, id, pool.now);
+  pool.serve(milliseconds(1000), id);
+  pool.round();
+  CHECK(pool.state.workers.at(id).placements.size() == 1);
+}
+
+// Guards against a task that runs twice: the earlier owner's start got no
+// reply, and is carried out late by a worker that has left and returned.
+TEST_CASE("a later owner keeps a start that a returned worker may carry out",
+          "[!shouldfail]") {
+  test_pool pool;
+  for (const char* id : {"w1", "w2"}) pool.add_worker(id, 1000);
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  std::vector<start_order> lost = pool.round();
+  REQUIRE(lost.size() == 1);
+  std::string id = lost.front().worker;
+  worker_entry entry = pool.state.workers.at(id).entry;
+  worker_entry other = pool.state.workers.at(id == "w1" ? "w2" : "w1").entry;
+  pool.take_over();
+  observe_worker_entry(&pool.state, other, pool.now);
+  pool.report(other.id, {});
+  entry.draining = true;
+  observe_worker_entry(&pool.state, entry, pool.now, pool.now);
+  observe_contact_lost(&pool.state, id, pool.now);
+  pool.advance(milliseconds(100));
+  observe_worker_removed(&pool.state, id, pool.now);
+  pool.advance(kRestartTime);
+  pool.report(other.id, {});
+  CHECK(pool.round().empty());
+  // Well before the latest time of the first order, 12.6 s after it was sent.
+  worker_report report;
+  report.incarnation_ms = 2;
+  report.running = {reported_run_of(lost.front())};
+  entry.incarnation_ms = 2;
+  entry.draining = false;
+  observe_worker_entry(&pool.state, entry, pool.now, pool.now);
+  pool.report(id, std::move(report));
+  std::size_t runs = pool.state.workers.at(id).placements.size() +
+                     pool.state.workers.at(other.id).placements.size();
+  CHECK(runs == 1);
+}
+
+// Guards against work that is thrown away, and tickets that expire: members
+// start that wait for one whose worker was found to leave before the starts
+// were sent.
+TEST_CASE("a gang isn't started in part if a worker drains before its starts",
+          "[!shouldfail]") {
+  test_pool pool;
+  for (const char* id : {"w1", "w2"}) pool.add_worker(id, 1000);
+  wire::step_definition gang = test_pool::step(kMembers, 1000);
+  gang.set_gang(true);
+  pool.submit(kJob, {gang});
+  decide(&pool.state, pool.now, pool.wall);
+  journal_batch batch = take_batch(&pool.state, pool.now);
+  REQUIRE(batch.starts.size() == kMembers);
+  worker_entry entry = pool.state.workers.at(batch.starts.back().worker).entry;
+  entry.draining = true;
+  observe_worker_entry(&pool.state, entry, pool.now);
+  CHECK(observe_batch_written(&pool.state, batch, pool.now).empty());
+}
+
+// Guards against a gang that waits for a lease anew after each change of owner,
+// for a member on a worker that no owner has reached since.
+TEST_CASE("a second takeover doesn't put off the end of a lease",
+          "[!shouldfail]") {
+  leaving_pool pool;
+  std::string left = pool.first.front().worker;
+  std::vector<worker_entry> others;
+  for (const std::pair<const std::string, worker>& each : pool.state.workers) {
+    if (each.first != left) others.push_back(each.second.entry);
+  }
+  pool.first.clear();
+  for (int takeover = 0; takeover < 2; ++takeover) {
+    pool.take_over();
+    for (const worker_entry& each : others) {
+      observe_worker_entry(&pool.state, each, pool.now);
+    }
+    for (int i = 0; i < 8; ++i) {
+      pool.serve(milliseconds(1000), left);
+      CHECK(pool.round().empty());
+    }
+  }
+  // 16 s after the first takeover, all leases of the owner before it are over.
+  pool.serve(milliseconds(10), left);
+  CHECK(pool.round().size() == kMembers);
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
