--- a/src/poold/topic_follower_test.cpp
+++ b/src/poold/topic_follower_test.cpp
@@ -1,8 +1,11 @@
 #include "poold/topic_follower.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -183,6 +186,118 @@
   }
 }
 
+// A topic whose replies show its state at some time after the read was sent,
+// and arrive later. Its records tell their offsets.
+struct delayed_topic {
+  static constexpr std::size_t kRecordsPerRead = 3;
+  std::mt19937 random;
+  boost::asio::io_context context{1};
+  clock::manual_clock clock;
+  std::vector<steady_time> written;  // By offset.
+  std::uint64_t first = 0;           // Earlier records have been deleted.
+  std::optional<std::pair<std::uint64_t, http::responder>> open_read;
+  http::server platform{
+      context, {}, [this](http::request&& request, http::responder answer) {
+        std::string target(request.target());
+        if (target.find("log-newest") != std::string::npos) {
+          return answer(http::json_response(http::status::ok, newest(target)));
+        }
+        std::size_t from = target.find("from=") + 5;
+        open_read = {std::stoull(target.substr(from)), std::move(answer)};
+      }};
+  std::unique_ptr<store_client> calls;
+  std::shared_ptr<topic_follower> follower;
+  steady_time ended_at;  // As the owner keeps it for its directory.
+  std::size_t checked = 0;
+  std::size_t loads = 0;
+  std::size_t too_late = 0;  // Records that were written before `ended_at`.
+
+  explicit delayed_topic(std::uint32_t seed) : random(seed) {
+    platform.listen("127.0.0.1:0").value();
+    calls = std::make_unique<store_client>(
+        context, "127.0.0.1:" + std::to_string(platform.port()), clock);
+    follower_options options{"keyed.servers"};
+    options.read_interval = milliseconds(0);
+    follower = std::make_shared<topic_follower>(
+        context, *calls, clock, options,
+        topic_follower::handlers{
+            [this](const std::vector<jobs::record>&) {
+              ++loads;
+              ended_at = follower->current_as_of();
+            },
+            [this](const std::vector<jobs::record>& records) {
+              for (const jobs::record& each : records) {
+                ++checked;
+                if (written.at(each.offset) < ended_at) ++too_late;
+              }
+              ended_at = follower->current_as_of();
+            }});
+    follower->start();
+  }
+  ~delayed_topic() { follower->stop(); }
+
+  int draw(int low, int high) {
+    return std::uniform_int_distribution<int>(low, high)(random);
+  }
+  // Time passes, with records that are written meanwhile.
+  void pass() {
+    for (int i = draw(0, 4); i > 0; --i) {
+      clock.advance(milliseconds(draw(0, 300)));
+      if (draw(0, 1) == 0) written.push_back(clock.now());
+    }
+    clock.advance(milliseconds(draw(0, 300)));
+  }
+  // Pages change while they load.
+  std::string newest(const std::string& target) {
+    pass();
+    bool last = target.find("dependsOn") != std::string::npos;
+    std::string out = R"({"items":[{"key":"a","value":"eA==","offset":0}],)";
+    out += std::string(R"("more":)") + (last ? "false" : "true");
+    out += R"(,"end":)" + std::to_string(written.size()) + "}";
+    pass();
+    return out;
+  }
+  void answer() {
+    while (!open_read) context.run_one();
+    std::uint64_t from = open_read->first;
+    http::responder respond = std::move(open_read->second);
+    open_read.reset();
+    pass();
+    if (draw(0, 19) == 0) first = std::max<std::uint64_t>(first, from + 1);
+    if (from < first) {
+      first = std::min<std::uint64_t>(first, written.size());
+      return respond(http::text_response(http::status::gone, "text/plain", ""));
+    }
+    std::string body;
+    append_number(written.size(), 8, &body);
+    append_number(first, 8, &body);
+    for (std::size_t i = 0; i < kRecordsPerRead && from + i < written.size();
+         ++i) {
+      append_number(3, 4, &body);
+      body += std::string("\x01", 1) + "ax";
+    }
+    pass();
+    respond(http::text_response(http::status::ok, "application/octet-stream",
+                                std::move(body)));
+  }
+};
+
+// Guards against entries of workers that count as newer than they are.
+TEST_CASE("records after the known end of a topic are newer than that end") {
+  std::size_t checked = 0;
+  std::size_t loads = 0;
+  for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    delayed_topic topic(seed);
+    for (int i = 0; i < 200; ++i) topic.answer();
+    CHECK(topic.too_late == 0);
+    checked += topic.checked;
+    loads += topic.loads;
+  }
+  CHECK(checked > 1000);
+  CHECK(loads > 20);
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
