Test that an odd entry of a draining worker that is cut off ends no run; it fails

An entry that can't be read under the id of a worker that drains counts as the removal of its own entry.

--- a/src/poold/odd_entry_test.cpp
+++ b/src/poold/odd_entry_test.cpp
@@ -114,6 +114,34 @@
   CHECK(cell.wait_until([&] { return counts(0); }));
 }
 
+// Guards against a task that runs twice: an entry that can't be read, under the
+// id of a worker that drains, isn't the removal of that worker's own entry. The
+// worker runs on, cut off from the daemon.
+TEST_CASE("an odd entry of a draining worker that is cut off ends no run",
+          "[!shouldfail]") {
+  cell cell;
+  cell.store.put("keyed.op", "config", kManifest);
+  cell.add_worker("w1", milliseconds(8000));
+  cell.add_node("n1");
+  REQUIRE(cell.wait_until([&] { return cell.nodes[0]->owns_pool(); }));
+  cell.submit("00000000000000ab", 1);
+  REQUIRE(cell.wait_until([&] { return cell.ledger.starts() == 1; }));
+  cell.add_worker("w2");
+  std::uint64_t reads = cell.store.reads_with_records(kEntries);
+  cell.workers[0]->announce("draining");
+  REQUIRE(cell.wait_until(
+      [&] { return cell.store.reads_with_records(kEntries) > reads; }));
+  cell.context.run_for(milliseconds(300));
+  cell.store.put(kEntries, "w1", R"({"service":7})");
+  cell.workers[0]->drop_calls({standin::worker_host::kPoll,
+                               standin::worker_host::kStart,
+                               standin::worker_host::kStop});
+  cell.context.run_for(milliseconds(3500));
+  CHECK(cell.ledger.starts() == 1);
+  for (const std::string& each : cell.ledger.violations()) UNSCOPED_INFO(each);
+  CHECK(cell.ledger.violations().empty());
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
