--- a/src/pool/departure_test.cpp
+++ b/src/pool/departure_test.cpp
@@ -1,5 +1,6 @@
 // Tests of workers that leave: they say so, serve on for some seconds and exit
 // with what they run.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
 #include <utility>
@@ -270,6 +271,48 @@
   CHECK(pool.round().size() == kMembers);
 }
 
+// Guards against a gang that waits for room that may not come, beside idle
+// workers that the advice service hasn't been asked for.
+TEST_CASE("a gang doesn't wait for a busy worker beside idle ones",
+          "[!shouldfail]") {
+  constexpr std::uint32_t kSize = 30;
+  test_pool pool;
+  for (int i = 0; i < 200; ++i) {
+    pool.add_worker("w" + std::to_string(i), 1000);
+  }
+  pool.submit("00000000000000ab", {test_pool::step(1, 200)});
+  std::vector<start_order> small = pool.round();
+  REQUIRE(small.size() == 1);
+  pool.confirm(small);
+  pool.policy.needs_advice = true;
+  pool.policy.advice_validity = milliseconds(5000);
+  set_queues(&pool.state, {{kQueue, pool.policy}});
+  wire::step_definition gang = test_pool::step(kSize, 900);
+  gang.set_gang(true);
+  pool.submit(kJob, {gang});
+  decisions out;
+  REQUIRE(pool.round(&out).empty());
+  REQUIRE(out.advice.size() == 1);
+  advice_request request = out.advice.front();
+  REQUIRE(request.workers.size() < 200);
+  // All are idle but the first.
+  std::string busy = small.front().worker;
+  if (std::find(request.workers.begin(), request.workers.end(), busy) ==
+      request.workers.end()) {
+    request.workers.push_back(busy);
+    request.incarnations_ms.push_back(1);
+  }
+  std::vector<ticket> tickets = {{busy, "t"}};
+  for (const std::string& each : request.workers) {
+    if (each != busy && tickets.size() < kSize) tickets.push_back({each, "t"});
+  }
+  observe_advice(&pool.state, request, true, tickets,
+                 pool.now + milliseconds(5000), pool.now);
+  pool.advance(milliseconds(100));
+  REQUIRE(pool.round(&out).empty());
+  CHECK(out.advice.size() == 1);
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::pool
