Take only a withdrawn entry, and no reply since, for a worker that has left

- Another writer's bytes under a draining worker's id counted as the removal of its entry.
Only a record without a value counts now.
- A worker that replied after its entry had been removed could still be taken as gone when its connection broke later.
A reply to a poll that was sent after the removal was read takes it back.

--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -159,9 +159,9 @@
   bool listed = false;  // Present in service discovery.
   // Its newest entry was written after this time; default value: not known.
   steady_time entry_written_after;
-  // It said that it drains, and then removed its entry, as a worker does that
-  // has exited.
-  bool withdrawn = false;
+  // When it was read that the worker, which drains, has removed its entry, as
+  // one does that has exited; default value: it hasn't.
+  steady_time withdrawn_at;
   bool fenced = false;  // This incarnation has replied to this owner's token.
   bool knows_token = false;     // Has replied to the current fencing token.
   bool token_in_start = false;  // A start has carried the current token.
@@ -516,6 +516,10 @@
 // The worker's entry was removed from service discovery. If the worker drains
 // and the entry can't have expired, the worker has left, and its runs are over
 // once its connection has been lost for a while.
+//
+// observe_worker_unlisted(): it has no entry that can be read, for whatever
+// reason, which tells nothing of its runs.
+void observe_worker_unlisted(pool_state* pool, const std::string& worker);
 void observe_worker_removed(pool_state* pool, const std::string& worker,
                             steady_time now);
 
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -13,6 +13,8 @@
 // covers two missed polls of one second.
 inline constexpr milliseconds kUnresponsiveAfter{2500};
 
+bool may_get_lease(const pool_state& pool, const worker& worker,
+                   steady_time now);
 // Moves the end of the worker's lease to `end` unless it is later already.
 void extend_lease(worker* worker, steady_time end, bool granted);
 
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -198,7 +198,7 @@
   worker->entry.incarnation_ms = incarnation_ms;
   raise_token(pool, worker);
   worker->fenced = false;
-  worker->withdrawn = false;
+  worker->withdrawn_at = {};
   worker->last_end = 0;
   worker->acked_end = 0;
   worker->consecutive_failures = 0;
@@ -389,7 +389,7 @@
   worker.entry = entry;
   worker.described_incarnation_ms = entry.incarnation_ms;
   worker.entry_written_after = written_after;
-  worker.withdrawn = false;
+  worker.withdrawn_at = {};
   if (!worker.listed) worker.last_reply = now;
   worker.listed = true;
   if (!is_new && entry.incarnation_ms > incarnation) {
@@ -402,19 +402,25 @@
   return true;
 }
 
+void observe_worker_unlisted(pool_state* pool, const std::string& id) {
+  worker* worker = find_worker(pool, id);
+  if (worker != nullptr) worker->listed = false;
+}
+
 void observe_worker_removed(pool_state* pool, const std::string& id,
                             steady_time now) {
   worker* worker = find_worker(pool, id);
   if (worker == nullptr || !worker->listed) return;
   worker->listed = false;
-  worker->withdrawn =
+  bool withdrawn =
       worker->entry.draining && worker->entry_written_after != steady_time() &&
       now - worker->entry_written_after < earliest_entry_expiry(pool->limits);
+  if (withdrawn) worker->withdrawn_at = now;
   if (worker->placements.empty()) return;
   std::string text =
       "incarnation=" + std::to_string(worker->entry.incarnation_ms) +
       " draining=" + (worker->entry.draining ? "1" : "0") +
-      " withdrawn=" + (worker->withdrawn ? "1" : "0") +
+      " withdrawn=" + (withdrawn ? "1" : "0") +
       " runs=" + std::to_string(worker->placements.size());
   // No more than this has passed since its newest entry was written.
   if (worker->entry_written_after != steady_time()) {
@@ -452,15 +458,19 @@
   worker->contact_lost_at = now;
 }
 
+bool may_get_lease(const pool_state& pool, const worker& worker,
+                   steady_time now) {
+  return worker.fenced && !pool.releasing && !is_isolated(pool, now) &&
+         now - worker.last_reply <= kUnresponsiveAfter &&
+         !awaits_lease_deletion(pool, worker);
+}
+
 worker_time grant_lease(pool_state* pool, const std::string& id,
                         steady_time now) {
   worker* worker = find_worker(pool, id);
-  if (worker == nullptr || !worker->fenced) return worker_time(0);
-  if (pool->releasing || awaits_lease_deletion(*pool, *worker)) {
+  if (worker == nullptr || !may_get_lease(*pool, *worker, now)) {
     return worker_time(0);
   }
-  if (is_isolated(*pool, now)) return worker_time(0);
-  if (now - worker->last_reply > kUnresponsiveAfter) return worker_time(0);
   milliseconds since_read =
       std::chrono::duration_cast<milliseconds>(now - worker->clock_read_at);
   worker_time until =
@@ -493,6 +503,8 @@
       worker->lease_granted = false;
     }
   }
+  // It hasn't left: a worker removes its entry when it has exited.
+  if (sent >= worker->withdrawn_at) worker->withdrawn_at = {};
   worker->replied_at = worker->entry.address;
   worker->last_reply = now;
   worker->contact_lost_at = {};
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -233,7 +233,7 @@
     for (const std::pair<const std::string, pool::worker>& each :
          pool_.workers) {
       if (seen.count(each.first) == 0) {
-        pool::observe_worker_removed(&pool_, each.first, clock_.now());
+        pool::observe_worker_unlisted(&pool_, each.first);
       }
     }
     std::erase_if(unreadable_entries_,
@@ -265,7 +265,7 @@
     events::emit(events::id::worker_entry_unreadable, "observe", key, "{}",
                  cause.detail);
   }
-  pool::observe_worker_removed(&pool_, key, clock_.now());
+  pool::observe_worker_unlisted(&pool_, key);
 }
 
 void owner::open_link(const std::string& worker, const std::string& address) {
