Start all members of a gang or none, and don't collect room beside free workers

- If a worker was found to drain after a gang was placed and before its starts were sent, the members before it in the batch were started, and then stopped; their tickets had passed by the next attempt.
All starts of a batch are checked before the first one is sent.
- A gang that lacked a few slots collected room on busy granted workers for 1.5 s before it asked for workers that it hasn't named yet, also if these were idle: first starts after 3.8 s in a pool that is nearly empty.
It asks at once if unreserved workers are likely to be granted with twice the room it needs.

--- a/src/pool/advice.cpp
+++ b/src/pool/advice.cpp
@@ -36,6 +36,9 @@
 // A gang that has collected room for this long asks for further workers, as
 // those granted may stay busy.
 constexpr milliseconds kMaxCollectTime{1500};
+// A gang doesn't collect room if the workers that are likely to be granted have
+// this many times its need free.
+constexpr double kAmpleRoomFactor = 2;
 // Limit of the advice service.
 constexpr std::size_t kMaxWorkersPerRequest = 100;
 // In pools up to this size, the first request names all workers: a grant is
@@ -162,11 +165,23 @@
          kMaxAdviceBacklogFactor * (round.free_cpu + coming);
 }
 
+// Whether other workers are likely to have room for all tasks of the gang, so
+// that it need not collect any.
+bool has_ample_room(const scheduling_round& round,
+                    const candidate_step& candidate) {
+  std::int64_t need =
+      count_waiting_tasks(*candidate.step) *
+      resources_needed(definition(*candidate.job, *candidate.step)).cpu_milli;
+  std::int64_t unreserved = round.free_cpu - round.reserved_free_cpu;
+  return grant_share(round, candidate) * static_cast<double>(unreserved) >=
+         kAmpleRoomFactor * static_cast<double>(need);
+}
+
 // Workers for a later request of a gang. Load pattern: many gangs wait in a
 // full pool, and tickets expire before there is room for all tasks. New tickets
 // are therefore requested only once the gang fits on granted workers. Until
-// then room is collected on them, and only a gang with too few of them asks for
-// more.
+// then room is collected on them, and only a gang with too few of them, or
+// beside much free room, asks for more.
 std::vector<std::string> workers_for_gang(const scheduling_round& round,
                                           const candidate_step& candidate) {
   const step_state& step = *candidate.step;
@@ -183,7 +198,7 @@
   if (free >= count) return names;
   bool collecting = round.now - step.last_advice < kMaxCollectTime &&
                     count_to_collect(granted, count) > 0;
-  if (collecting) return {};
+  if (collecting && !has_ample_room(round, candidate)) return {};
   names.clear();
   for (const placement_option& each :
        find_options(round, candidate, ticket_mode::ignored, count)) {
--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -295,7 +295,10 @@
   if (needed == 0 && first) needed = count_if_idle(workers, candidate, count);
   if (!first && round->reserved.size() + needed > limit) return;
   for (std::size_t i = 0; i < needed; ++i) {
-    round->reserved.insert(workers[i].worker);
+    worker* chosen = workers[i].worker;
+    if (!round->reserved.insert(chosen).second) continue;
+    round->reserved_free_cpu +=
+        std::max<std::int64_t>(0, free_resources_of(*chosen).cpu_milli);
   }
 }
 
--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -108,7 +108,8 @@
 // Whether the worker has exited with what it ran. One whose connection was
 // reset for another reason has replied on a new one by then.
 bool has_left(const worker& worker, steady_time now) {
-  return worker.withdrawn && worker.contact_lost_at != steady_time() &&
+  return worker.withdrawn_at != steady_time() &&
+         worker.contact_lost_at != steady_time() &&
          now - worker.contact_lost_at >= kReconnectTime;
 }
 
@@ -178,6 +179,32 @@
   }
 }
 
+// Null if the placement is no longer that of a start that wasn't sent.
+placement* find_recorded_start(worker* worker, const placement_key& key) {
+  if (worker == nullptr) return nullptr;
+  placement* placed = find_placement(worker, key.task, key.run);
+  bool unsent = placed != nullptr && placed->phase == phase::recording;
+  return unsent ? placed : nullptr;
+}
+
+// Drops the starts that can't be sent any more. A member of a gang that is
+// dropped stops the others, so that none of them is sent.
+void drop_unwanted_starts(pool_state* pool,
+                          const std::vector<placement_key>& starts,
+                          steady_time now) {
+  for (const placement_key& key : starts) {
+    worker* worker = find_worker(pool, key.worker);
+    placement* placed = find_recorded_start(worker, key);
+    if (placed == nullptr) continue;
+    bool restarted = worker->entry.incarnation_ms != key.incarnation_ms;
+    bool wanted = !placed->stop_wanted && !restarted &&
+                  !worker->entry.draining && !is_over_capacity(*worker) &&
+                  !is_over_quota(*pool, *placed) && !is_outdated(*pool, now) &&
+                  may_get_lease(*pool, *worker, now);
+    if (!wanted) drop_placement(pool, worker, key.task, key.run);
+  }
+}
+
 }  // namespace
 
 void process_outstanding_orders(pool_state* pool, decisions* out,
@@ -206,19 +233,13 @@
     if (worker->entry.incarnation_ms != end.incarnation_ms) continue;
     worker->acked_end = std::max(worker->acked_end, end.number);
   }
+  drop_unwanted_starts(pool, batch.starts, now);
   for (const placement_key& key : batch.starts) {
     worker* worker = find_worker(pool, key.worker);
-    if (worker == nullptr) continue;
-    placement* placed = find_placement(worker, key.task, key.run);
-    if (placed == nullptr || placed->phase != phase::recording) continue;
+    placement* placed = find_recorded_start(worker, key);
+    if (placed == nullptr) continue;
     start_order order;
-    bool restarted = worker->entry.incarnation_ms != key.incarnation_ms;
-    // If a quota was lowered, the first member of a gang that is dropped here
-    // stops the others, and none of them is sent.
-    bool wanted = !placed->stop_wanted && !worker->entry.draining &&
-                  !is_over_capacity(*worker) &&
-                  !is_over_quota(*pool, *placed) && !is_outdated(*pool, now);
-    if (wanted && !restarted) order = make_start(pool, worker, placed, now);
+    if (!placed->stop_wanted) order = make_start(pool, worker, placed, now);
     if (order.job == nullptr || order.until == worker_time(0)) {
       // The start was never sent, so no stop is needed.
       drop_placement(pool, worker, key.task, key.run);
--- a/src/pool/round_pvt.h
+++ b/src/pool/round_pvt.h
@@ -48,6 +48,7 @@
   std::vector<available_worker> available;     // Most free CPU first.
   std::unordered_set<const worker*> reserved;  // For waiting gangs.
   std::int64_t free_cpu = 0;                   // Of all available workers.
+  std::int64_t reserved_free_cpu = 0;          // Of the reserved ones.
   // CPU that earlier steps of this round will use once they have advice. Steps
   // that can't be placed for other reasons are not counted, so that they don't
   // keep later steps from requesting advice.
