Tell the owner of a cancellation that another daemon has appended

Cause: a daemon that takes the owner as unreachable appends the cancellation itself.

Once the store has acknowledged such an append, the daemon replies to the caller and then tells the owner in a call of its own (/v1/cancellations, job, record and offset), over a connection apart from the writes: at once, and again at each tick until the owner replies or 5 s have passed. The owner applies the record as if it had read it; reading it later changes nothing. It ignores a record below the offset that it has read up to, as that may have been deleted since and the id used again, and refuses an empty one, which would delete. A cancellation ahead of its submission waits in the table, as with a load of the newest records.

--- a/src/poold/job_api.cpp
+++ b/src/poold/job_api.cpp
@@ -294,6 +294,20 @@
   pending.respond(http::json_response(http::status::ok, "{}"));
 }
 
+void job_api::tell_cancelled(const write_list& written, std::uint64_t offset) {
+  wire::recorded_cancellations told;
+  for (const std::shared_ptr<pending_write>& each : written) {
+    if (each->is_cancellation) {
+      wire::recorded_cancellation* record = told.add_records();
+      record->set_job(each->job);
+      record->set_value(each->record.value);
+      record->set_offset(offset);
+    }
+    ++offset;
+  }
+  if (told.records_size() > 0) owner_.tell_cancelled(told);
+}
+
 void job_api::flush() {
   if (!appender_->idle() || queued_.empty()) return;
   in_flight_ = std::exchange(queued_, {});
@@ -349,6 +363,9 @@
     }
     confirm(*each);
   }
+  if (outcome == write_outcome::written) {
+    tell_cancelled(batch, appender_->last_offset());
+  }
   // The queued writes would meet the same store: refuse them at once.
   if (outcome != write_outcome::written) {
     refuse_queue("the store takes no records");
--- a/src/poold/job_api.h
+++ b/src/poold/job_api.h
@@ -50,6 +50,11 @@
     std::function<void(const wire::job_query& query, milliseconds timeout,
                        std::function<void(forward_result)> handler)>;
 
+// Tells the pool's owner of cancellations that are in the journal. Returns at
+// once; the owner may never learn of them in this way.
+using cancellation_teller =
+    std::function<void(const wire::recorded_cancellations& told)>;
+
 // The length of a queue as the owner last reported it, however long ago. Empty
 // without a report.
 using queue_reader =
@@ -60,6 +65,7 @@
   owner_writer write;
   end_fetcher fetch_end;
   query_forwarder forward;
+  cancellation_teller tell_cancelled;
   queue_reader not_started;
   // How long callers should wait after the owner refused a write.
   std::function<std::chrono::seconds()> retry_after;
@@ -162,6 +168,9 @@
                        bool owner_ended);
   void write_directly(std::shared_ptr<pending_write> pending);
   void confirm(pending_write& pending);
+  // Tells the owner of the cancellations among the records, which have been
+  // written from `offset` on.
+  void tell_cancelled(const write_list& written, std::uint64_t offset);
   void record_latency(const pending_write& pending);
   void flush();
   // Replies with 503, or with 504 if the owner may have written the record.
--- a/src/poold/node.cpp
+++ b/src/poold/node.cpp
@@ -109,6 +109,9 @@
                          std::function<void(forward_result)> handler) {
     forward_query(query, timeout, std::move(handler));
   };
+  calls.tell_cancelled = [this](const wire::recorded_cancellations& told) {
+    tell_owner(told);
+  };
   calls.not_started = [this](const std::string& queue) {
     return find_length(reported_queues_, queue, clock_.now());
   };
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -97,6 +97,14 @@
   void fetch_end(const std::string& job, std::function<void()> then);
   void forward_query(const wire::job_query& query, milliseconds timeout,
                      std::function<void(forward_result)> handler);
+  // Tells the owner of cancellations that this daemon has appended: now, and at
+  // each tick until it replies or some seconds have passed.
+  void tell_owner(const wire::recorded_cancellations& appended);
+  void send_untold(steady_time now);
+  void handle_cancellations(const http::request& request,
+                            const http::responder& respond);
+  // As the owner: applies a record of the journal before it is read.
+  void apply_recorded(const wire::recorded_cancellation& record);
   void handle_job_query(const http::request& request, http::responder respond);
   void handle_presence(const http::request& request,
                        const http::responder& respond);
@@ -190,6 +198,14 @@
   std::unique_ptr<http::client> owner_link_;
   // Apart from the writes, which may wait for a slow store.
   std::unique_ptr<http::client> owner_probe_;
+  // For cancellations, apart from the writes as well.
+  std::unique_ptr<http::client> owner_notices_;
+  struct untold_cancellation {
+    wire::recorded_cancellation record;
+    steady_time until;
+  };
+  std::vector<untold_cancellation> untold_;  // In the order of the journal.
+  bool telling_ = false;
   owner_writes owner_writes_;
   std::chrono::seconds owner_retry_after_{1};  // Of its last refusal.
   steady_time owner_replied_at_;               // To an announcement.
--- a/src/poold/node_ownership.cpp
+++ b/src/poold/node_ownership.cpp
@@ -66,6 +66,7 @@
   steady_time now = clock_.now();
   watch_pace(now);
   watch_owner_writes(now);
+  send_untold(now);
   if (owner_) return consider_handover(now);
   // A draining daemon still passes open calls to the owner.
   if (draining_) return connect_owner();
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -36,14 +36,17 @@
   owner_confirmed_at_ = {};
   std::unique_ptr<http::client> former_link = std::move(owner_link_);
   std::unique_ptr<http::client> former_probe = std::move(owner_probe_);
+  std::unique_ptr<http::client> former_notices = std::move(owner_notices_);
   http::client_options options;
   options.connections = kOwnerConnections;
   owner_link_ = std::make_unique<http::client>(context_, address, options);
   options.connections = 1;
   owner_probe_ = std::make_unique<http::client>(context_, address, options);
+  owner_notices_ = std::make_unique<http::client>(context_, address, options);
   // Pending writes through the former owner end with an unknown outcome.
   if (former_link) former_link->close();
   if (former_probe) former_probe->close();
+  if (former_notices) former_notices->close();
 }
 
 void node::announce(steady_time now) {
@@ -319,6 +322,9 @@
     return handle_job_query(request, std::move(respond));
   }
   if (request.target() == kEndPath) return handle_end_query(request, respond);
+  if (request.target() == kCancellationsPath) {
+    return handle_cancellations(request, respond);
+  }
   if (request.target() == kHandoverPath) {
     return handle_handover(request, respond);
   }
--- a/src/poold/peer_paths.h
+++ b/src/poold/peer_paths.h
@@ -19,6 +19,8 @@
 // Asks a standby whether it can claim the pool, and, with a record that is
 // marked as released, tells it that the pool is released for it to claim.
 inline constexpr char kHandoverPath[] = "/v1/handover";
+// Tells the owner of cancellations that the sender has appended.
+inline constexpr char kCancellationsPath[] = "/v1/cancellations";
 inline constexpr char kEndPath[] = "/v1/end";
 // Returns the manifest in force as the store has it.
 inline constexpr char kManifestPath[] = "/v1/manifest";
