Avoid the route of the read that is late, not that of the newest attempt

After a rejection, a read of the store is sent again at once over another route. The route of its newest attempt was then taken as silent: one that had been asked a moment ago, or the one that rejected, whose failure counted twice (avoided for 2 s in place of 1).

Each attempt has a time now from which it is late, put off while its reply makes progress. When the read is repeated, the routes of the attempts that are late and still awaited are avoided, each once. A rejection is counted as before, where the result of the call is recorded. `silent` of event 870 is the newest late route, or `none`.

Evidence (src/poold/store_client_test.cpp, a clock that the test sets): "a route that isn't late is used after another's rejection" and "a route that rejects a repeated read is avoided as after one" failed before and pass now, 8 runs of 8; "a route that is late after another's rejection is avoided" passes before and now, and guards against routes that are never avoided. poold_store_test passes (27 test cases).

A route that becomes late after such a repetition is avoided when the read is repeated next.

--- a/src/poold/store_client.cpp
+++ b/src/poold/store_client.cpp
@@ -221,9 +221,11 @@
 
 std::shared_ptr<store_client::route> store_client::choose_read_route(
     const open_read& read) {
-  if (read.tried.empty()) return choose_route(false);
+  if (read.attempts.empty()) return choose_route(false);
   auto is_tried = [&](const std::shared_ptr<route>& each) {
-    return std::count(read.tried.begin(), read.tried.end(), each) > 0;
+    return std::any_of(
+        read.attempts.begin(), read.attempts.end(),
+        [&](const read_attempt& tried) { return tried.sent_over == each; });
   };
   steady_time now = clock_.now();
   if (!is_tried(direct_) && direct_->reads.retry_at <= now) return direct_;
@@ -246,9 +248,9 @@
 
 void store_client::send_read(const std::shared_ptr<open_read>& read) {
   std::shared_ptr<route> chosen = choose_read_route(*read);
-  milliseconds wait = read->tried.empty() ? read->wait : milliseconds(0);
-  read->tried.push_back(chosen);
-  ++read->awaited;
+  std::size_t index = read->attempts.size();
+  milliseconds wait = index == 0 ? read->wait : milliseconds(0);
+  read->attempts.push_back({chosen, read->repeat_at});
   ++calls_;
   http::request request = read->encode(wait);
   if (!chosen->path_prefix.empty()) {
@@ -257,35 +259,39 @@
   }
   http::call_options options = read->options;
   *options.stall_timeout += wait;
-  options.on_progress = [this, alive = std::weak_ptr<bool>(alive_),
+  options.on_progress = [this, index, alive = std::weak_ptr<bool>(alive_),
                          weak = std::weak_ptr<open_read>(read)] {
     std::shared_ptr<open_read> wanted = weak.lock();
     if (alive.expired() || !wanted || !wanted->handler) return false;
-    wanted->repeat_at =
-        std::max(wanted->repeat_at,
-                 clock_.now() + wanted->repeat_delay + kProgressGrace);
+    steady_time late_at = clock_.now() + wanted->repeat_delay + kProgressGrace;
+    wanted->repeat_at = std::max(wanted->repeat_at, late_at);
+    wanted->attempts[index].late_at =
+        std::max(wanted->attempts[index].late_at, late_at);
     return true;
   };
   chosen->reads.client->call(
       read->step, std::move(request), std::move(options),
-      [this, alive = std::weak_ptr<bool>(alive_), read, chosen, wait,
+      [this, alive = std::weak_ptr<bool>(alive_), read, chosen, index, wait,
        sent = clock_.now()](http::call_result&& result) {
         if (alive.expired()) return;
         // A failure after another attempt got a reply may be its break-off.
         if (!read->handler && result.has_error()) return;
         record_result(*chosen, false, read->step, result);
-        on_read_reply(read, std::move(result), wait, sent);
+        on_read_reply(read, index, std::move(result), wait, sent);
       });
 }
 
 void store_client::on_read_reply(const std::shared_ptr<open_read>& read,
-                                 http::call_result&& result, milliseconds wait,
-                                 steady_time sent) {
-  --read->awaited;
+                                 std::size_t index, http::call_result&& result,
+                                 milliseconds wait, steady_time sent) {
+  read->attempts[index].awaited = false;
   if (!read->handler) return;
   bool failed = result.has_error() || is_rejection(*result);
-  if (failed && read->awaited > 0) {
-    if (read->tried.size() >= kMaxReadAttempts) return;
+  bool awaited =
+      std::any_of(read->attempts.begin(), read->attempts.end(),
+                  [](const read_attempt& each) { return each.awaited; });
+  if (failed && awaited) {
+    if (read->attempts.size() >= kMaxReadAttempts) return;
     // Another route may serve it at once.
     read->repeat_at = clock_.now();
     return watch_read(read);
@@ -304,6 +310,9 @@
     if (now - read->repeat_at > kMaxTimerDelay &&
         !std::exchange(read->lagged, true)) {
       read->repeat_at = now + read->repeat_delay;
+      for (read_attempt& each : read->attempts) {
+        each.late_at = std::max(each.late_at, read->repeat_at);
+      }
     }
     // The reply may also have made progress.
     if (now < read->repeat_at) return watch_read(read);
@@ -311,35 +320,48 @@
   });
 }
 
+store_client::route* store_client::avoid_late_routes(open_read* read,
+                                                     steady_time now) {
+  route* newest = nullptr;
+  for (read_attempt& each : read->attempts) {
+    if (!each.awaited || each.late_at > now) continue;
+    newest = each.sent_over.get();
+    if (!std::exchange(each.avoided, true)) avoid_for_reads(newest);
+  }
+  return newest;
+}
+
 void store_client::repeat_read(const std::shared_ptr<open_read>& read) {
-  route* silent = read->tried.back().get();
-  if (read->tried.size() >= kMaxReadAttempts) {
+  if (read->attempts.size() >= kMaxReadAttempts) {
     http::call_failure failure;
-    failure.cause = {error::code::timeout, read->step, silent->address,
+    failure.cause = {error::code::timeout, read->step,
+                     read->attempts.back().sent_over->address,
                      "no reply over any route"};
     failure.maybe_sent = true;
     return std::exchange(read->handler, nullptr)(std::move(failure),
                                                  milliseconds(0), read->begun);
   }
-  avoid_for_reads(silent);
+  steady_time now = clock_.now();
+  // After a rejection, none may be late.
+  const route* silent = avoid_late_routes(read.get(), now);
+  std::size_t sent = read->attempts.size() + 1;
+  std::size_t doublings =
+      sent < kSteadyReadAttempts ? 0 : sent - kSteadyReadAttempts + 1;
+  read->repeat_at =
+      now + read->repeat_delay * (1 << static_cast<int>(doublings));
   send_read(read);
   read->lagged = false;
   ++repeated_reads_;
-  steady_time now = clock_.now();
   if (now - repetition_logged_ >= kRepetitionLogInterval) {
     repetition_logged_ = now;
     events::emit(
-        events::id::read_repeated, read->step, read->tried.back()->address,
-        "silent={} attempt={} waited_ms={} repeated={}", silent->address,
-        read->tried.size(),
+        events::id::read_repeated, read->step,
+        read->attempts.back().sent_over->address,
+        "silent={} attempt={} waited_ms={} repeated={}",
+        silent != nullptr ? silent->address : "none", sent,
         std::chrono::duration_cast<milliseconds>(now - read->begun).count(),
         repeated_reads_);
   }
-  std::size_t doublings = read->tried.size() < kSteadyReadAttempts
-                              ? 0
-                              : read->tried.size() - kSteadyReadAttempts + 1;
-  read->repeat_at =
-      now + read->repeat_delay * (1 << static_cast<int>(doublings));
   watch_read(read);
 }
 
--- a/src/poold/store_client.h
+++ b/src/poold/store_client.h
@@ -122,6 +122,12 @@
     route_client appends;  // Its client serves relayed appends only.
     std::vector<std::shared_ptr<lane>> lanes;
   };
+  struct read_attempt {
+    std::shared_ptr<route> sent_over;
+    steady_time late_at;  // Then its route is avoided.
+    bool awaited = true;
+    bool avoided = false;
+  };
   // A read and its attempts.
   struct open_read {
     std::string step;
@@ -132,8 +138,7 @@
     http::call_options options;    // The stall timeout without the wait.
     // Called once with the reply to an attempt, and its wait and send time.
     std::function<void(http::call_result&&, milliseconds, steady_time)> handler;
-    std::vector<std::shared_ptr<route>> tried;  // One for each attempt.
-    std::size_t awaited = 0;
+    std::vector<read_attempt> attempts;
     steady_time repeat_at;
     bool lagged = false;  // The last attempt was given more time for a lag.
     steady_time begun;
@@ -159,12 +164,16 @@
   std::shared_ptr<route> choose_read_route(const open_read& read);
   void begin_read(std::shared_ptr<open_read> read);
   void send_read(const std::shared_ptr<open_read>& read);
-  void on_read_reply(const std::shared_ptr<open_read>& read,
+  // `index`: of the attempt.
+  void on_read_reply(const std::shared_ptr<open_read>& read, std::size_t index,
                      http::call_result&& result, milliseconds wait,
                      steady_time sent);
   // Repeats the read when it is overdue.
   void watch_read(const std::shared_ptr<open_read>& read);
   void repeat_read(const std::shared_ptr<open_read>& read);
+  // Avoids the routes of the attempts that are late. Returns the newest of
+  // them; null without one.
+  route* avoid_late_routes(open_read* read, steady_time now);
   // Updates the health of the route with the result of a call.
   void record_result(route& route, bool appends, std::string_view step,
                      const http::call_result& result);
--- a/src/poold/store_client_test.cpp
+++ b/src/poold/store_client_test.cpp
@@ -2,9 +2,12 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 
+#include "poold/test_gateway.h"
 #include "standin/pool/keyed_store.h"
 
 namespace ebonygrade::poold {
@@ -92,6 +95,105 @@
   CHECK(answered == 2);
 }
 
+// A client with a direct route that is silent, and two relays.
+struct routes_fixture {
+  // After this time, a read is late on its first route.
+  static constexpr milliseconds kLate{315};
+  // A route is avoided for this long after one failure.
+  static constexpr milliseconds kAvoided{1000};
+
+  boost::asio::io_context context{1};
+  clock::manual_clock clock;
+  standin::keyed_store platform{context};
+  store_gateway direct{context, platform.address()};
+  store_gateway first{context, platform.address()};
+  store_gateway second{context, platform.address()};
+  store_client calls{context, direct.address(), clock};
+  std::optional<bool> answered;  // Of the last read.
+
+  routes_fixture() {
+    calls.set_relays({first.address(), second.address()});
+    direct.state = service::is_silent;
+  }
+  void run_until(const std::function<bool()>& condition) {
+    while (!condition()) context.run_one();
+  }
+  void begin_read() {
+    answered.reset();
+    calls.read("keyed.op", 0, kWait, 0,
+               [this](error::result<platform::read_reply> reply, steady_time) {
+                 answered = reply.has_value();
+               });
+  }
+  void finish_read() {
+    run_until([this] { return answered.has_value(); });
+  }
+  // The read is late on the direct route, and is sent over the first relay.
+  void repeat_over_first() {
+    begin_read();
+    run_until([this] { return direct.calls() == 1; });
+    clock.advance(kLate);
+    run_until([this] { return first.calls() == 1; });
+  }
+  // The direct route rejects its attempt, and all further calls.
+  void reject_direct() {
+    direct.state = service::rejects;
+    direct.reject_unanswered();
+  }
+  // Whether the first relay, now the only one, gets a read.
+  bool uses_first() {
+    calls.set_relays({first.address()});
+    first.state = service::serves;
+    std::size_t before = first.calls();
+    begin_read();
+    finish_read();
+    return first.calls() > before;
+  }
+};
+
+// Guards against the loss of a good route: a read that was repeated at once
+// after a rejection took the route that it had just tried as silent.
+TEST_CASE("a route that isn't late is used after another's rejection") {
+  routes_fixture test;
+  test.first.state = service::is_silent;
+  test.repeat_over_first();
+  test.clock.advance(milliseconds(100));
+  test.reject_direct();
+  test.finish_read();
+  REQUIRE(test.second.calls() == 1);
+  CHECK(test.uses_first());
+}
+
+// Guards against a rejection that counts twice.
+TEST_CASE("a route that rejects a repeated read is avoided as after one") {
+  routes_fixture test;
+  test.first.state = service::rejects;
+  test.repeat_over_first();
+  test.finish_read();
+  REQUIRE(test.second.calls() == 1);
+  test.reject_direct();
+  test.clock.advance(kWait);
+  test.begin_read();
+  test.finish_read();
+  test.clock.advance(routes_fixture::kAvoided);
+  CHECK(test.uses_first());
+}
+
+// Guards against a silent route that stays in use as another one rejected.
+TEST_CASE("a route that is late after another's rejection is avoided") {
+  routes_fixture test;
+  test.first.state = service::is_silent;
+  test.second.state = service::is_silent;
+  test.repeat_over_first();
+  test.clock.advance(milliseconds(100));
+  test.reject_direct();
+  test.run_until([&] { return test.second.calls() == 1; });
+  // The delay has doubled.
+  test.clock.advance(2 * routes_fixture::kLate);
+  test.run_until([&] { return test.direct.calls() == 2; });
+  CHECK_FALSE(test.uses_first());
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::poold
--- a/src/poold/test_gateway.h
+++ b/src/poold/test_gateway.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,6 +23,7 @@
       : client_(context, store, options()),
         server_(context, {},
                 [this](http::request&& request, http::responder answer) {
+                  ++calls_;
                   if (state == service::is_silent) {
                     return unanswered_.push_back(std::move(answer));
                   }
@@ -51,6 +53,16 @@
     return "127.0.0.1:" + std::to_string(server_.port());
   }
 
+  // Calls that have arrived.
+  std::size_t calls() const { return calls_; }
+  // Rejects the calls that have been left without a reply.
+  void reject_unanswered() {
+    for (const http::responder& each : std::exchange(unanswered_, {})) {
+      each(http::error_response(http::status::service_unavailable,
+                                "turned away"));
+    }
+  }
+
   service state = service::serves;
 
  private:
@@ -60,6 +72,7 @@
     return options;
   }
 
+  std::size_t calls_ = 0;
   std::vector<http::responder> unanswered_;
   http::client client_;
   http::server server_;
