Simulate workers that leave, beside workers that only seem to have left

The simulation of a cell had no workers that leave, so nothing but unit tests stood behind, which takes the runs of a draining worker as over once its entry was removed early and its connection was lost.

Workers drain in order now: they write an entry each heartbeat, serve on for the drain time and up to 3 s longer, and exit with what they run and with ends that no owner has read; their entries are removed. Others join, or the id returns as another incarnation. The owner reads the directory with a delay and knows of an entry only a moment before which it wasn't written. Beside them, draining workers are cut off from the owner (silent, or refusing connections), from the store or from both, and run on for up to 10 s; their entries expire after three heartbeats. Reads of the directory are slow, connections of draining workers are reset, the store is down, owners change or are suspended, orders are late.

Checked: what the ledger checks, runs that are taken as over while they go on, and starts on a worker later than the drain time after its report. A gang starts again within 3 s of the exit of a worker that had one of its members, if there is room.

--- a/src/pool/simulated_cell.cpp
+++ b/src/pool/simulated_cell.cpp
@@ -54,7 +54,14 @@
           a.cancellations + b.cancellations,
           a.cancelled_starts + b.cancelled_starts,
           a.cancelled_runs + b.cancelled_runs,
-          a.outdated_rounds + b.outdated_rounds};
+          a.outdated_rounds + b.outdated_rounds,
+          a.departures + b.departures,
+          a.returns + b.returns,
+          a.unread_ends + b.unread_ends,
+          a.departed_runs + b.departed_runs,
+          a.departed_active + b.departed_active,
+          a.departed_gangs + b.departed_gangs,
+          std::max(a.longest_gang_wait, b.longest_gang_wait)};
 }
 
 simulated_cell::simulated_cell(const cell_options& options)
@@ -62,7 +69,8 @@
       random_(static_cast<std::mt19937::result_type>(options.seed)),
       lapse_random_(static_cast<std::mt19937::result_type>(~options.seed)),
       tenants_(options.tenants),
-      cancellations_(options.cancellations, options.seed) {
+      cancellations_(options.cancellations, options.seed),
+      departures_(options.departures, options.seed) {
   queue_policy policy;
   policy.service = kService;
   policy.attempts = kAttempts;
@@ -82,6 +90,7 @@
     announced_[id] = workers_[id]->incarnation_ms();
   }
   submit_jobs();
+  if (departures_.present()) begin_departures();
   begin_owner(false);
   std::function<void()> claims = [this] {
     if (!faulty()) return;
@@ -187,6 +196,8 @@
 }
 
 void simulated_cell::announce(const worker_entry& entry, milliseconds delay) {
+  // Heartbeats tell of it.
+  if (departures_.present()) return;
   at(delay, [this, entry] {
     arrive(owner_, [this, owner = owner_, entry] {
       observe_worker_entry(&owner->state, entry, time_of(*owner));
@@ -508,6 +519,10 @@
     read_journal(result);
   }
   owner_ = result;
+  if (departures_.present()) {
+    load_directory(result);
+    return round(result);
+  }
   for (const std::pair<const std::string, std::unique_ptr<simulated_worker>>&
            each : workers_) {
     if (is_replaced(each.first)) continue;
@@ -534,6 +549,9 @@
   for (const start_order& each : result.repeated_starts)
     send_start(owner, each);
   for (const stop_order& each : result.stops) send_stop(owner, each);
+  for (const std::string& each : result.departed) {
+    if (owner->links.count(each) > 0) owner->links[each] = false;
+  }
   write(owner);
   after(kRoundEvery, owner, [this, owner] { round(owner); });
 }
@@ -541,9 +559,11 @@
 void simulated_cell::check_passed(const owner& owner) {
   if (owner.epoch < epoch_) return;
   for (const job_event& each : owner.state.job_events) {
-    if (each.detail.find(" reason=lease_passed ") == std::string::npos)
-      continue;
-    ++reached_.leases_passed;
+    bool departed = each.detail.find(" reason=departed ") != std::string::npos;
+    bool passed =
+        each.detail.find(" reason=lease_passed ") != std::string::npos;
+    if (!departed && !passed) continue;
+    ++(departed ? reached_.departed_runs : reached_.leases_passed);
     for (const std::pair<task_key, std::uint32_t>& run :
          workers_[each.worker]->active_runs()) {
       const task_key& task = run.first;
@@ -553,6 +573,7 @@
                                    " run=" + std::to_string(run.second) +
                                    " ") != std::string::npos;
       if (!same) continue;
+      if (departed) ++reached_.departed_active;
       ledger_.report_violation("taken as over while it runs: " + each.job +
                                " " + each.detail + " on " + each.worker);
     }
@@ -631,6 +652,7 @@
   if (chance(options_.message_loss) || is_cut(cuts.calls)) {
     return after(kCallTimeout, owner, std::move(unanswered));
   }
+  if (meets_cut(owner, worker, unanswered, kCallTimeout)) return;
   std::int64_t connected_to = workers_[worker]->incarnation_ms();
   if (chance(options_.late_delivery)) {
     at(random_delay(2000, 12000),
@@ -654,6 +676,9 @@
        if (crashed && options_.crash_share > 0) {
          return after(kSilentCallTimeout, owner, unanswered);
        }
+       if (crashed && departures_.present()) {
+         return lose_contact(owner, worker, unanswered);
+       }
        // A crash resets the connections.
        if (crashed) {
          return arrive(owner, [this, owner, worker, unanswered] {
@@ -662,6 +687,7 @@
          });
        }
        carry_out(*owner, worker, call);
+       if (meets_cut(owner, worker, unanswered, kCallTimeout)) return;
        bool lost = chance(options_.reply_loss) ||
                    is_cut(owner->worker_cuts[worker].replies);
        if (lost) {
@@ -675,6 +701,7 @@
 void simulated_cell::poll(std::shared_ptr<owner> owner,
                           const std::string& worker) {
   if (!owner->alive || owner->state.superseded) return;
+  if (!keeps_link(owner.get(), worker)) return;
   steady_time sent = time_of(*owner);
   if (is_replaced(worker)) {
     std::int64_t known = owner->state.workers[worker].entry.incarnation_ms;
@@ -732,6 +759,8 @@
         if (ledger_.starts() == starts) return;
         cancellations_.check_start(order.worker, order.task, order.run, sent,
                                    now_, &ledger_);
+        departures_.observe_start(workers_[order.worker]->entry(), order.task,
+                                  sent, now_, &ledger_);
       },
       [this, owner, order, answer] {
         observe_start(&owner->state, order, *answer, time_of(*owner));
@@ -822,6 +851,8 @@
   cancellations_.check_outcomes(table_, &ledger_);
   reached_.cancelled_starts = cancellations_.starts_after();
   reached_.cancelled_runs = cancellations_.runs_after();
+  reached_.departed_gangs = departures_.gangs_restarted();
+  reached_.longest_gang_wait = departures_.longest_wait();
   for (const std::pair<const std::string, jobs::entry>& each : table_.jobs) {
     if (each.second.progress.outcome() != wire::FAILED) continue;
     if (ledger_.has_deadly_task(each.first)) {
--- a/src/pool/simulated_cell.h
+++ b/src/pool/simulated_cell.h
@@ -16,6 +16,7 @@
 
 #include "pool/pool.h"
 #include "pool/simulated_cancellations.h"
+#include "pool/simulated_departures.h"
 #include "pool/simulated_tenants.h"
 #include "pool/simulated_worker.h"
 
@@ -81,6 +82,7 @@
   milliseconds resubmit_every{0};
   tenant_options tenants;
   cancellation_options cancellations;
+  departure_options departures;
 };
 
 // How often a simulation came into the situations that it is meant for.
@@ -106,6 +108,16 @@
   std::size_t cancelled_starts = 0;
   std::size_t cancelled_runs = 0;
   std::size_t outdated_rounds = 0;  // Of owners whose copy was too old.
+  std::size_t departures = 0;       // Workers that exited after a drain.
+  std::size_t returns = 0;          // Of them, as another incarnation.
+  std::size_t unread_ends = 0;      // Of workers that exited, not acknowledged.
+  // Runs freed since their worker had left, and of them those that went on.
+  std::size_t departed_runs = 0;
+  std::size_t departed_active = 0;
+  // Gangs that started again after one of their workers had left in order, and
+  // the longest time until then.
+  std::size_t departed_gangs = 0;
+  milliseconds longest_gang_wait{0};
 };
 situations operator+(const situations& a, const situations& b);
 
@@ -156,6 +168,10 @@
     std::map<std::string, link_cuts> worker_cuts;
     std::size_t cancellations_read = 0;
     steady_time copy_lags_until;  // Reads of the journal get no reply.
+    std::size_t entries_read = 0;
+    steady_time directory_ended_at;
+    // Workers that are polled. False: not any more, once the last poll is over.
+    std::map<std::string, bool> links;
   };
   struct append {
     journal_batch batch;
@@ -256,6 +272,36 @@
   bool is_visible(const std::string& job) const;
   void apply(const jobs::record& record);
 
+  // Departures.
+  void begin_departures();
+  void repeat_departures(milliseconds every, event what);
+  void expire_entries();
+  // The worker writes its entry each heartbeat.
+  void beat(const std::string& worker);
+  void write_entry(const std::string& worker);
+  void drain_one();
+  // Resets the connection of a draining worker, which lives on.
+  void reset_one();
+  void exit_worker(const std::string& id, std::int64_t incarnation_ms);
+  void withdraw_entry(const std::string& id, std::int64_t incarnation_ms);
+  void join_worker();
+  // The worker's cut from the owner or the store, or null.
+  const simulated_departures::cut_off* cut_of(const std::string& worker) const;
+  // Whether a call meets a cut; it remains unanswered then.
+  bool meets_cut(const std::shared_ptr<owner>& owner, const std::string& worker,
+                 event unanswered, milliseconds timeout);
+  // The worker's host refuses the connection.
+  void lose_contact(const std::shared_ptr<owner>& owner,
+                    const std::string& worker, event then);
+  void load_directory(const std::shared_ptr<owner>& owner);
+  void read_directory(std::shared_ptr<owner> owner);
+  // The first `end` records are in the reply to a read.
+  void observe_directory(const std::shared_ptr<owner>& owner, steady_time sent,
+                         std::size_t end);
+  void open_link(const std::shared_ptr<owner>& owner,
+                 const std::string& worker);
+  bool keeps_link(owner* owner, const std::string& worker);
+
   cell_options options_;
   std::mt19937 random_;
   std::mt19937 lapse_random_;
@@ -270,6 +316,8 @@
   simulated_workers workers_;
   simulated_tenants tenants_;
   simulated_cancellations cancellations_;
+  simulated_departures departures_;
+  std::set<std::string> gone_;       // Workers that have left for good.
   std::uint64_t checked_epoch_ = 0;  // Of the last check of cancelled runs.
   std::set<std::string> replaced_;
   // The incarnations whose entries are on their way or have been read.
--- a/src/pool/simulated_worker.cpp
+++ b/src/pool/simulated_worker.cpp
@@ -237,6 +237,7 @@
   entry.capacity = capacity();
   entry.incarnation_ms = incarnation_ms_;
   entry.revision = capacities_.size();
+  entry.draining = draining_;
   return entry;
 }
 
@@ -310,6 +311,14 @@
   return names;
 }
 
+std::vector<task_key> simulated_worker::gang_members() const {
+  std::vector<task_key> members;
+  for (const std::pair<const task_key, active_run>& each : runs_) {
+    if (each.second.gang) members.push_back(each.first);
+  }
+  return members;
+}
+
 std::vector<std::pair<task_key, resources>> simulated_worker::needs_of_runs()
     const {
   std::vector<std::pair<task_key, resources>> needs;
@@ -363,6 +372,17 @@
 void simulated_worker::crash(steady_time now, milliseconds down) {
   for (const std::pair<const task_key, active_run>& each : runs_) {
     ledger_->record_crash(each.first);
+  }
+  restart(now + down);
+}
+
+void simulated_worker::leave(steady_time now) {
+  tick(now);
+  restart(steady_time::max());
+}
+
+void simulated_worker::restart(steady_time born) {
+  for (const std::pair<const task_key, active_run>& each : runs_) {
     ledger_->record_end(id_, each.first, each.second.run, end_kind::stopped);
   }
   std::map<task_key, active_run> ended = std::exchange(runs_, {});
@@ -383,7 +403,8 @@
   fence_ = 0;
   polled_token_ = 0;
   lease_ = worker_time(0);
-  born_ = now + down;
+  born_ = born;
+  draining_ = false;
   ++incarnation_ms_;
 }
 
--- a/src/pool/simulated_worker.h
+++ b/src/pool/simulated_worker.h
@@ -161,6 +161,14 @@
   bool is_down(steady_time now) const { return now < born_; }
   // Another worker has its machine, and this one never comes back.
   void retire() { born_ = steady_time::max(); }
+  // It says that it leaves, exits with all that it runs, and may come back as
+  // another incarnation.
+  void drain() { draining_ = true; }
+  void leave(steady_time now);
+  void come_back(steady_time now) { born_ = now; }
+  std::size_t unread_ends() const { return ends_.size(); }
+  // Active runs that are members of gangs.
+  std::vector<task_key> gang_members() const;
   void resize(resources capacity, steady_time now);
   resources capacity() const { return capacities_.back().second; }
   // Ends a gang member because another member has ended.
@@ -189,6 +197,8 @@
   std::uint32_t percent(const task_key& task, const active_run& run,
                         steady_time now) const;
   void end(const task_key& task, end_kind kind);
+  // Begins the next incarnation, without what it ran and knew.
+  void restart(steady_time born);
   bool due(const task_key& task, const active_run& run, steady_time now) const;
   bool accept_fence(std::uint64_t fence);
   void extend_lease(worker_time until, steady_time now);
@@ -206,6 +216,7 @@
   std::mt19937 random_;
   std::int64_t incarnation_ms_ = 1;
   steady_time born_;
+  bool draining_ = false;
   std::uint64_t fence_ = 0;
   std::uint64_t polled_token_ = 0;
   worker_time lease_{0};
