Test that an entry that can't be read frees no runs; it fails

An entry may come from another writer. The owner takes one that can't be read as removed (owner::on_unreadable_entry), which was harmless as long as a removed entry freed nothing. Since a draining worker counts as withdrawn by it, and if its connection is lost for 0.5 s as well, by resets or refused calls, its runs start elsewhere while it runs on.

It calls what the owner calls, seen by reading; no test of the daemon and no play shows it.

--- a/src/pool/departure_simulation_test.cpp
+++ b/src/pool/departure_simulation_test.cpp
@@ -187,6 +187,15 @@
   CHECK(reached.woken_superseded > seed_count() / 2);
 }
 
+// Guards against an entry that another writer has spoilt and that is taken as
+// removed by its worker.
+TEST_CASE("draining workers whose entries can't be read keep their runs",
+          "[!shouldfail]") {
+  cell_options options = departures_and_cuts();
+  options.departures.spoilt_every = milliseconds(1000);
+  check_cells(options);
+}
+
 TEST_CASE("the simulation finds expired entries that are taken as removed") {
   cell_options options = departures_and_cuts();
   options.departures.fault = departure_fault::age_ignored;
--- a/src/pool/simulated_departures.cpp
+++ b/src/pool/simulated_departures.cpp
@@ -59,7 +59,7 @@
 }
 
 void simulated_departures::write(const worker_entry& entry, steady_time now) {
-  listed_[entry.id] = {entry, now};
+  listed_[entry.id] = {entry, now, true};
   records_.push_back({entry.id, false, entry});
 }
 
@@ -67,6 +67,13 @@
   if (listed_.erase(worker) > 0) records_.push_back({worker, true, {}});
 }
 
+void simulated_departures::spoil(const std::string& worker) {
+  std::map<std::string, listing>::iterator found = listed_.find(worker);
+  if (found == listed_.end()) return;
+  found->second.readable = false;
+  records_.push_back({worker, false, {}});
+}
+
 void simulated_departures::expire(steady_time now) {
   if (store_is_down(now) && !expires_while_down_) return;
   std::vector<std::string> expired;
@@ -79,7 +86,7 @@
 std::vector<worker_entry> simulated_departures::entries() const {
   std::vector<worker_entry> entries;
   for (const std::pair<const std::string, listing>& each : listed_) {
-    entries.push_back(each.second.entry);
+    if (each.second.readable) entries.push_back(each.second.entry);
   }
   return entries;
 }
@@ -174,6 +181,12 @@
     departures_.begin_outage(now_, time);
     journal_down_until_ = now_ + time;
   });
+  repeat_departures(options.spoilt_every, [this] {
+    std::vector<std::string> draining = departures_.draining();
+    if (draining.empty() || departures_.store_is_down(now_)) return;
+    departures_.spoil(draining[static_cast<std::size_t>(
+        departures_.draw(0, std::ssize(draining) - 1).count())]);
+  });
 }
 
 void simulated_cell::repeat_departures(milliseconds every, event what) {
@@ -363,7 +376,7 @@
   steady_time now = time_of(*owner);
   for (; owner->entries_read < end; ++owner->entries_read) {
     const directory_record& record = departures_.records()[owner->entries_read];
-    if (record.removed) {
+    if (record.removed || record.entry.id.empty()) {
       std::unordered_map<std::string, worker>::iterator known =
           owner->state.workers.find(record.worker);
       if (departures_.has_fault(departure_fault::age_ignored) &&
--- a/src/pool/simulated_departures.h
+++ b/src/pool/simulated_departures.h
@@ -2,7 +2,8 @@
 // A worker that leaves in order says that it drains, serves on, and exits with
 // all that it runs; its entry is removed. Others lose their entries or their
 // connections while they run on: they are cut off from the store or from the
-// owner, the store is down, or connections are reset.
+// owner, the store is down, connections are reset, or another writer has spoilt
+// the entry.
 //
 // Reports as a violation a start on a worker that has said for longer than the
 // drain time that it drains, by an order that was sent after that time.
@@ -38,14 +39,15 @@
   double return_share = 0;  // Share that return as another incarnation.
   // Some reads of the directory take this much longer, each way; 0: none.
   milliseconds slowest_read{0};
-  // Average intervals of resets of a draining worker's connection, and of store
-  // outages; 0: none.
+  // Average intervals of resets of a draining worker's connection, of store
+  // outages, and of unreadable entries of draining workers; 0: none.
   milliseconds reset_every{0};
   milliseconds outage_every{0};
+  milliseconds spoilt_every{0};
   departure_fault fault = departure_fault::none;
 };
 
-// One change of the directory.
+// One change of the directory. An empty id in `entry`: it can't be read.
 struct directory_record {
   std::string worker;
   bool removed = false;
@@ -78,6 +80,8 @@
   // ---- Directory
   void write(const worker_entry& entry, steady_time now);
   void remove(const std::string& worker);
+  // Another writer overwrites the entry, until the worker writes its next one.
+  void spoil(const std::string& worker);
   // Removes the entries that weren't written for three heartbeats.
   void expire(steady_time now);
   bool is_listed(const std::string& worker) const {
@@ -113,6 +117,7 @@
   struct listing {
     worker_entry entry;
     steady_time accepted;
+    bool readable = true;
   };
   struct drain {
     std::int64_t incarnation_ms = 0;
