--- a/standin/pool/keyed_store.cpp
+++ b/standin/pool/keyed_store.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/endian/conversion.hpp>
+#include <limits>
 #include <optional>
 #include <set>
 
@@ -107,9 +108,20 @@
 }
 
 void keyed_store::block_reads(const std::string& topic) {
+  block_reads_below(topic, std::numeric_limits<std::uint64_t>::max());
+}
+
+void keyed_store::block_readers_behind(const std::string& topic) {
+  block_reads_below(topic, topics_[topic].records.size() + 1);
+}
+
+void keyed_store::block_reads_below(const std::string& topic,
+                                    std::uint64_t offset) {
   blocked_topic_ = topic;
+  blocked_below_ = offset;
   for (const std::shared_ptr<waiting_read>& each : waiting_reads_) {
-    if (each->topic != topic || std::exchange(each->answered, true)) continue;
+    if (each->topic != topic || each->from >= offset) continue;
+    if (std::exchange(each->answered, true)) continue;
     each->timer->cancel();
     blocked_reads_.push_back(std::move(each->answer));
   }
@@ -334,11 +346,11 @@
 void keyed_store::read(const http::target_parts& target,
                        http::responder answer) {
   std::string name = http::query_value(target, "topic").value_or("");
-  if (!name.empty() && name == blocked_topic_) {
+  std::uint64_t offset = query_number(target, "from");
+  if (!name.empty() && name == blocked_topic_ && offset < blocked_below_) {
     return blocked_reads_.push_back(std::move(answer));
   }
   topic& from = topics_[name];
-  std::uint64_t offset = query_number(target, "from");
   if (offset < from.first_offset) {
     return reply(answer,
                  json_reply(410, R"({"first":)" +
--- a/standin/pool/keyed_store.h
+++ b/standin/pool/keyed_store.h
@@ -79,6 +79,9 @@
   int replies_to_drop() const { return replies_to_drop_; }
   // Leaves all reads of the topic without a reply, those that wait included.
   void block_reads(const std::string& topic);
+  // The same for reads of the next record and of those before it: readers that
+  // haven't read it stay behind for good, and others aren't affected.
+  void block_readers_behind(const std::string& topic);
   // Appends a record of another writer to the topic just before every append
   // that is conditional on an offset, so that the condition fails.
   void inject_conflicts(const std::string& topic) { conflict_topic_ = topic; }
@@ -131,6 +134,7 @@
   http::response make_read_reply(topic& from, std::uint64_t offset);
   void add(topic* into, const std::vector<stored_record>& records);
   void answer_waiting_reads();
+  void block_reads_below(const std::string& topic, std::uint64_t offset);
 
   boost::asio::io_context& context_;
   http::server server_;
@@ -148,6 +152,7 @@
   std::uint64_t void_late_appends_ = 0;
   int replies_to_drop_ = 0;
   std::string blocked_topic_;
+  std::uint64_t blocked_below_ = 0;  // Of its offsets.
   std::string conflict_topic_;
   std::vector<http::responder> blocked_reads_;
   std::vector<http::responder> lost_replies_;  // Their connections stay open.
