Hand the pool over when the owner's copies stay too old

Callers saw no task start while the pool's owner could append but not read: it is outdated (event 871) and starts nothing, and standbys take it as sound, as its appends work.

If reads fail for all daemons, none confirms, and the owner stays.

Event 880 tells of the handover, 881 of an owner that stays for want of a standby; the metrics are ebonygrade_pool_outdated_handovers_total and _declined_handovers_total.

--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -84,6 +84,8 @@
   owner_current = 872,
   step_waits = 873,
   worker_removed = 874,
+  outdated_pool_handed_over = 880,
+  no_current_standby = 881,
 };
 
 struct definition {
@@ -274,6 +276,15 @@
                "A step has waited for more than 3 s; with the reason.", "none"},
     definition{id::worker_removed, "worker_removed", level::info,
                "The entry of a worker that has runs was removed.", "worker"},
+    definition{id::outdated_pool_handed_over, "outdated_pool_handed_over",
+               level::warning,
+               "The owner's copies of the store's records stay too old; it "
+               "releases the pool to a standby with recent ones.",
+               "daemon"},
+    definition{id::no_current_standby, "no_current_standby", level::warning,
+               "The owner's copies stay too old, and no standby confirms "
+               "recent ones.",
+               "none"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/poold/handover.cpp
+++ b/src/poold/handover.cpp
@@ -70,12 +70,25 @@
                   kUnclaimedLimit);
 }
 
+std::optional<handover_cause> handover_due(const slow_machine& machine,
+                                           const handover_input& input,
+                                           steady_time now) {
+  if (now - input.owner_since < kMinOwnership) return std::nullopt;
+  if (!input.journal_reachable) return std::nullopt;
+  if (lasts(machine.slow_since, kSlowPeriod, now)) return handover_cause::slow;
+  if (input.after_release && now - input.owner_since < kHoldBack) {
+    return std::nullopt;
+  }
+  if (lasts(input.outdated_since, input.outdated_limit, now)) {
+    return handover_cause::outdated;
+  }
+  return std::nullopt;
+}
+
 std::optional<daemon_info> choose_successor(const slow_machine& machine,
                                             const handover_input& input,
                                             steady_time now) {
-  if (!lasts(machine.slow_since, kSlowPeriod, now)) return std::nullopt;
-  if (now - input.owner_since < kMinOwnership) return std::nullopt;
-  if (!input.journal_reachable) return std::nullopt;
+  if (!handover_due(machine, input, now)) return std::nullopt;
   const announced_daemon* best = nullptr;
   auto rank = [&](const announced_daemon& each) {
     return std::make_tuple(each.daemon.zone == input.zone,
@@ -90,9 +103,11 @@
   return best->daemon;
 }
 
-void record_handover(slow_machine* machine, steady_time now) {
+void record_handover(slow_machine* machine, handover_cause cause,
+                     steady_time now) {
   machine->handed_over = now;
   ++machine->handovers;
+  if (cause == handover_cause::outdated) ++machine->outdated_handovers;
 }
 
 }  // namespace ebonygrade::poold
--- a/src/poold/handover_test.cpp
+++ b/src/poold/handover_test.cpp
@@ -69,7 +69,7 @@
   }
   test.pass(milliseconds(400), 7);
   CHECK(test.machine.slow);
-  record_handover(&test.machine, test.now);
+  record_handover(&test.machine, handover_cause::slow, test.now);
   for (int i = 0; i < 12; ++i) {
     test.pass(milliseconds(400), i % 2 == 0 ? 1 : 7);
     test.pass(milliseconds(400), 2);
@@ -86,6 +86,60 @@
   CHECK(test.claim_delay(milliseconds(1), 0.5) == milliseconds(10));
 }
 
+constexpr milliseconds kOutdatedLimit =
+    max_outdated_time(milliseconds(3000), milliseconds(2500));
+
+struct outdated_fixture : fixture {
+  outdated_fixture() {
+    input.outdated_limit = kOutdatedLimit;
+    add("n2", "z2");
+    pass(milliseconds(500), 1);
+  }
+  void pass_outdated(milliseconds period) {
+    if (input.outdated_since == steady_time()) input.outdated_since = now;
+    pass(period, 1);
+  }
+  void become_current() {
+    input.outdated_since = {};
+    pass(kTick, 1);
+  }
+};
+
+// Guards against handovers that a busy owner or a slow store causes.
+TEST_CASE("an owner hands over only if it is outdated without a break") {
+  outdated_fixture test;
+  for (int i = 0; i < 5; ++i) {
+    test.pass_outdated(kOutdatedLimit - kTick);
+    CHECK(test.successor().empty());
+    test.become_current();
+    CHECK(test.successor().empty());
+  }
+  test.pass_outdated(kOutdatedLimit + kTick);
+  CHECK(handover_due(test.machine, test.input, test.now) ==
+        handover_cause::outdated);
+  CHECK(test.successor() == "n2");
+  test.input.journal_reachable = false;
+  CHECK(test.successor().empty());
+}
+
+// Guards against a pool that goes around while reads fail now here, now there.
+TEST_CASE("an outdated owner keeps a pool that was just released to it") {
+  outdated_fixture test;
+  test.input.after_release = true;
+  test.input.owner_since = test.now;
+  test.pass_outdated(milliseconds(9900));
+  CHECK(test.successor().empty());
+  test.pass_outdated(milliseconds(200));
+  CHECK(test.successor() == "n2");
+  record_handover(&test.machine, handover_cause::outdated, test.now);
+  CHECK(test.machine.handovers == 1);
+  CHECK(test.machine.outdated_handovers == 1);
+  // Nobody hands the pool back, and it claims after all others.
+  test.pass(milliseconds(9900), 1);
+  CHECK(announced_slowdown(test.machine, test.now) >= kFitRatio);
+  CHECK(test.claim_delay(milliseconds(1), 0.5) == kUnclaimedLimit);
+}
+
 TEST_CASE("a slow daemon claims after all others, within 2 s") {
   fixture test;
   milliseconds others = test.claim_delay(milliseconds(30), 0.1);
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -121,11 +121,19 @@
   void watch_clocks();
   // Measures how slow the machine is; logs a change of the judgement.
   void watch_pace(steady_time now);
-  // As the owner: if the machine is slow, asks a fit standby whether it can
-  // claim the pool, and releases it once the standby confirms that.
+  // As the owner: if the machine is slow, or the copies of the store's records
+  // stay too old, asks a fit standby whether it can claim the pool, and
+  // releases it once the standby confirms that.
   void consider_handover(steady_time now);
-  void ask_successor(const daemon_info& successor, steady_time now);
-  void hand_over(const daemon_info& successor, steady_time now);
+  void ask_successor(const daemon_info& successor, handover_cause cause,
+                     steady_time now);
+  void hand_over(const daemon_info& successor, handover_cause cause,
+                 steady_time now);
+  // Logs that an outdated owner keeps the pool for want of a standby.
+  void report_no_successor(steady_time now);
+  // Confirms a question of an owner once the directory of workers has been read
+  // up to its end.
+  void confirm_directory(const http::responder& respond);
   // Whether this daemon can claim a pool that is released for it.
   bool can_succeed(steady_time now) const;
   void notify_successor(const daemon_info& successor, std::uint64_t epoch);
@@ -200,6 +208,9 @@
   bool asking_successor_ = false;
   // Standbys that didn't confirm, with the time when they were asked.
   std::map<std::string, steady_time> declined_;
+  std::uint64_t declined_handovers_ = 0;
+  steady_time no_successor_logged_;
+  bool checking_directory_ = false;  // For an owner's question.
   clock::timer tick_timer_;
   clock::timer drain_timer_;
   steady_time last_owner_contact_;
@@ -222,6 +233,7 @@
   bool claim_after_read_ = false;    // Claim after the next journal read.
   std::uint64_t claimed_epoch_ = 0;  // Epoch of the last claim; 0 if none.
   steady_time claim_sent_;           // When that claim was sent.
+  bool claimed_after_release_ = false;  // That claim: of a released pool.
   bool draining_ = false;
   clock_reading last_tick_;
   std::uint64_t last_tick_epoch_ = 0;  // As the owner, else 0.
--- a/src/poold/node_handover.cpp
+++ b/src/poold/node_handover.cpp
@@ -1,4 +1,7 @@
-// Handover of the pool by an owner on a slow machine. docs/design/slow-owner.md
+// Handover of the pool by an owner on a slow machine, or with outdated copies
+// of the store's records. docs/design/slow-owner.md
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -20,6 +23,11 @@
 // cut off announced itself up to 1.5 s ago, and a pool that is released for it
 // has no owner for seconds.
 constexpr milliseconds kConfirmTimeout{300};
+// The same if the standby reads the store before it confirms: two round trips
+// to the store more.
+constexpr milliseconds kCheckTimeout{700};
+// Limits the rate of log lines.
+constexpr milliseconds kNoSuccessorLogInterval{5000};
 // A standby that didn't confirm isn't asked again for this long.
 constexpr milliseconds kDeclinedPeriod{1000};
 // A standby with an older copy may be unable to reach the store. Covers a long
@@ -40,9 +48,11 @@
 }
 
 void node::consider_handover(steady_time now) {
-  bool may = machine_.slow_since != steady_time() && !draining_ &&
-             !asking_successor_ && !owner_->is_releasing();
-  if (!may) return;
+  bool wanted = machine_.slow_since != steady_time() ||
+                owner_->outdated_since() != steady_time();
+  if (!wanted || draining_ || asking_successor_ || owner_->is_releasing()) {
+    return;
+  }
   std::erase_if(declined_,
                 [now](const std::pair<const std::string, steady_time>& each) {
                   return now - each.second >= kDeclinedPeriod;
@@ -51,49 +61,92 @@
   std::erase_if(daemons, [this](const announced_daemon& each) {
     return declined_.count(each.daemon.id) > 0;
   });
-  std::optional<daemon_info> successor =
-      choose_successor(machine_,
-                       {owned_since_, owner_->journal_reachable(),
-                        settings_.zone, settings_.region, std::move(daemons)},
-                       now);
-  if (successor) ask_successor(*successor, now);
+  handover_input input{
+      owned_since_,
+      owner_->journal_reachable(),
+      settings_.zone,
+      settings_.region,
+      std::move(daemons),
+      owner_->outdated_since(),
+      max_outdated_time(settings_.cancel_time, settings_.drain_time),
+      claimed_after_release_};
+  std::optional<handover_cause> cause = handover_due(machine_, input, now);
+  if (!cause) return;
+  std::optional<daemon_info> successor = choose_successor(machine_, input, now);
+  if (successor) return ask_successor(*successor, *cause, now);
+  if (*cause == handover_cause::outdated) report_no_successor(now);
+}
+
+void node::report_no_successor(steady_time now) {
+  if (now - no_successor_logged_ < kNoSuccessorLogInterval) return;
+  no_successor_logged_ = now;
+  events::emit(
+      events::id::no_current_standby, "hand over", "",
+      "epoch={} outdated_ms={} journal_age_ms={} directory_age_ms={} "
+      "declined={}",
+      owner_->epoch(),
+      std::chrono::duration_cast<milliseconds>(now - owner_->outdated_since())
+          .count(),
+      pool::journal_age(owner_->state(), now).count(),
+      pool::directory_age(owner_->state(), now).count(), declined_.size());
 }
 
-void node::ask_successor(const daemon_info& successor, steady_time now) {
+void node::ask_successor(const daemon_info& successor, handover_cause cause,
+                         steady_time now) {
   asking_successor_ = true;
+  bool check_directory = cause == handover_cause::outdated;
   wire::ownership_record question;
   question.set_daemon(settings_.id);
   question.set_epoch(owner_->epoch());
   question.set_peer_address(settings_.peer_address);
   http::request request{http::verb::post, kHandoverPath, http::kHttpVersion11};
   request.body() = question.SerializeAsString();
+  if (check_directory) request.set(kCheckDirectoryHeader, "1");
   request.prepare_payload();
   successor_link_ = std::make_unique<http::client>(
       context_, successor.peer_address, http::client_options());
   successor_link_->call(
-      "ask successor", std::move(request), kConfirmTimeout,
-      [this, successor, now,
-       epoch = owner_->epoch()](http::call_result&& result) {
+      "ask successor", std::move(request),
+      check_directory ? kCheckTimeout : kConfirmTimeout,
+      [this, successor, cause, now, epoch = owner_->epoch(),
+       outdated_since = owner_->outdated_since()](http::call_result&& result) {
         asking_successor_ = false;
         if (!owner_ || owner_->epoch() != epoch || draining_) return;
         if (result.has_error() || result->result() != http::status::ok) {
           declined_[successor.id] = now;
+          ++declined_handovers_;
           return;
         }
-        bool still_slow = machine_.slow_since != steady_time();
-        if (still_slow && !owner_->is_releasing()) {
-          hand_over(successor, clock_.now());
+        bool still = cause == handover_cause::slow
+                         ? machine_.slow_since != steady_time()
+                         : owner_->outdated_since() == outdated_since;
+        if (still && !owner_->is_releasing()) {
+          hand_over(successor, cause, clock_.now());
         }
       });
 }
 
-void node::hand_over(const daemon_info& successor, steady_time now) {
-  record_handover(&machine_, now);
-  events::emit(
-      events::id::pool_handed_over, "hand over", successor.id,
-      "epoch={} slowdown={:.1f} successor_slowdown={:.1f} owned_ms={}",
-      owner_->epoch(), machine_.slowdown, successor.slowdown,
-      std::chrono::duration_cast<milliseconds>(now - owned_since_).count());
+void node::hand_over(const daemon_info& successor, handover_cause cause,
+                     steady_time now) {
+  record_handover(&machine_, cause, now);
+  std::int64_t owned_ms =
+      std::chrono::duration_cast<milliseconds>(now - owned_since_).count();
+  if (cause == handover_cause::slow) {
+    events::emit(
+        events::id::pool_handed_over, "hand over", successor.id,
+        "epoch={} slowdown={:.1f} successor_slowdown={:.1f} owned_ms={}",
+        owner_->epoch(), machine_.slowdown, successor.slowdown, owned_ms);
+  } else {
+    events::emit(
+        events::id::outdated_pool_handed_over, "hand over", successor.id,
+        "epoch={} outdated_ms={} journal_age_ms={} directory_age_ms={} "
+        "owned_ms={}",
+        owner_->epoch(),
+        std::chrono::duration_cast<milliseconds>(now - owner_->outdated_since())
+            .count(),
+        pool::journal_age(owner_->state(), now).count(),
+        pool::directory_age(owner_->state(), now).count(), owned_ms);
+  }
   owner_->release([this, successor] {
     std::uint64_t epoch = owner_->epoch();
     owner_.reset();
@@ -143,6 +196,9 @@
     return respond(http::error_response(http::status::conflict,
                                         "this daemon can't claim the pool"));
   }
+  bool check_directory =
+      !offer.released() && request.find(kCheckDirectoryHeader) != request.end();
+  if (check_directory) return confirm_directory(respond);
   respond(http::text_response(http::status::ok, "text/plain", ""));
   if (!offer.released()) return;
   offered_epoch_ = offer.epoch();
@@ -152,6 +208,32 @@
   consider_claim(now);
 }
 
+void node::confirm_directory(const http::responder& respond) {
+  std::function<void(bool)> answer = [this, respond](bool confirmed) {
+    checking_directory_ = false;
+    if (confirmed && can_succeed(clock_.now())) {
+      return respond(http::text_response(http::status::ok, "text/plain", ""));
+    }
+    respond(http::error_response(http::status::conflict,
+                                 "this daemon can't read the directory"));
+  };
+  // Reads that hang would add up.
+  if (checking_directory_) {
+    return respond(
+        http::error_response(http::status::conflict, "a check is under way"));
+  }
+  checking_directory_ = true;
+  // As an owner does: a page, and a read at the end.
+  store_.newest(platform::kDiscoveryTopic, "", 0,
+                [this, answer](error::result<platform::newest_reply> page) {
+                  if (page.has_error()) return answer(false);
+                  store_.read(
+                      platform::kDiscoveryTopic, page->end, milliseconds(0), 0,
+                      [answer](error::result<platform::read_reply> reply,
+                               steady_time) { answer(reply.has_value()); });
+                });
+}
+
 bool node::is_offered() const {
   const wire::ownership_record& last = table_.owner.record;
   return last.released() && last.epoch() == offered_epoch_;
--- a/src/poold/node_ownership.cpp
+++ b/src/poold/node_ownership.cpp
@@ -143,6 +143,7 @@
 void node::send_claim() {
   claiming_ = true;
   claim_sent_ = clock_.now();
+  claimed_after_release_ = table_.owner.record.released();
   std::uint64_t offset = journal_->next();
   // Epochs increase with the journal's offset. The store treats an append with
   // the producer, epoch and sequence number of an earlier append as its retry,
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -451,6 +451,12 @@
   append_value(&text, "ebonygrade_pool_handovers_total", "counter",
                "Times that this daemon as the owner handed the pool over.",
                machine_.handovers);
+  append_value(&text, "ebonygrade_pool_outdated_handovers_total", "counter",
+               "Handovers by an owner with outdated copies of the store.",
+               machine_.outdated_handovers);
+  append_value(&text, "ebonygrade_pool_declined_handovers_total", "counter",
+               "Questions of this owner that a standby didn't confirm.",
+               declined_handovers_);
   if (owner_) append_owner_metrics(&text);
   return text;
 }
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -113,6 +113,9 @@
   std::uint64_t refused_writes() const { return refused_writes_; }
   // Whether release() has been called.
   bool is_releasing() const { return releasing_; }
+  // Since when its copies of the store's records are too old for starts, as of
+  // the last round. Default value: they are recent.
+  steady_time outdated_since() const { return outdated_since_; }
   // Of all rounds so far.
   const work_time& round_time() const { return round_time_; }
   // Advice requests that were sent a second time.
--- a/src/poold/peer_paths.h
+++ b/src/poold/peer_paths.h
@@ -19,6 +19,9 @@
 // Asks a standby whether it can claim the pool, and, with a record that is
 // marked as released, tells it that the pool is released for it to claim.
 inline constexpr char kHandoverPath[] = "/v1/handover";
+// Header of the question of an owner that may be unable to read the store: the
+// standby is to read the directory of workers before it confirms.
+inline constexpr char kCheckDirectoryHeader[] = "Check-Directory";
 inline constexpr char kEndPath[] = "/v1/end";
 // Returns the manifest in force as the store has it.
 inline constexpr char kManifestPath[] = "/v1/manifest";
