--- a/src/poold/peer_paths.h
+++ b/src/poold/peer_paths.h
@@ -21,6 +21,9 @@
 inline constexpr char kHandoverPath[] = "/v1/handover";
 // Tells the owner of cancellations that the sender has appended.
 inline constexpr char kCancellationsPath[] = "/v1/cancellations";
+// Header of the question of an owner that may be unable to read the store: the
+// standby is to read the directory of workers before it confirms.
+inline constexpr char kCheckDirectoryHeader[] = "Check-Directory";
 inline constexpr char kEndPath[] = "/v1/end";
 // Returns the manifest in force as the store has it.
 inline constexpr char kManifestPath[] = "/v1/manifest";
