Look for workers that left before the owner read the directory

Callers saw gangs that stood still after a takeover, beside free room: a member's worker had left in order between two owners, and the later one waited for the longest lease of the earlier one, 9.3 s with leases of 6 s, 15.5 s with 10 s (lease_passed ... replied=0 lease=assumed).

Cause: an owner takes the runs of a worker that has left as over only if it has read the worker's last entry and its removal. The copy that a new owner loads has neither.

Now the owner reads some heartbeats' worth of the directory's records from before its copy, once, beside its other reads, and follows the next records for three heartbeats. A worker has left if its last records are an entry that drains and the removal, and that entry hasn't expired. The records have no time, but an order: another worker that wrote before the entry, not until the removal, and then again was silent for longer and still has its entry. More such workers are needed than ones that wrote twice in between; the latter alone would not do, as nobody writes while the store is down. The runs are freed once the connection has been lost for 0.5 s as well, as before. If the history can't be read or has been dropped, the lease decides, and event 875 says so.

--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -84,6 +84,7 @@
   owner_current = 872,
   step_waits = 873,
   worker_removed = 874,
+  departures_traced = 875,
 };
 
 struct definition {
@@ -274,6 +275,10 @@
                "A step has waited for more than 3 s; with the reason.", "none"},
     definition{id::worker_removed, "worker_removed", level::info,
                "The entry of a worker that has runs was removed.", "worker"},
+    definition{id::departures_traced, "departures_traced", level::info,
+               "A new owner has read the directory's records from before its "
+               "copy, for workers that had left.",
+               "none"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -42,6 +42,7 @@
 
 #include "jobs/job_table.h"
 #include "pool/admission.h"
+#include "pool/directory_history.h"
 #include "pool/near_wait.h"
 #include "pool/tenant_usage.h"
 #include "pool/types.h"
@@ -356,6 +357,7 @@
   std::uint64_t lost_runs = 0;
   std::uint64_t lease_passed_runs = 0;  // Part of the lost runs.
   std::uint64_t departed_runs = 0;      // The same: of workers that have left.
+  std::uint64_t traced_departures = 0;  // Workers; see observe_departure().
   std::uint64_t refused_starts = 0;
   std::uint64_t forgotten_jobs = 0;   // Deleted from the journal.
   std::uint64_t worker_restarts = 0;  // New incarnations under a known id.
@@ -502,6 +504,14 @@
 void observe_worker_removed(pool_state* pool, const std::string& worker,
                             steady_time now);
 
+// Workers with runs of an earlier owner that may have left before this owner
+// knew their entries: those without an entry, and those that drain.
+std::unordered_set<std::string> workers_to_trace(const pool_state& pool);
+// The directory's history tells that the worker has left; its runs are over as
+// after observe_worker_removed(). Returns false, and changes nothing, if the
+// worker is listed, is known to have left, or has another incarnation.
+bool observe_departure(pool_state* pool, const departure& departure);
+
 // The token of orders to the worker. Workers refuse orders with a lower token
 // than they have seen. It rises with the epoch and whenever the next call may
 // reach another incarnation of the worker, so that orders to an earlier one,
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -427,6 +427,36 @@
   add_worker_event(pool, worker_event_kind::removed, id, std::move(text));
 }
 
+std::unordered_set<std::string> workers_to_trace(const pool_state& pool) {
+  std::unordered_set<std::string> result;
+  for (const std::pair<const std::string, worker>& each : pool.workers) {
+    const worker& worker = each.second;
+    bool may_have_left = !worker.listed || worker.entry.draining;
+    bool has_unverified_runs =
+        std::any_of(worker.placements.begin(), worker.placements.end(),
+                    [](const placement& placed) {
+                      return placed.phase == phase::unverified;
+                    });
+    if (may_have_left && has_unverified_runs) result.insert(each.first);
+  }
+  return result;
+}
+
+bool observe_departure(pool_state* pool, const departure& departure) {
+  worker* worker = find_worker(pool, departure.worker);
+  if (worker == nullptr || worker->listed || worker->withdrawn) return false;
+  if (worker->entry.incarnation_ms != departure.incarnation_ms) return false;
+  worker->entry.address = departure.address;
+  worker->entry.draining = true;
+  worker->withdrawn = true;
+  ++pool->counters.traced_departures;
+  add_worker_event(pool, worker_event_kind::removed, departure.worker,
+                   "incarnation=" + std::to_string(departure.incarnation_ms) +
+                       " draining=1 withdrawn=1 source=history runs=" +
+                       std::to_string(worker->placements.size()));
+  return true;
+}
+
 std::uint64_t fencing_token(const pool_state& pool, const std::string& worker) {
   std::unordered_map<std::string, std::uint64_t>::const_iterator found =
       pool.raised_tokens.find(worker);
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -502,6 +502,9 @@
   append_value(text, "ebonygrade_pool_runs_departed_total", "counter",
                "Lost runs whose worker had left.",
                state.counters.departed_runs);
+  append_value(text, "ebonygrade_pool_departures_traced_total", "counter",
+               "Workers that had left before the owner read the directory.",
+               state.counters.traced_departures);
   append_value(text, "ebonygrade_pool_jobs_forgotten_total", "counter",
                "Ended jobs that were deleted from the journal.",
                state.counters.forgotten_jobs);
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -153,6 +153,7 @@
   journal_->stop();
   if (maintenance_) maintenance_->stop();
   if (discovery_) discovery_->stop();
+  if (departures_) departures_->stop();
   for (std::pair<const std::string, std::shared_ptr<worker_link>>& each :
        links_) {
     each.second->stop();
@@ -238,9 +239,40 @@
                   [&](const std::string& key) { return seen.count(key) == 0; });
   }
   directory_ended_at_ = discovery_->current_as_of();
+  if (!directory_loaded_) {
+    trace_departures(records.size());
+  } else if (departures_ && all) {
+    // The records between the two loads are lost.
+    departures_->finish("the directory was loaded again");
+  } else if (departures_) {
+    departures_->add(records);
+  }
+  directory_loaded_ = true;
   schedule_round();
 }
 
+void owner::trace_departures(std::size_t entries) {
+  std::unordered_set<std::string> workers = pool::workers_to_trace(pool_);
+  if (workers.empty()) return;
+  departure_history_options options;
+  options.end = discovery_->next();
+  options.entries = entries;
+  options.heartbeat = settings_.worker_heartbeat;
+  std::weak_ptr<owner> weak = weak_from_this();
+  departures_ = std::make_shared<departure_history>(
+      store_, clock_, options, std::move(workers),
+      [weak](const pool::departure& each) {
+        std::shared_ptr<owner> self = weak.lock();
+        if (!self || self->stopped_) return false;
+        if (!pool::observe_departure(&self->pool_, each)) return false;
+        // Its lost connection is the other half of the proof.
+        self->open_link(each.worker, each.address);
+        self->schedule_round();
+        return true;
+      });
+  departures_->start();
+}
+
 void owner::on_discovery_record(const jobs::record& record) {
   if (record.value.empty()) {
     unreadable_entries_.erase(record.key);
--- a/src/poold/owner.h
+++ b/src/poold/owner.h
@@ -22,6 +22,7 @@
 #include "poold/admission_gate.h"
 #include "poold/advice_dispatcher.h"
 #include "poold/appender.h"
+#include "poold/departure_history.h"
 #include "poold/machine_pace.h"
 #include "poold/maintenance_runner.h"
 #include "poold/measurements.h"
@@ -139,6 +140,8 @@
   void start_maintenance();
   void on_discovery_records(const std::vector<jobs::record>& records, bool all);
   void on_discovery_record(const jobs::record& record);
+  // After the first load of the directory: looks for workers that left before.
+  void trace_departures(std::size_t entries);
   void on_unreadable_entry(const std::string& key, const error::failure& cause);
   void open_link(const std::string& worker, const std::string& address);
   void close_link(const std::string& worker);
@@ -205,6 +208,8 @@
   steady_time journal_current_as_of_;
   std::shared_ptr<appender> journal_;
   std::shared_ptr<topic_follower> discovery_;
+  bool directory_loaded_ = false;
+  std::shared_ptr<departure_history> departures_;  // Null if none may be found.
   // When the directory ended with the records that have been read; later ones
   // were written after this.
   steady_time directory_ended_at_;
