--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -84,6 +84,7 @@
   owner_current = 872,
   step_waits = 873,
   worker_removed = 874,
+  departures_traced = 875,
   outdated_pool_handed_over = 880,
   no_current_standby = 881,
 };
@@ -276,6 +277,10 @@
                "A step has waited for more than 3 s; with the reason.", "none"},
     definition{id::worker_removed, "worker_removed", level::info,
                "The entry of a worker that has runs was removed.", "worker"},
+    definition{id::departures_traced, "departures_traced", level::info,
+               "A new owner has read the directory's records from before its "
+               "copy, for workers that had left.",
+               "none"},
     definition{id::outdated_pool_handed_over, "outdated_pool_handed_over",
                level::warning,
                "The owner's copies of the store's records stay too old; it "
--- a/src/pool/simulated_departures.cpp
+++ b/src/pool/simulated_departures.cpp
@@ -375,7 +375,7 @@
                                        steady_time sent, std::size_t end) {
   steady_time now = time_of(*owner);
   for (; owner->entries_read < end; ++owner->entries_read) {
-    const directory_record& record = departures_.records()[owner->entries_read];
+    const simulated_record& record = departures_.records()[owner->entries_read];
     if (!record.removed && record.entry.id.empty()) {
       observe_worker_unlisted(&owner->state, record.worker);
       continue;
--- a/src/pool/simulated_departures.h
+++ b/src/pool/simulated_departures.h
@@ -48,7 +48,7 @@
 };
 
 // One change of the directory. An empty id in `entry`: it can't be read.
-struct directory_record {
+struct simulated_record {
   std::string worker;
   bool removed = false;
   worker_entry entry;
@@ -87,7 +87,7 @@
   bool is_listed(const std::string& worker) const {
     return listed_.count(worker) > 0;
   }
-  const std::vector<directory_record>& records() const { return records_; }
+  const std::vector<simulated_record>& records() const { return records_; }
   // The entries in force.
   std::vector<worker_entry> entries() const;
   void begin_outage(steady_time now, milliseconds time);
@@ -128,7 +128,7 @@
 
   departure_options options_;
   std::mt19937 random_;
-  std::vector<directory_record> records_;
+  std::vector<simulated_record> records_;
   std::map<std::string, listing> listed_;
   steady_time down_until_;
   bool expires_while_down_ = false;
