--- a/src/pool/simulated_cell.cpp
+++ b/src/pool/simulated_cell.cpp
@@ -56,7 +56,11 @@
           a.cancellations + b.cancellations,
           a.cancelled_starts + b.cancelled_starts,
           a.cancelled_runs + b.cancelled_runs,
-          a.outdated_rounds + b.outdated_rounds};
+          a.outdated_rounds + b.outdated_rounds,
+          a.releases + b.releases,
+          a.known_leases + b.known_leases,
+          a.recorded_leases + b.recorded_leases,
+          a.deleted_leases + b.deleted_leases};
 }
 
 simulated_cell::simulated_cell(const cell_options& options)
@@ -87,7 +91,12 @@
   begin_owner(false);
   std::function<void()> claims = [this] {
     if (!faulty()) return;
-    begin_owner(chance(options_.surviving_owner));
+    bool survives = chance(options_.surviving_owner);
+    if (options_.released > 0 && lapse_chance(options_.released)) {
+      release();
+    } else {
+      begin_owner(survives);
+    }
     at(options_.takeover_every + random_delay(0, 1000), repeating_events_[0]);
   };
   std::function<void()> crashes = [this] {
@@ -403,6 +412,10 @@
 }
 
 void simulated_cell::apply(const jobs::record& record) {
+  if (record.key.starts_with(jobs::silent_worker_key(""))) {
+    ++(record.value.empty() ? reached_.deleted_leases
+                            : reached_.recorded_leases);
+  }
   jobs::record numbered = record;
   numbered.offset = offset_++;
   std::string id = record.key.substr(1);
@@ -499,6 +512,11 @@
        std::exchange(cut_from_next_owner_, std::set<std::string>())) {
     draw_cuts(&result->worker_cuts[worker], milliseconds(0));
   }
+  wire::ownership_record claim;
+  claim.set_epoch(epoch_);
+  apply({jobs::kOwnerKey, claim.SerializeAsString(), 0});
+  reached_.known_leases +=
+      table_.released_leases.size() + table_.silent_workers.size();
   observe_journal_write(&result->state, now_);
   continue_pool_time(&result->state, table_.pool_time, now_);
   restore_leases(&result->state, table_);
@@ -511,13 +529,49 @@
     read_journal(result);
   }
   owner_ = result;
+  if (options_.directory_delay.count() == 0) {
+    begin_observing_workers(result);
+  } else {
+    after(options_.directory_delay, result,
+          [this, result] { begin_observing_workers(result); });
+  }
+  round(result);
+}
+
+void simulated_cell::begin_observing_workers(
+    const std::shared_ptr<owner>& owner) {
   for (const std::pair<const std::string, std::unique_ptr<simulated_worker>>&
            each : workers_) {
     if (is_replaced(each.first)) continue;
-    observe_worker_entry(&result->state, each.second->entry(), now_);
-    poll(result, each.first);
+    observe_worker_entry(&owner->state, each.second->entry(), time_of(*owner));
+    poll(owner, each.first);
   }
-  round(result);
+}
+
+void simulated_cell::release() {
+  std::shared_ptr<owner> owner = owner_;
+  if (owner->paused || owner->writing || now_ < journal_down_until_ ||
+      is_cut(owner->journal_cuts.calls)) {
+    return begin_owner(true);
+  }
+  ++reached_.releases;
+  owner->writing = true;
+  journal_batch batch = take_batch(&owner->state, time_of(*owner));
+  wire::ownership_record released;
+  released.set_epoch(owner->epoch);
+  released.set_released(true);
+  std::vector<wire::worker_lease> leases =
+      release_leases(&owner->state, time_of(*owner));
+  released.mutable_leases()->Add(leases.begin(), leases.end());
+  batch.records.push_back({jobs::kOwnerKey, released.SerializeAsString(), 0});
+  at(random_delay(2, 30), [this, owner, batch = std::move(batch)] {
+    if (owner != owner_) return;
+    for (const jobs::record& each : batch.records) apply(each);
+    // It polls and sends until it learns that it has released the pool.
+    at(random_delay(1, 300), [this, owner] {
+      if (owner == owner_) begin_owner(false);
+    });
+  });
 }
 
 void simulated_cell::round(std::shared_ptr<owner> owner) {
--- a/src/pool/simulated_cell.h
+++ b/src/pool/simulated_cell.h
@@ -79,6 +79,10 @@
   double stale_entries = 0;  // Share of entries that are read again later.
   // Interval of repeated submissions while jobs are visible; 0: none.
   milliseconds resubmit_every{0};
+  // Share of changes of owner that follow a release.
+  double released = 0;
+  // Time from a claim until its owner knows the workers.
+  milliseconds directory_delay{0};
   tenant_options tenants;
   cancellation_options cancellations;
 };
@@ -106,6 +110,12 @@
   std::size_t cancelled_starts = 0;
   std::size_t cancelled_runs = 0;
   std::size_t outdated_rounds = 0;  // Of owners whose copy was too old.
+  std::size_t releases = 0;
+  // Leases that the journal told at a takeover.
+  std::size_t known_leases = 0;
+  // Leases of silent workers that were recorded, and records deleted.
+  std::size_t recorded_leases = 0;
+  std::size_t deleted_leases = 0;
 };
 situations operator+(const situations& a, const situations& b);
 
@@ -218,6 +228,9 @@
   void submit(const std::string& id);
   void resubmit();
   void begin_owner(bool old_survives);
+  void begin_observing_workers(const std::shared_ptr<owner>& owner);
+  // The present owner releases the pool, and another one claims it.
+  void release();
   void round(std::shared_ptr<owner> owner);
   // Counts the runs that the owner takes as over since their lease passed, and
   // reports those that go on.
--- a/src/pool/simulation_test.cpp
+++ b/src/pool/simulation_test.cpp
@@ -152,6 +152,29 @@
   CHECK(count_passed_too_early(options) == 0);
 }
 
+cell_options restarts_and_changing_owners() {
+  cell_options options = mass_restarts_and_takeovers();
+  options.takeover_every = milliseconds(3000);
+  options.late_first_calls = true;
+  return options;
+}
+
+// Guards against a later owner that frees a run for its released lease, while
+// its start is carried out late.
+TEST_CASE("a late start before a release isn't taken as over") {
+  cell_options options = restarts_and_changing_owners();
+  options.released = 0.7;
+  CHECK(count_passed_too_early(options) == 0);
+}
+
+// Guards against a later owner that frees a run for the recorded lease of an
+// earlier incarnation, before it knows the present one.
+TEST_CASE("a late start isn't taken as over before the workers are known") {
+  cell_options options = restarts_and_changing_owners();
+  options.directory_delay = milliseconds(400);
+  CHECK(count_passed_too_early(options) == 0);
+}
+
 // Nothing in an order tells a new incarnation without a fencing token that the
 // order was meant for an earlier one.
 TEST_CASE("jobs survive late orders before an incarnation's first poll",
@@ -264,6 +287,26 @@
   check_lapses(lapses(pause_kind::suspension));
 }
 
+// Workers come into and out of the reach of owners that change more often than
+// leases last, so the journal's word on a lease is often used.
+cell_options changing_owners() {
+  cell_options options = lapses(pause_kind::none);
+  options.takeover_every = milliseconds(4000);
+  options.surviving_owner = 0.5;
+  options.released = 0.4;
+  return options;
+}
+
+// Guards against runs that go on under a lease that the journal doesn't tell.
+TEST_CASE("a lease that the journal tells isn't taken as over too early") {
+  situations reached = check_seeds(changing_owners());
+  CHECK(reached.releases > 2 * seed_count());
+  CHECK(reached.known_leases > 10 * seed_count());
+  CHECK(reached.recorded_leases > 10 * seed_count());
+  CHECK(reached.deleted_leases > 5 * seed_count());
+  CHECK(reached.leases_passed > seed_count());
+}
+
 // By a clock that leaves out suspensions, the owner's last append seems recent
 // when it wakes.
 TEST_CASE("the simulation finds leases that leave out a suspension") {
