--- a/src/jobs/job_table_test.cpp
+++ b/src/jobs/job_table_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 namespace ebonygrade::jobs {
 
@@ -175,6 +176,68 @@
   CHECK(table.unreadable_records == 1);
 }
 
+record ownership(std::uint64_t epoch, bool released, std::uint64_t offset) {
+  wire::ownership_record owner;
+  owner.set_epoch(epoch);
+  owner.set_released(released);
+  if (released) owner.add_leases()->set_worker("w1");
+  return {kOwnerKey, owner.SerializeAsString(), offset};
+}
+
+TEST_CASE("a claim that follows a release directly knows its leases") {
+  table table;
+  apply(&table, ownership(1, true, 10));
+  apply(&table, ownership(2, false, 11));
+  CHECK(table.released_leases.size() == 1);
+  apply(&table, ownership(2, false, 12));
+  CHECK(table.released_leases.size() == 1);
+  apply(&table, ownership(3, false, 13));
+  CHECK(table.released_leases.empty());
+}
+
+// A load has the newest claim only. The owner of one that it lacks may have
+// granted longer leases than were released before it.
+TEST_CASE("a claim that a load may lack is not taken for none",
+          "[!shouldfail]") {
+  table table;
+  apply(&table, ownership(1, true, 10));
+  std::vector<record> newest = {ownership(3, false, 20)};
+  remove_missing(&table, newest, 21);
+  for (const record& each : newest) apply(&table, each);
+  CHECK(table.released_leases.empty());
+}
+
+record silent_worker_record(std::int64_t ends, std::uint64_t offset) {
+  wire::silent_worker silent;
+  silent.set_incarnation_ms(1);
+  silent.set_lease_ends_pool_ms(ends);
+  return {silent_worker_key("w1"), silent.SerializeAsString(), offset};
+}
+
+// Guards against leases that are told by a record that has been replaced.
+TEST_CASE("records of silent workers may be applied again") {
+  table table;
+  apply(&table, silent_worker_record(2000, 12));
+  apply(&table, silent_worker_record(1000, 10));
+  CHECK(table.silent_workers.at("w1").record.lease_ends_pool_ms() == 2000);
+  apply(&table, {silent_worker_key("w1"), "", 11});
+  CHECK(table.silent_workers.size() == 1);
+  apply(&table, {silent_worker_key("w1"), "", 13});
+  CHECK(table.silent_workers.empty());
+}
+
+TEST_CASE("records of silent workers that a load lacks are removed") {
+  table table;
+  apply(&table, silent_worker_record(2000, 12));
+  remove_missing(&table, {silent_worker_record(2000, 12)}, 13);
+  CHECK(table.silent_workers.size() == 1);
+  // Written while the records were loaded.
+  remove_missing(&table, {}, 12);
+  CHECK(table.silent_workers.size() == 1);
+  remove_missing(&table, {}, 13);
+  CHECK(table.silent_workers.empty());
+}
+
 }  // namespace
 
 }  // namespace ebonygrade::jobs
--- a/src/pool/recorded_leases_test.cpp
+++ b/src/pool/recorded_leases_test.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds kSilence{5000};
 // A lease lasts 6 s, and 3% longer on a slow clock.
 constexpr milliseconds kRestOfLease{1200};
+// Longer than the time between records of the pool time.
+constexpr milliseconds kTick{2100};
 
 // A task on w1, which has been silent for a while. Another worker has room.
 struct silent_pool : test_pool {
@@ -180,6 +182,74 @@
   CHECK(pool.table.silent_workers.empty());
 }
 
+// Guards against a lease that is taken as over by what the journal tells of
+// another incarnation, which an owner may have recorded before its takeover.
+TEST_CASE("the recorded lease of another incarnation tells nothing") {
+  recorded_pool pool;
+  wire::silent_worker other = pool.table.silent_workers.at("w1").record;
+  other.set_incarnation_ms(2);
+  pool.apply({jobs::silent_worker_key("w1"), other.SerializeAsString(), 0});
+  pool.replace_owner();
+  CHECK(pool.round_after(kRestWithLoss).empty());
+  CHECK(pool.table.silent_workers.empty());
+}
+
+// The next incarnation may have confirmed the start, with a lease of its own.
+TEST_CASE("the record of a lease is deleted once the worker has restarted") {
+  test_pool pool;
+  pool.add_worker("w1", 1000);
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  pool.confirm(pool.round());
+  pool.advance(kSilence);
+  pool.round();
+  REQUIRE(pool.table.silent_workers.count("w1") == 1);
+  pool.read_restart("w1");
+  pool.round();
+  CHECK(pool.table.silent_workers.empty());
+}
+
+// The start may be carried out late, by another incarnation of the worker.
+TEST_CASE("a release tells no lease of a worker that may still get a start",
+          "[!shouldfail]") {
+  test_pool pool;
+  pool.add_worker("w1", 1000);
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  REQUIRE(pool.round().size() == 1);
+  pool.advance(kSilence);
+  pool.release();
+  pool.take_over();
+  pool.add_worker("w2", 1000);
+  pool.advance(kRestOfLease);
+  pool.report("w2", {});
+  CHECK(pool.round().empty());
+}
+
+// The worker has restarted, which the directory tells, and its next incarnation
+// may carry out the start that it got no reply to.
+TEST_CASE("no recorded lease is over before the owner knows the workers",
+          "[!shouldfail]") {
+  test_pool pool;
+  pool.add_worker("w1", 1000);
+  pool.submit(kJob, {test_pool::step(1, 1000)});
+  REQUIRE(pool.round().size() == 1);
+  pool.take_over();
+  observe_directory_read(&pool.state, pool.now);
+  milliseconds longest = max_previous_owner_lease(pool.state.limits);
+  for (milliseconds passed{0}; passed < longest; passed += kTick) {
+    pool.advance(kTick);
+    if (passed + kTick < longest) pool.round();
+  }
+  pool.take_over();
+  pool.advance(milliseconds(1000));
+  pool.round();
+  pool.add_worker("w2", 1000);
+  worker_entry restarted = pool.state.workers.at("w2").entry;
+  restarted.id = "w1";
+  restarted.incarnation_ms = 2;
+  observe_worker_entry(&pool.state, restarted, pool.now);
+  CHECK(pool.round().empty());
+}
+
 TEST_CASE("the record of a lease is deleted with the last run") {
   recorded_pool pool;
   pool.report("w2", {});
