--- a/src/pool/simulation_test.cpp
+++ b/src/pool/simulation_test.cpp
@@ -155,6 +155,9 @@
 cell_options restarts_and_changing_owners() {
   cell_options options = mass_restarts_and_takeovers();
   options.takeover_every = milliseconds(3000);
+  options.crash_every = milliseconds(4000);
+  options.cut_workers = 0.5;
+  options.late_delivery = 0.4;
   options.late_first_calls = true;
   return options;
 }
