Tell no lease that a late start may outlast, and none that a load can't show

- A release told the leases of workers that may still get a start.
- A later owner could take a told lease as over in its first round, before it had read the directory and so could know that the worker has restarted.

--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -238,6 +238,9 @@
 void remove_missing(table* table, const std::vector<record>& newest,
                     std::uint64_t end) {
   remove_missing_silent_workers(table, newest, end);
+  // A load has only the newest claim; the ones before it aren't known.
+  table->released_leases.clear();
+  table->owner.record.clear_leases();
   std::unordered_set<std::string_view> present;
   for (const record& each : newest) {
     if (each.key.size() > 1) {
--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -135,10 +135,20 @@
   }
 }
 
+// Whether its lease may be taken as over by what the journal has told of it.
+bool may_count_lease(const pool_state& pool, const worker& worker,
+                     steady_time now) {
+  bool known = worker.last_reply != steady_time() ||
+               pool.directory_current_as_of != steady_time();
+  return !worker.lease_told || known ||
+         now - pool.time.base_at > max_previous_owner_lease(pool.limits);
+}
+
 void process_worker_orders(pool_state* pool, worker* worker, decisions* out,
                            steady_time now) {
   if (has_left(*worker, now)) drop_departed_runs(pool, worker, now);
-  bool unresponsive = now - worker->last_reply > kUnresponsiveAfter;
+  bool unresponsive = now - worker->last_reply > kUnresponsiveAfter &&
+                      may_count_lease(*pool, *worker, now);
   if (unresponsive && now > worker->lease_end && !worker->placements.empty()) {
     pool->counters.lease_passed_runs += worker->placements.size();
     if (!worker->listed) record_vanished(pool, *worker, now);
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -176,6 +176,8 @@
   steady_time clock_read_at;
   steady_time lease_end;        // No leased run continues after this.
   steady_time last_lease_sent;  // In an order of this owner.
+  // The journal told how long the leases of earlier owners last.
+  bool lease_told = false;
   // It gets a lease only without a record of the end of its last one.
   pool::lease_record lease_record = lease_record::none;
   // Whether lease_end follows from a lease that this owner sent, rather than
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -13,6 +13,10 @@
 // covers two missed polls of one second.
 inline constexpr milliseconds kUnresponsiveAfter{2500};
 
+// The platform may carry out an order 12 s after it was sent, and a call waits
+// for a connection for up to 600 ms.
+inline constexpr milliseconds kMaxOrderDelay{12600};
+
 bool may_get_lease(const pool_state& pool, const worker& worker,
                    steady_time now);
 // Moves the end of the worker's lease to `end` unless it is later already.
--- a/src/pool/recorded_leases.cpp
+++ b/src/pool/recorded_leases.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <unordered_map>
 #include <utility>
 
 #include "pool/pool_pvt.h"
@@ -49,7 +50,9 @@
   pool->releasing = true;
   std::vector<const worker*> with_runs;
   for (const std::pair<const std::string, worker>& each : pool->workers) {
-    if (!each.second.placements.empty()) with_runs.push_back(&each.second);
+    if (each.second.placements.empty()) continue;
+    if (may_get_start(each.second)) continue;
+    with_runs.push_back(&each.second);
   }
   std::sort(with_runs.begin(), with_runs.end(),
             [](const worker* a, const worker* b) {
@@ -79,6 +82,7 @@
       pool->released_leases.find(worker->entry.id);
   if (released != pool->released_leases.end() &&
       released->second.incarnation_ms() == incarnation_ms) {
+    worker->lease_told = true;
     rest = std::min(rest, milliseconds(released->second.remaining_ms()));
   }
   std::unordered_map<std::string, wire::silent_worker>::const_iterator silent =
@@ -86,6 +90,7 @@
   if (silent != pool->silent_workers.end() &&
       silent->second.incarnation_ms() == incarnation_ms) {
     worker->lease_record = lease_record::kept;
+    worker->lease_told = true;
     milliseconds left = milliseconds(silent->second.lease_ends_pool_ms()) -
                         pool_time(*pool, now);
     rest = std::min(rest, std::max(milliseconds(0), left));
--- a/src/pool/recorded_leases.h
+++ b/src/pool/recorded_leases.h
@@ -9,8 +9,11 @@
 //   deleted, so the record holds for any later owner. The pool time is never
 //   ahead of the time that has passed, so no lease is taken as passed too soon.
 //
-// Workers that may still get a start have no record: the start may be carried
-// out late by their next incarnation, with a lease of its own.
+// Nothing is told of workers that may still get a start of this owner: it may
+// be carried out late by their next incarnation, with a lease of its own. Of
+// runs of an earlier owner, a record tells what this owner itself waits for. A
+// lease that is told isn't over before the owner has read the directory, which
+// shows the next incarnation.
 #pragma once
 
 #include <cstddef>
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -14,9 +14,6 @@
 // Margin below the longest lease, so that the worker doesn't cut it for
 // rounding.
 constexpr milliseconds kLeaseMargin{50};
-// The platform may carry out an order 12 s after it was sent, and a call waits
-// for a connection for up to 600 ms.
-constexpr milliseconds kMaxOrderDelay{12600};
 // Fencing tokens of an epoch. JSON readers may hold numbers as doubles, which
 // leaves 43 bits for the epoch.
 constexpr std::uint64_t kTokensPerEpoch = 1024;
