Share the checks of leases, late starts and silence that stood several times

Reading the change once more: whether a worker is responsive stood in seven places, whether a start may still arrive in three, whether a worker has been observed in two, the text of a time in milliseconds in four, the state of an outdated owner's copies in two log lines, and the number of seeds in four simulation tests. Each is one function now (pool_pvt.h, node_handover.cpp, simulation_seeds.h). may_count_lease() moves to recorded_leases.cpp, whose header has the rule. A report of a waiting step collects the granted workers once instead of twice.

No behaviour, bound, log text or assertion changes.

--- a/src/pool/cancellation_simulation_test.cpp
+++ b/src/pool/cancellation_simulation_test.cpp
@@ -1,23 +1,16 @@
 // Cancellations in random simulations of a whole cell, checked against the runs
 // at the workers.
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <string_view>
 
 #include "pool/simulated_cell.h"
+#include "pool/simulation_seeds.h"
 
 namespace ebonygrade::pool {
 
 namespace {
 
 constexpr milliseconds kLimit{180000};
-// EBONYGRADE_SIMULATION_SEEDS sets another number of seeds.
-constexpr std::uint64_t kSeedsInCi = 60;
-
-std::uint64_t seed_count() {
-  const char* more = std::getenv("EBONYGRADE_SIMULATION_SEEDS");
-  return more == nullptr ? kSeedsInCi : std::strtoull(more, nullptr, 10);
-}
 
 // More work than the workers can do at once, so that cancelled jobs have tasks
 // at work and tasks that wait.
--- a/src/pool/departure_simulation_test.cpp
+++ b/src/pool/departure_simulation_test.cpp
@@ -1,26 +1,19 @@
 // Workers that leave in random simulations of a whole cell, beside workers that
 // only look as if they had left.
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <string_view>
 
 #include "pool/simulated_cell.h"
+#include "pool/simulation_seeds.h"
 
 namespace ebonygrade::pool {
 
 namespace {
 
 constexpr milliseconds kLimit{180000};
-// EBONYGRADE_SIMULATION_SEEDS sets another number of seeds.
-constexpr std::uint64_t kSeedsInCi = 60;
 // What could run starts within this time.
 constexpr milliseconds kRestartTarget{3000};
 
-std::uint64_t seed_count() {
-  const char* more = std::getenv("EBONYGRADE_SIMULATION_SEEDS");
-  return more == nullptr ? kSeedsInCi : std::strtoull(more, nullptr, 10);
-}
-
 cell_options departures() {
   cell_options options;
   options.workers = 12;
--- a/src/pool/options.cpp
+++ b/src/pool/options.cpp
@@ -176,8 +176,7 @@
   bool described =
       worker.described_incarnation_ms == worker.entry.incarnation_ms;
   return described && worker.listed && worker.fenced &&
-         !worker.entry.draining &&
-         now - worker.last_reply <= kUnresponsiveAfter &&
+         !worker.entry.draining && is_responsive(worker, now) &&
          worker.contact_lost_at == steady_time() && worker.avoid_until <= now &&
          worker.trials == 0;
 }
--- a/src/pool/orders.cpp
+++ b/src/pool/orders.cpp
@@ -53,7 +53,7 @@
 
 void retry_start(pool_state* pool, worker* worker, placement* placed,
                  decisions* out, steady_time now) {
-  bool responsive = now - worker->last_reply <= kUnresponsiveAfter;
+  bool responsive = is_responsive(*worker, now);
   // The next reply tells whether another incarnation would get the copy.
   if (responsive && !worker->knows_token) return;
   if (is_outdated(*pool, now)) return;
@@ -94,15 +94,11 @@
   // Without a reply, from when its entry was read; a worker that is known from
   // the journal alone has neither.
   if (worker.last_reply != steady_time()) {
-    milliseconds silent =
-        std::chrono::duration_cast<milliseconds>(now - worker.last_reply);
-    text += " silent_ms=" + std::to_string(silent.count());
+    text += " silent_ms=" + milliseconds_between(worker.last_reply, now);
   }
-  milliseconds ended =
-      std::chrono::duration_cast<milliseconds>(now - worker.lease_end);
   return text + " replied=" + (worker.replied_at.empty() ? "0" : "1") +
          " lease=" + (worker.lease_granted ? "granted" : "assumed") +
-         " lease_ended_ms=" + std::to_string(ended.count());
+         " lease_ended_ms=" + milliseconds_between(worker.lease_end, now);
 }
 
 // Whether the worker has exited with what it ran. One whose connection was
@@ -118,13 +114,10 @@
 void drop_departed_runs(pool_state* pool, worker* worker, steady_time now) {
   std::vector<std::pair<task_key, std::uint32_t>> over;
   for (const placement& each : worker->placements) {
-    bool may_arrive = each.phase == phase::sent || each.starts_sent > 1;
-    if (!may_arrive) over.emplace_back(each.task, each.run);
+    if (!start_may_arrive(each)) over.emplace_back(each.task, each.run);
   }
   std::string reason = "reason=departed broken_ms=" +
-                       std::to_string(std::chrono::duration_cast<milliseconds>(
-                                          now - worker->contact_lost_at)
-                                          .count());
+                       milliseconds_between(worker->contact_lost_at, now);
   pool->counters.lost_runs += over.size();
   pool->counters.departed_runs += over.size();
   for (const std::pair<task_key, std::uint32_t>& each : over) {
@@ -135,20 +128,11 @@
   }
 }
 
-// Whether its lease may be taken as over by what the journal has told of it.
-bool may_count_lease(const pool_state& pool, const worker& worker,
-                     steady_time now) {
-  bool known = worker.last_reply != steady_time() ||
-               pool.directory_current_as_of != steady_time();
-  return !worker.lease_told || known ||
-         now - pool.time.base_at > max_previous_owner_lease(pool.limits);
-}
-
 void process_worker_orders(pool_state* pool, worker* worker, decisions* out,
                            steady_time now) {
   if (has_left(*worker, now)) drop_departed_runs(pool, worker, now);
-  bool unresponsive = now - worker->last_reply > kUnresponsiveAfter &&
-                      may_count_lease(*pool, *worker, now);
+  bool unresponsive =
+      !is_responsive(*worker, now) && may_count_lease(*pool, *worker, now);
   if (unresponsive && now > worker->lease_end && !worker->placements.empty()) {
     pool->counters.lease_passed_runs += worker->placements.size();
     if (!worker->listed) record_vanished(pool, *worker, now);
@@ -179,7 +163,7 @@
        each != pool->workers.end();) {
     worker& worker = each->second;
     bool removable = !worker.listed && worker.placements.empty() &&
-                     now - worker.last_reply > kUnresponsiveAfter;
+                     !is_responsive(worker, now);
     if (removable) {
       out->departed.push_back(each->first);
       // It may return and get a late order from before.
--- a/src/pool/pool_pvt.h
+++ b/src/pool/pool_pvt.h
@@ -12,11 +12,31 @@
 // A worker without a reply for this long gets no starts and no leases. The time
 // covers two missed polls of one second.
 inline constexpr milliseconds kUnresponsiveAfter{2500};
+inline bool is_responsive(const worker& worker, steady_time now) {
+  return now - worker.last_reply <= kUnresponsiveAfter;
+}
+// Whether the owner has read the worker's entry, or that it has none. Before,
+// the journal is all that it knows of the worker.
+inline bool is_observed(const pool_state& pool, const worker& worker) {
+  return worker.last_reply != steady_time() ||
+         pool.directory_current_as_of != steady_time();
+}
+// Whether a copy of the start may have no reply yet: it may be carried out
+// late, by the worker's next incarnation.
+inline bool start_may_arrive(const placement& placed) {
+  return placed.phase == phase::sent || placed.starts_sent > 1;
+}
+// In milliseconds, for events.
+inline std::string milliseconds_between(steady_time from, steady_time to) {
+  return std::to_string(
+      std::chrono::duration_cast<milliseconds>(to - from).count());
+}
 
 // The platform may carry out an order 12 s after it was sent, and a call waits
 // for a connection for up to 600 ms.
 inline constexpr milliseconds kMaxOrderDelay{12600};
 
+// Whether the owner may grant the worker a lease now.
 bool may_get_lease(const pool_state& pool, const worker& worker,
                    steady_time now);
 // Moves the end of the worker's lease to `end` unless it is later already.
--- a/src/pool/progress.cpp
+++ b/src/pool/progress.cpp
@@ -57,7 +57,7 @@
              steady_time now) {
   if (placed.phase != phase::running || placed.stop_wanted) return false;
   if (!placed.reported || !worker.has_all_ends) return false;
-  if (now - worker.last_reply > kUnresponsiveAfter) return false;
+  if (!is_responsive(worker, now)) return false;
   // The worker's clock, as this owner may have been paused between two reports.
   milliseconds since_report = std::min(
       std::chrono::duration_cast<milliseconds>(now - worker.clock_read_at),
--- a/src/pool/recorded_leases.cpp
+++ b/src/pool/recorded_leases.cpp
@@ -18,18 +18,14 @@
 
 // Whether no lease is granted to the worker any more unless it replies.
 bool is_silent(const pool_state& pool, const worker& worker, steady_time now) {
-  // Before the directory is read, nothing is known of any worker.
-  bool known = worker.last_reply != steady_time() ||
-               pool.directory_current_as_of != steady_time();
-  return known && now - worker.last_reply > kUnresponsiveAfter;
+  return is_observed(pool, worker) && !is_responsive(worker, now);
 }
 
 bool may_get_start(const worker& worker) {
   return std::any_of(worker.placements.begin(), worker.placements.end(),
                      [](const placement& each) {
-                       return each.phase == phase::sent ||
-                              each.phase == phase::recording ||
-                              each.starts_sent > 1;
+                       return each.phase == phase::recording ||
+                              start_may_arrive(each);
                      });
 }
 
@@ -110,6 +106,12 @@
   pool->released_leases.clear();
 }
 
+bool may_count_lease(const pool_state& pool, const worker& worker,
+                     steady_time now) {
+  return !worker.lease_told || is_observed(pool, worker) ||
+         now - pool.time.base_at > max_previous_owner_lease(pool.limits);
+}
+
 void update_recorded_lease(pool_state* pool, worker* worker, steady_time now) {
   if (worker->placements.empty()) return delete_recorded_lease(pool, worker);
   if (worker->lease_record != lease_record::none ||
--- a/src/pool/recorded_leases.h
+++ b/src/pool/recorded_leases.h
@@ -43,6 +43,10 @@
                            std::int64_t incarnation_ms, steady_time now);
 // All jobs of the journal have been added.
 void end_restoring_leases(pool_state* pool);
+// Whether the worker's lease may be taken as over, if it was told, before the
+// owner has read the directory.
+bool may_count_lease(const pool_state& pool, const worker& worker,
+                     steady_time now);
 // Records the end of the worker's lease if it is silent, and deletes the record
 // if it has no runs any more.
 void update_recorded_lease(pool_state* pool, worker* worker, steady_time now);
--- a/src/pool/simulation_test.cpp
+++ b/src/pool/simulation_test.cpp
@@ -1,23 +1,16 @@
 // Runs random simulations of a whole cell, and checks them against the ledger
 // of the workers' runs.
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <string_view>
 
 #include "pool/simulated_cell.h"
+#include "pool/simulation_seeds.h"
 
 namespace ebonygrade::pool {
 
 namespace {
 
 constexpr milliseconds kLimit{180000};
-// EBONYGRADE_SIMULATION_SEEDS sets another number of seeds.
-constexpr std::uint64_t kSeedsInCi = 60;
-
-std::uint64_t seed_count() {
-  const char* more = std::getenv("EBONYGRADE_SIMULATION_SEEDS");
-  return more == nullptr ? kSeedsInCi : std::strtoull(more, nullptr, 10);
-}
 
 situations check_cell(const cell_options& options) {
   simulated_cell cell(options);
--- a/src/pool/step_wait.cpp
+++ b/src/pool/step_wait.cpp
@@ -26,10 +26,6 @@
   return "unknown";
 }
 
-std::int64_t milliseconds_between(steady_time from, steady_time to) {
-  return std::chrono::duration_cast<milliseconds>(to - from).count();
-}
-
 std::size_t count_placed(const step_state& step) {
   return static_cast<std::size_t>(
       std::count_if(step.tasks.begin(), step.tasks.end(),
@@ -72,10 +68,9 @@
             " stop=" + (run->stop_wanted ? "1" : "0");
   }
   return text + " draining=" + (at->entry.draining ? "1" : "0") +
-         " listed=" + (at->listed ? "1" : "0") + " silent_ms=" +
-         std::to_string(milliseconds_between(at->last_reply, round.now)) +
-         " lease_left_ms=" +
-         std::to_string(milliseconds_between(round.now, at->lease_end));
+         " listed=" + (at->listed ? "1" : "0") +
+         " silent_ms=" + milliseconds_between(at->last_reply, round.now) +
+         " lease_left_ms=" + milliseconds_between(round.now, at->lease_end);
 }
 
 std::uint32_t free_slots(const std::vector<collectable_worker>& workers) {
@@ -85,25 +80,27 @@
 }
 
 std::string describe_advice(const scheduling_round& round,
-                            const candidate_step& candidate) {
+                            const candidate_step& candidate,
+                            const std::vector<collectable_worker>& granted) {
   const step_state& step = *candidate.step;
   std::uint32_t count = count_waiting_tasks(step);
   std::uint32_t with_tickets =
       total_slots(find_options(round, candidate, ticket_mode::required, count));
   return " queried=" + std::to_string(step.queried.size()) +
-         " granted=" + std::to_string(step.granted.size()) + " granted_slots=" +
-         std::to_string(free_slots(collectable_workers(round, candidate))) +
+         " granted=" + std::to_string(step.granted.size()) +
+         " granted_slots=" + std::to_string(free_slots(granted)) +
          " ticket_slots=" + std::to_string(with_tickets) +
          " requests=" + std::to_string(round.pool->pending_advice_requests) +
          " last_reply_ms=" +
          (step.last_advice == steady_time()
               ? "none"
-              : std::to_string(
-                    milliseconds_between(step.last_advice, round.now)));
+              : milliseconds_between(step.last_advice, round.now));
 }
 
 wait_reason reason_of(const scheduling_round& round,
-                      const candidate_step& candidate, std::uint32_t allowed) {
+                      const candidate_step& candidate,
+                      const std::vector<collectable_worker>& granted,
+                      std::uint32_t allowed) {
   if (is_outdated(*round.pool, round.now)) return wait_reason::outdated;
   if (allowed == 0) return wait_reason::quota;
   const step_state& step = *candidate.step;
@@ -114,8 +111,6 @@
   std::optional<wait_reason> hindrance = advice_hindrance(round, candidate);
   if (hindrance) return *hindrance;
   std::uint32_t count = count_waiting_tasks(step);
-  std::vector<collectable_worker> granted =
-      collectable_workers(round, candidate);
   if (free_slots(granted) >= count) return wait_reason::not_requested;
   if (gang && count_to_collect(granted, count) > 0) {
     return wait_reason::collecting;
@@ -184,18 +179,22 @@
   const step_state& step = *candidate.step;
   std::uint32_t tasks = count_waiting_tasks(step);
   if (tasks == 0 || round.waits_to_report.count(&step) == 0) return;
-  wait_reason reason = reason_of(round, candidate, allowed);
+  bool gang = definition(*candidate.job, step).gang();
+  std::vector<collectable_worker> granted;
+  if (candidate.policy->needs_advice && !(gang && any_placed(step))) {
+    granted = collectable_workers(round, candidate);
+  }
+  wait_reason reason = reason_of(round, candidate, granted, allowed);
   std::string detail =
       "occurrence=" + std::to_string(step.occurrence) +
       " step=" + std::to_string(step.step) + " tasks=" + std::to_string(tasks) +
-      " waited_ms=" +
-      std::to_string(milliseconds_between(step.waits_since, round.now)) +
+      " waited_ms=" + milliseconds_between(step.waits_since, round.now) +
       " tier=" + std::to_string(static_cast<int>(candidate.tier)) +
       " reason=" + std::string(name_of(reason));
   if (reason == wait_reason::member_placed) {
     detail += describe_placed(round, candidate);
   } else if (candidate.policy->needs_advice) {
-    detail += describe_advice(round, candidate);
+    detail += describe_advice(round, candidate, granted);
   }
   add_job_event(round.pool, job_event_kind::step_waits, candidate.job->id, {},
                 std::move(detail));
--- a/src/pool/tenant_simulation_test.cpp
+++ b/src/pool/tenant_simulation_test.cpp
@@ -2,26 +2,19 @@
 // may have brought a tenant above its quota and the excess, by what runs at the
 // workers.
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <string>
 
 #include "pool/simulated_cell.h"
+#include "pool/simulation_seeds.h"
 
 namespace ebonygrade::pool {
 
 namespace {
 
 constexpr milliseconds kLimit{180000};
-// EBONYGRADE_SIMULATION_SEEDS sets another number of seeds.
-constexpr std::uint64_t kSeedsInCi = 60;
 // Calls are delivered up to 12 s late.
 constexpr milliseconds kLongestDelivery{15000};
 
-std::uint64_t seed_count() {
-  const char* more = std::getenv("EBONYGRADE_SIMULATION_SEEDS");
-  return more == nullptr ? kSeedsInCi : std::strtoull(more, nullptr, 10);
-}
-
 tenant_options quotas(std::size_t tenants, std::int64_t cpu_milli) {
   tenant_options options;
   options.count = tenants;
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -25,10 +25,6 @@
       static_cast<double>(lease.count()) * kClockDrift));
 }
 
-std::string milliseconds_text(steady_time::duration time) {
-  return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
-}
-
 // It may have granted leases until it was isolated.
 steady_time last_order_of_previous_owner(const pool_state& pool) {
   return pool.time.base_at + isolation_limit(pool.limits);
@@ -203,8 +199,7 @@
   std::size_t beside = worker->placements.size() - 1;
   for (placement& placed : worker->placements) {
     // Repeated starts without a reply may still reach the new incarnation.
-    bool may_arrive = placed.phase == phase::sent || placed.starts_sent > 1;
-    if (may_arrive) {
+    if (start_may_arrive(placed)) {
       placed.phase = phase::sent;
       placed.stop_wanted = true;
       placed.stop_confirmed = false;
@@ -421,13 +416,14 @@
       " runs=" + std::to_string(worker->placements.size());
   // No more than this has passed since its newest entry was written.
   if (worker->entry_written_after != steady_time()) {
-    text += " entry_ms=" + milliseconds_text(now - worker->entry_written_after);
+    text +=
+        " entry_ms=" + milliseconds_between(worker->entry_written_after, now);
   }
   if (worker->last_reply != steady_time()) {
-    text += " silent_ms=" + milliseconds_text(now - worker->last_reply);
+    text += " silent_ms=" + milliseconds_between(worker->last_reply, now);
   }
   if (worker->contact_lost_at != steady_time()) {
-    text += " broken_ms=" + milliseconds_text(now - worker->contact_lost_at);
+    text += " broken_ms=" + milliseconds_between(worker->contact_lost_at, now);
   }
   add_worker_event(pool, worker_event_kind::removed, id, std::move(text));
 }
@@ -490,8 +486,7 @@
 bool may_get_lease(const pool_state& pool, const worker& worker,
                    steady_time now) {
   return worker.fenced && !pool.releasing && !is_isolated(pool, now) &&
-         now - worker.last_reply <= kUnresponsiveAfter &&
-         !awaits_lease_deletion(pool, worker);
+         is_responsive(worker, now) && !awaits_lease_deletion(pool, worker);
 }
 
 worker_time grant_lease(pool_state* pool, const std::string& id,
--- a/src/poold/node.h
+++ b/src/poold/node.h
@@ -137,6 +137,8 @@
                      steady_time now);
   void hand_over(const daemon_info& successor, handover_cause cause,
                  steady_time now);
+  // "key=value" pairs on the copies of an outdated owner, for events.
+  std::string describe_copies(steady_time now) const;
   // Logs that an outdated owner keeps the pool for want of a standby.
   void report_no_successor(steady_time now);
   // Confirms a question of an owner once the directory of workers has been read
--- a/src/poold/node_handover.cpp
+++ b/src/poold/node_handover.cpp
@@ -77,18 +77,22 @@
   if (*cause == handover_cause::outdated) report_no_successor(now);
 }
 
+std::string node::describe_copies(steady_time now) const {
+  milliseconds outdated =
+      std::chrono::duration_cast<milliseconds>(now - owner_->outdated_since());
+  return "epoch=" + std::to_string(owner_->epoch()) +
+         " outdated_ms=" + std::to_string(outdated.count()) +
+         " journal_age_ms=" +
+         std::to_string(pool::journal_age(owner_->state(), now).count()) +
+         " directory_age_ms=" +
+         std::to_string(pool::directory_age(owner_->state(), now).count());
+}
+
 void node::report_no_successor(steady_time now) {
   if (now - no_successor_logged_ < kNoSuccessorLogInterval) return;
   no_successor_logged_ = now;
-  events::emit(
-      events::id::no_current_standby, "hand over", "",
-      "epoch={} outdated_ms={} journal_age_ms={} directory_age_ms={} "
-      "declined={}",
-      owner_->epoch(),
-      std::chrono::duration_cast<milliseconds>(now - owner_->outdated_since())
-          .count(),
-      pool::journal_age(owner_->state(), now).count(),
-      pool::directory_age(owner_->state(), now).count(), declined_.size());
+  events::emit(events::id::no_current_standby, "hand over", "",
+               "{} declined={}", describe_copies(now), declined_.size());
 }
 
 void node::ask_successor(const daemon_info& successor, handover_cause cause,
@@ -137,15 +141,9 @@
         "epoch={} slowdown={:.1f} successor_slowdown={:.1f} owned_ms={}",
         owner_->epoch(), machine_.slowdown, successor.slowdown, owned_ms);
   } else {
-    events::emit(
-        events::id::outdated_pool_handed_over, "hand over", successor.id,
-        "epoch={} outdated_ms={} journal_age_ms={} directory_age_ms={} "
-        "owned_ms={}",
-        owner_->epoch(),
-        std::chrono::duration_cast<milliseconds>(now - owner_->outdated_since())
-            .count(),
-        pool::journal_age(owner_->state(), now).count(),
-        pool::directory_age(owner_->state(), now).count(), owned_ms);
+    events::emit(events::id::outdated_pool_handed_over, "hand over",
+                 successor.id, "{} owned_ms={}", describe_copies(now),
+                 owned_ms);
   }
   owner_->release([this, successor] {
     std::uint64_t epoch = owner_->epoch();
