--- a/review/standin-2/daemons.cpp
+++ b/review/standin-2/daemons.cpp
@@ -29,6 +29,7 @@
 // Below the ports that outgoing channels get.
 constexpr int kFirstPort = 20000;
 constexpr int kLastPort = 31999;
+constexpr int kMaxDescriptors = 4096;
 
 std::string loopback(std::uint16_t port) {
   return "127.0.0.1:" + std::to_string(port);
@@ -94,6 +95,8 @@
     int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(out, STDOUT_FILENO);
     dup2(out, STDERR_FILENO);
+    // The sockets of the stand-ins stay with them.
+    for (int fd = STDERR_FILENO + 1; fd < kMaxDescriptors; ++fd) close(fd);
     setenv("EBONYGRADE_CONFIG", started->settings_path.c_str(), 1);
     execl(settings_.program.c_str(), settings_.program.c_str(),
           static_cast<char*>(nullptr));
--- a/review/standin-2/executor.cpp
+++ b/review/standin-2/executor.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "platform/json.h"
+#include "review/standin-2/daemons.h"
 
 namespace ebonygrade::review {
 
@@ -67,7 +68,9 @@
         std::lock_guard<std::mutex> guard(fleet_.shared().lock);
         handle(request, answer);
       });
-  server_->listen("127.0.0.1:0").value();
+  // The machine keeps its address.
+  if (port_ == 0) port_ = free_ports(1).front();
+  server_->listen("127.0.0.1:" + std::to_string(port_)).value();
   entries_ = 0;
   write_entry();
 }
@@ -75,7 +78,7 @@
 void executor::write_entry() {
   json::object entry;
   entry["service"] = kind_.service;
-  entry["addr"] = "127.0.0.1:" + std::to_string(server_->port());
+  entry["addr"] = "127.0.0.1:" + std::to_string(port_);
   entry["zone"] = "zone-a";
   entry["version"] = "v1";
   entry["slots"] = 8;
--- a/review/standin-2/executor.h
+++ b/review/standin-2/executor.h
@@ -103,6 +103,7 @@
   executor_kind kind_;
   std::string id_;
   std::unique_ptr<http::server> server_;
+  std::uint16_t port_ = 0;  // Of all lifetimes on the machine.
   steady::time_point born_;
   std::int64_t born_ms_ = 0;
   std::uint64_t entries_ = 0;  // Of this lifetime.
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -208,9 +208,9 @@
     return job.id + ".0." + std::to_string(step) + "." + std::to_string(index);
   }
 
-  // The rule LOST, for jobs of one step: whether one of them has nothing
-  // running for 3 s, while there is capacity for it twice over and under half
-  // of the capacity of the service is in use.
+  // The rule LOST, for jobs whose steps are alike and in turn: whether one of
+  // them has nothing running for 3 s, while there is capacity for it twice over
+  // and under half of the capacity of the service is in use.
   bool has_idle_job(const std::vector<job_spec>& jobs, milliseconds watch) {
     std::map<std::string, steady::time_point> since;
     std::map<std::string, milliseconds> longest;
@@ -359,7 +359,11 @@
   std::vector<job_spec> others;
   steady::time_point traffic_ends = steady::now() + milliseconds(25000);
   for (std::uint64_t i = 0; i < 20 && steady::now() < traffic_ends; ++i) {
-    job_spec job{job_id(0x1000 + i), kFirst, {stage::small_step(2)}};
+    job_spec job{job_id(0x1000 + i), kFirst, {}};
+    for (std::uint32_t step = 0; step < 4; ++step) {
+      job.steps.push_back(stage::small_step(2));
+      if (step > 0) job.steps.back().after = {step - 1};
+    }
     if (site.submit(job, 1)) others.push_back(job);
     pause(milliseconds(500));
   }
--- a/review/standin-2/site.cpp
+++ b/review/standin-2/site.cpp
@@ -23,6 +23,9 @@
     if (each.may_miss > 0) step["mayMiss"] = each.may_miss;
     if (each.max_per_server > 0) step["maxPerServer"] = each.max_per_server;
     if (!each.data_rack.empty()) step["dataRack"] = each.data_rack;
+    if (!each.after.empty()) {
+      step["dependsOn"] = json::array(each.after.begin(), each.after.end());
+    }
     if (each.target_ms > 0) step["targetMs"] = each.target_ms;
     if (each.fills) step["fills"] = true;
     if (!each.image.empty()) step["image"] = each.image;
--- a/review/standin-2/site.h
+++ b/review/standin-2/site.h
@@ -31,7 +31,8 @@
   std::uint32_t may_miss = 0;
   std::uint32_t max_per_server = 0;
   std::string data_rack;
-  std::int64_t target_ms = 0;  // Of a task that serves.
+  std::vector<std::uint32_t> after;  // Steps that must be done first.
+  std::int64_t target_ms = 0;        // Of a task that serves.
   bool fills = false;
   std::string image;
 };
