--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -299,7 +299,7 @@
   constexpr std::size_t kExecutors = 48;
   stage site(from, kExecutors, executor_bounds());
   if (!site.settle()) return kNotRun;
-  // The executors of the rack with its data are gone, so it takes three times
+  // No executor is on the rack with its data, so it takes three times
   // its 12 s.
   step_spec far;
   far.cpu = 7600;
