--- a/review/standin-2/daemons.cpp
+++ b/review/standin-2/daemons.cpp
@@ -1,4 +1,4 @@
-#include "review/standin-2/daemons.h"
+#include "daemons.h"
 
 #include <fcntl.h>
 #include <signal.h>
--- a/review/standin-2/daemons.h
+++ b/review/standin-2/daemons.h
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "review/standin-2/site.h"
+#include "site.h"
 
 namespace ebonygrade::review {
 
--- a/review/standin-2/executor.cpp
+++ b/review/standin-2/executor.cpp
@@ -1,4 +1,4 @@
-#include "review/standin-2/executor.h"
+#include "executor.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -6,8 +6,8 @@
 #include <set>
 #include <utility>
 
+#include "daemons.h"
 #include "platform/json.h"
-#include "review/standin-2/daemons.h"
 
 namespace ebonygrade::review {
 
--- a/review/standin-2/executor.h
+++ b/review/standin-2/executor.h
@@ -14,8 +14,8 @@
 #include <vector>
 
 #include "http/server.h"
-#include "review/standin-2/platform.h"
-#include "review/standin-2/site.h"
+#include "service.h"
+#include "site.h"
 
 namespace ebonygrade::review {
 
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -22,10 +22,10 @@
 #include <utility>
 #include <vector>
 
-#include "review/standin-2/daemons.h"
-#include "review/standin-2/executor.h"
-#include "review/standin-2/platform.h"
-#include "review/standin-2/site.h"
+#include "daemons.h"
+#include "executor.h"
+#include "service.h"
+#include "site.h"
 
 namespace ebonygrade::review {
 namespace {
--- a/review/standin-2/platform.cpp
+++ b/review/standin-2/service.cpp
@@ -1,4 +1,4 @@
-#include "review/standin-2/platform.h"
+#include "service.h"
 
 #include <algorithm>
 #include <boost/beast/core/detail/base64.hpp>
--- a/review/standin-2/platform.h
+++ b/review/standin-2/service.h
@@ -14,7 +14,7 @@
 #include <vector>
 
 #include "http/server.h"
-#include "review/standin-2/site.h"
+#include "site.h"
 
 namespace ebonygrade::review {
 
--- a/review/standin-2/site.cpp
+++ b/review/standin-2/site.cpp
@@ -1,4 +1,4 @@
-#include "review/standin-2/site.h"
+#include "site.h"
 
 #include <boost/json.hpp>
 #include <cstdio>
