pool: a step that waits behind a reservation says so

It could not tell a reservation from a lack of room.

Event 873 has a further reason, `reserved`, with the job of the gang that has most of the workers that the step may use. The reservations of a round know the job that made them.

--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -296,7 +296,7 @@
   if (!first && round->reserved.size() + needed > limit) return;
   for (std::size_t i = 0; i < needed; ++i) {
     worker* chosen = workers[i].worker;
-    if (!round->reserved.insert(chosen).second) continue;
+    if (!round->reserved.try_emplace(chosen, candidate.job).second) continue;
     round->reserved_free_cpu +=
         std::max<std::int64_t>(0, free_resources_of(*chosen).cpu_milli);
   }
@@ -346,7 +346,7 @@
     bool had_placed = each.job->placed;
     if (gang) {
       placed = place_gang(*round, each);
-      reserve_near_room(round);
+      reserve_near_room(round, each);
     } else {
       place_tasks(*round, each, allowed);
     }
--- a/src/pool/near_round.cpp
+++ b/src/pool/near_round.cpp
@@ -291,10 +291,11 @@
   *workers = std::move(near);
 }
 
-void reserve_near_room(scheduling_round* round) {
+void reserve_near_room(scheduling_round* round,
+                       const candidate_step& candidate) {
   if (round->near == nullptr) return;
   for (const worker* each : std::exchange(round->near->awaited, {})) {
-    round->reserved.insert(each);
+    round->reserved.try_emplace(each, candidate.job);
   }
 }
 
--- a/src/pool/near_wait_pvt.h
+++ b/src/pool/near_wait_pvt.h
@@ -92,7 +92,8 @@
                        std::vector<const worker*>* workers);
 // Keeps the room that a waiting gang has been forecast from the steps after it.
 // A waiting gang reserves nothing elsewhere.
-void reserve_near_room(scheduling_round* round);
+void reserve_near_room(scheduling_round* round,
+                       const candidate_step& candidate);
 // Whether all waiting tasks of the step wait by a decision of this round. They
 // have tickets for far and near workers, and new ones wouldn't be used.
 bool all_wait_for_near(const scheduling_round& round,
--- a/src/pool/options.cpp
+++ b/src/pool/options.cpp
@@ -375,6 +375,27 @@
       [](const task& each) { return !each.done && !each.placed; }));
 }
 
+bool is_kept_by_reservations(const scheduling_round& round,
+                             const candidate_step& candidate) {
+  if (round.reserved.empty()) return false;
+  const wire::step_definition& step =
+      definition(*candidate.job, *candidate.step);
+  std::uint32_t wanted = step.gang() ? count_waiting_tasks(*candidate.step) : 1;
+  std::uint32_t slots = 0;
+  for (const available_worker& each : round.available) {
+    // Unreserved workers with room for a single task would have been used.
+    if (!step.gang() && round.reserved.count(each.worker) == 0) continue;
+    if (!is_eligible(*each.worker, *candidate.job, step)) continue;
+    bool denied = candidate.policy->needs_advice &&
+                  is_denied(*candidate.step, each.worker->entry.id);
+    if (denied) continue;
+    slots += count_step_slots(*each.worker, candidate,
+                              free_resources_of(*each.worker), wanted);
+    if (slots >= wanted) return true;
+  }
+  return false;
+}
+
 std::uint32_t total_slots(const std::vector<placement_option>& options) {
   std::uint32_t total = 0;
   for (const placement_option& each : options) total += each.slots;
--- a/src/pool/round_pvt.h
+++ b/src/pool/round_pvt.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -45,10 +46,11 @@
   steady_time now;
   unix_time wall;
   decisions* out = nullptr;
-  std::vector<available_worker> available;     // Most free CPU first.
-  std::unordered_set<const worker*> reserved;  // For waiting gangs.
-  std::int64_t free_cpu = 0;                   // Of all available workers.
-  std::int64_t reserved_free_cpu = 0;          // Of the reserved ones.
+  std::vector<available_worker> available;  // Most free CPU first.
+  // For waiting gangs; with the job of the gang.
+  std::unordered_map<const worker*, const pool::job*> reserved;
+  std::int64_t free_cpu = 0;           // Of all available workers.
+  std::int64_t reserved_free_cpu = 0;  // Of the reserved ones.
   // CPU that earlier steps of this round will use once they have advice. Steps
   // that can't be placed for other reasons are not counted, so that they don't
   // keep later steps from requesting advice.
@@ -97,6 +99,10 @@
 double affordable_slowdown(const scheduling_round& round,
                            const candidate_step& candidate);
 std::uint32_t total_slots(const std::vector<placement_option>& options);
+// Whether the step would have room for a task, or for all tasks of a gang,
+// without the reservations of this round.
+bool is_kept_by_reservations(const scheduling_round& round,
+                             const candidate_step& candidate);
 
 // Whether the worker may get starts now.
 bool is_available(const worker& worker, steady_time now);
--- a/src/pool/step_wait.cpp
+++ b/src/pool/step_wait.cpp
@@ -1,6 +1,7 @@
 #include "pool/step_wait.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -97,6 +98,26 @@
               : milliseconds_between(step.last_advice, round.now));
 }
 
+// The gang that has reserved most of the workers that the step may use.
+std::string describe_reservations(const scheduling_round& round,
+                                  const candidate_step& candidate) {
+  const wire::step_definition& step =
+      definition(*candidate.job, *candidate.step);
+  std::map<std::string, std::size_t> workers;  // By the job of the gang.
+  for (const std::pair<const worker* const, const job*>& each :
+       round.reserved) {
+    if (!is_eligible(*each.first, *candidate.job, step)) continue;
+    ++workers[each.second->id];
+  }
+  std::map<std::string, std::size_t>::const_iterator most = std::max_element(
+      workers.begin(), workers.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  if (most == workers.end()) return "";
+  return " holder=" + most->first +
+         " held_workers=" + std::to_string(most->second) +
+         " reserved=" + std::to_string(round.reserved.size());
+}
+
 wait_reason reason_of(const scheduling_round& round,
                       const candidate_step& candidate,
                       const std::vector<collectable_worker>& granted,
@@ -107,7 +128,10 @@
   bool gang = definition(*candidate.job, step).gang();
   if (gang && any_placed(step)) return wait_reason::member_placed;
   if (all_wait_for_near(round, candidate)) return wait_reason::near;
-  if (!candidate.policy->needs_advice) return wait_reason::no_room;
+  bool reserved = is_kept_by_reservations(round, candidate);
+  if (!candidate.policy->needs_advice) {
+    return reserved ? wait_reason::reserved : wait_reason::no_room;
+  }
   std::optional<wait_reason> hindrance = advice_hindrance(round, candidate);
   if (hindrance) return *hindrance;
   std::uint32_t count = count_waiting_tasks(step);
@@ -117,7 +141,8 @@
   }
   bool any_to_ask =
       !find_options(round, candidate, ticket_mode::ignored, count).empty();
-  return any_to_ask ? wait_reason::not_requested : wait_reason::no_workers;
+  if (any_to_ask) return wait_reason::not_requested;
+  return reserved ? wait_reason::reserved : wait_reason::no_workers;
 }
 
 }  // namespace
@@ -148,6 +173,8 @@
       return "not_requested";
     case wait_reason::no_room:
       return "no_room";
+    case wait_reason::reserved:
+      return "reserved";
   }
   return "unknown";
 }
@@ -193,6 +220,8 @@
       " reason=" + std::string(name_of(reason));
   if (reason == wait_reason::member_placed) {
     detail += describe_placed(round, candidate);
+  } else if (reason == wait_reason::reserved) {
+    detail += describe_reservations(round, candidate);
   } else if (candidate.policy->needs_advice) {
     detail += describe_advice(round, candidate, granted);
   }
--- a/src/pool/step_wait.h
+++ b/src/pool/step_wait.h
@@ -29,6 +29,7 @@
   no_workers,      // No worker with room is left to ask for.
   not_requested,   // Workers are to be asked for in the next round.
   no_room,         // Too few workers that may run it have room.
+  reserved,        // A gang that waits has reserved the workers with room.
 };
 std::string_view name_of(wait_reason reason);
 
--- a/src/pool/test_pool.h
+++ b/src/pool/test_pool.h
@@ -53,9 +53,10 @@
   }
 
   void submit(const std::string& id,
-              const std::vector<wire::step_definition>& steps) {
+              const std::vector<wire::step_definition>& steps,
+              const char* queue = kQueue) {
     wire::job_submission job;
-    job.set_queue(kQueue);
+    job.set_queue(queue);
     job.set_service(kService);
     job.set_accepted_ms(wall.time_since_epoch().count());
     for (const wire::step_definition& each : steps) *job.add_steps() = each;
