pool: a waiting gang keeps room until it can start, not whole workers

Cause: a reservation had neither a time nor an amount. It set a worker aside whole, until the gang started, and counted every run as about to end, also those that last. The same on related paths: gangs after the first (80% of the pool), and a gang that waits for a near rack (reserve_near_room).

Now a reservation has the time at which the gang is expected to have its room (from the expected ends of runs that near_wait uses) and what its members leave of the worker. A later step may start there if it ends before that time, with 1.3 times its expected run time, or if it fits beside the members. A step without an estimate, or that lasts, counts as never ending. Runs that last are not about to end, so a gang that they keep from its room reserves nothing. If the expected start passes, it is forecast anew.

Gangs don't starve by it: runs that went ahead don't put off the time until which others may, and a worker that has such runs stays reserved. After the run that blocks it a gang waits for one of them at most.

--- a/src/pool/advice.cpp
+++ b/src/pool/advice.cpp
@@ -191,7 +191,8 @@
   std::vector<std::string> names;
   std::uint32_t free = 0;
   for (const collectable_worker& each : granted) {
-    if (each.free == 0 || free >= count * kGangRenewalFactor) break;
+    if (free >= count * kGangRenewalFactor) break;
+    if (each.free == 0) continue;
     free += each.free;
     names.push_back(each.worker->entry.id);
   }
--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -6,6 +6,7 @@
 
 #include "pool/near_wait_pvt.h"
 #include "pool/pool_pvt.h"
+#include "pool/reservations_pvt.h"
 #include "pool/round_pvt.h"
 #include "pool/step_wait.h"
 #include "pool/tenant_order.h"
@@ -16,9 +17,6 @@
 
 // Run times below this share of their estimates are not expected.
 constexpr double kShortestRunFactor = 0.7;
-// Limit of the workers that are reserved for gangs, relative to all available
-// workers. The rest serves steps of lower priority.
-constexpr double kMaxReservedShare = 0.8;
 
 // Priority comes before lateness: after an interruption, many urgent jobs are
 // late at once. They are small and keep their value for a short time only,
@@ -261,47 +259,6 @@
   return true;
 }
 
-// How many of the first workers hold a gang of so many tasks once they are
-// idle; 0 if all of them don't suffice.
-std::size_t count_if_idle(const std::vector<collectable_worker>& workers,
-                          const candidate_step& candidate,
-                          std::uint32_t tasks) {
-  resources need =
-      resources_needed(definition(*candidate.job, *candidate.step));
-  std::uint32_t slots = 0;
-  for (std::size_t i = 0; i < workers.size(); ++i) {
-    slots += count_slots(workers[i].worker->entry.capacity, need, tasks);
-    if (slots >= tasks) return i + 1;
-  }
-  return 0;
-}
-
-// Reserves workers for a gang that waits for capacity or for new tickets, so
-// that smaller steps don't use all capacity that becomes free. Load pattern:
-// gangs wait while nearly half of the pool is free, a few cores on each worker.
-// Every gang with enough tickets collects room at the same time, within a
-// limit; the first gang always does.
-void reserve_workers(scheduling_round* round, const candidate_step& candidate) {
-  std::size_t limit = static_cast<std::size_t>(
-      kMaxReservedShare * static_cast<double>(round->available.size()));
-  bool first = round->reserved.empty();
-  if (!first && round->reserved.size() >= limit) return;
-  std::vector<collectable_worker> workers =
-      collectable_workers(*round, candidate);
-  std::uint32_t count =
-      static_cast<std::uint32_t>(candidate.step->tasks.size());
-  std::size_t needed = count_to_collect(workers, count);
-  // A gang that needs most of the pool would never start otherwise.
-  if (needed == 0 && first) needed = count_if_idle(workers, candidate, count);
-  if (!first && round->reserved.size() + needed > limit) return;
-  for (std::size_t i = 0; i < needed; ++i) {
-    worker* chosen = workers[i].worker;
-    if (!round->reserved.try_emplace(chosen, candidate.job).second) continue;
-    round->reserved_free_cpu +=
-        std::max<std::int64_t>(0, free_resources_of(*chosen).cpu_milli);
-  }
-}
-
 void count_waiting(const candidate_step& candidate, load_summary* load) {
   std::uint32_t tasks = count_waiting_tasks(*candidate.step);
   if (tasks == 0) return;
@@ -351,6 +308,7 @@
       place_tasks(*round, each, allowed);
     }
     observe_starts(*round, each);
+    observe_beside_reservations(round, each, first);
     record_placements(*round, each, first, had_placed);
     report_step_wait(*round, each, allowed);
     // Tickets of tasks that a quota holds back would expire.
--- a/src/pool/near_forecast.cpp
+++ b/src/pool/near_forecast.cpp
@@ -28,13 +28,6 @@
 
 using real_ms = std::chrono::duration<double, std::milli>;
 
-real_ms estimated_run_time(const scheduling_round& round, const worker& worker,
-                           const wire::step_definition& step) {
-  bool far = !step.data_rack().empty() && step.data_rack() != worker.entry.rack;
-  double factor = far ? round.pool->near.settings.far_factor : 1;
-  return real_ms(step.estimate_ms()) * factor * slowdown_of(worker, round.now);
-}
-
 // The time that the run still takes, without regard to how late it is.
 real_ms rest_of_run(const scheduling_round& round, const worker& worker,
                     const placement& placed, steady_time begun, real_ms total) {
@@ -227,6 +220,13 @@
 
 }  // namespace
 
+real_ms expected_run_time(const scheduling_round& round, const worker& worker,
+                           const wire::step_definition& step) {
+  bool far = !step.data_rack().empty() && step.data_rack() != worker.entry.rack;
+  double factor = far ? round.pool->near.settings.far_factor : 1;
+  return real_ms(step.estimate_ms()) * factor * slowdown_of(worker, round.now);
+}
+
 steady_time expected_end(const scheduling_round& round, const worker& worker,
                          const placement& placed) {
   task_ref ref = find_task(round.pool, placed.task);
@@ -236,7 +236,7 @@
   steady_time begun =
       placed.phase == phase::running ? placed.phase_since : placed.placed_at;
   if (begun == steady_time()) begun = placed.phase_since;
-  real_ms total = estimated_run_time(round, worker, step);
+  real_ms total = expected_run_time(round, worker, step);
   real_ms rest = rest_of_run(round, worker, placed, begun, total);
   if (rest <= real_ms(0)) rest = (round.now - begun) * kOverdueShare;
   return round.now +
--- a/src/pool/near_round.cpp
+++ b/src/pool/near_round.cpp
@@ -5,6 +5,7 @@
 
 #include "pool/near_wait_pvt.h"
 #include "pool/pool_pvt.h"
+#include "pool/reservations_pvt.h"
 
 namespace ebonygrade::pool {
 
@@ -293,10 +294,12 @@
 
 void reserve_near_room(scheduling_round* round,
                        const candidate_step& candidate) {
-  if (round->near == nullptr) return;
+  if (round->near == nullptr || round->near->awaited.empty()) return;
+  std::vector<worker*> workers;
   for (const worker* each : std::exchange(round->near->awaited, {})) {
-    round->reserved.try_emplace(each, candidate.job);
+    workers.push_back(find_worker(round->pool, each->entry.id));
   }
+  reserve_room(round, candidate, workers);
 }
 
 bool all_wait_for_near(const scheduling_round& round,
--- a/src/pool/near_wait_pvt.h
+++ b/src/pool/near_wait_pvt.h
@@ -3,6 +3,7 @@
 // nothing for steps without a near rack.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -49,6 +50,10 @@
 // Null unless the settings ask for waits.
 std::shared_ptr<near_round> begin_near_round(const pool_state& pool);
 
+// Expected run time of a task of the step on the worker.
+std::chrono::duration<double, std::milli> expected_run_time(
+    const scheduling_round& round, const worker& worker,
+    const wire::step_definition& step);
 // When the run is expected to end; max() if it lasts.
 steady_time expected_end(const scheduling_round& round, const worker& worker,
                          const placement& placed);
--- a/src/pool/options.cpp
+++ b/src/pool/options.cpp
@@ -6,6 +6,7 @@
 
 #include "pool/near_wait_pvt.h"
 #include "pool/pool_pvt.h"
+#include "pool/reservations_pvt.h"
 #include "pool/round_pvt.h"
 
 namespace ebonygrade::pool {
@@ -21,8 +22,6 @@
 // A gang collects room on workers for this many times its tasks, if it may use
 // so many, as it starts with the first of them that become free.
 constexpr std::uint32_t kCollectFactor = 2;
-// Run time of a step's slowest task relative to its estimate.
-constexpr double kSlowestTaskFactor = 1.3;
 // Workers whose slowdown differs by less rank as equal.
 constexpr double kSlowdownBucket = 0.15;
 
@@ -68,12 +67,12 @@
   return std::min(slots, step.max_per_worker() - running);
 }
 
-// Whether the worker has free capacity for a task and isn't reserved. Cheaper
+// Whether the worker has capacity for a task that the step may use. Cheaper
 // than the search for a ticket.
-bool has_room(const scheduling_round& round, const resources& need,
-              const worker& worker) {
+bool has_room(const scheduling_round& round, const candidate_step& candidate,
+              const resources& need, const worker& worker) {
   return fits(need, free_resources_of(worker)) &&
-         round.reserved.count(&worker) == 0;
+         fits(need, usable_resources(round, candidate, worker));
 }
 
 // Adds the worker, which has room, to the options if it can run a task of the
@@ -84,7 +83,7 @@
   const wire::step_definition& step =
       definition(*candidate.job, *candidate.step);
   placement_option result;
-  result.free = free_resources_of(*target);
+  result.free = usable_resources(round, candidate, *target);
   if (!is_eligible(*target, *candidate.job, step)) return;
   // A trial may have been placed in this round.
   if (target->trials > 0) return;
@@ -141,7 +140,7 @@
     worker* target = find_worker(round.pool, each.first);
     if (target == nullptr || !is_available(*target, round.now)) continue;
     if (!is_for(each.second, *target)) continue;
-    if (!has_room(round, need, *target)) continue;
+    if (!has_room(round, candidate, need, *target)) continue;
     add_option(round, candidate, target, each.second.value, max_slots, &found);
   }
   return found;
@@ -150,9 +149,11 @@
 // Resources of the worker that are free now or will be soon.
 resources expected_resources(const worker& worker) {
   resources free = free_resources_of(worker);
-  return {free.cpu_milli + worker.used.cpu_milli / kReleasedShareDivisor,
-          free.memory_mb + worker.used.memory_mb / kReleasedShareDivisor,
-          free.gpus + worker.used.gpus / kReleasedShareDivisor};
+  resources ending = worker.used - worker.lasting - worker.backfilled;
+  free = free + worker.backfilled;
+  return {free.cpu_milli + ending.cpu_milli / kReleasedShareDivisor,
+          free.memory_mb + ending.memory_mb / kReleasedShareDivisor,
+          free.gpus + ending.gpus / kReleasedShareDivisor};
 }
 
 // Updates the rate, smoothed over about one second.
@@ -250,7 +251,7 @@
   std::vector<placement_option> found;
   for (std::size_t i = 0; i < with_free_cpu; ++i) {
     worker* target = round.available[i].worker;
-    if (!has_room(round, need, *target)) continue;
+    if (!has_room(round, candidate, need, *target)) continue;
     const cached_ticket* cached =
         advised ? valid_ticket(step, *target, round.now) : nullptr;
     if (needs_ticket && cached == nullptr) continue;
@@ -286,7 +287,9 @@
     // Among workers that are too slow, the fastest comes first.
     each.speed_rank = slowdown <= affordable ? 0 : step;
     each.fast_enough = slowdown <= affordable;
-    each.avoided = candidate.priority == 0 && each.worker->held_for_gang;
+    bool precedes_gangs = candidate.priority == 0;
+    each.avoided = round.reserved.count(each.worker) > 0 ||
+                   (precedes_gangs && each.worker->held_for_gang);
   }
   std::sort(options->begin(), options->end(),
             [](const placement_option& a, const placement_option& b) {
@@ -316,6 +319,8 @@
     found.push_back(
         {count_step_slots(*each, candidate, expected_resources(*each), count),
          count_step_slots(*each, candidate, free_resources_of(*each), count),
+         count_step_slots(*each, candidate,
+                          free_resources_of(*each) + each->backfilled, count),
          each});
   };
   const std::unordered_set<std::string>& granted_ids = candidate.step->granted;
@@ -343,7 +348,7 @@
   }
   std::sort(found.begin(), found.end(),
             [](const collectable_worker& a, const collectable_worker& b) {
-              if (a.free != b.free) return a.free > b.free;
+              if (a.kept_free != b.kept_free) return a.kept_free > b.kept_free;
               if (a.expected != b.expected) return a.expected > b.expected;
               return a.worker->entry.id < b.worker->entry.id;
             });
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -123,6 +123,9 @@
   bool reported = false;                // By the worker's current incarnation.
   bool unexpected = false;              // Reported without a valid order.
   bool trial = false;  // Of a suspected task, and not passed yet.
+  bool lasts = false;  // Until its job is cancelled.
+  // Started on a worker reserved for a gang, to end before the gang starts.
+  bool backfilled = false;
   // The worker has restarted since the run was confirmed, and hasn't told
   // whether it has the run.
   bool crash_unsettled = false;
@@ -136,6 +139,10 @@
   // First forecast of its end and when it was made; default value: none.
   steady_time forecast_made;
   steady_time forecast_end;
+  // When it is expected to free its resources, and when that was computed; see
+  // reservations.cpp.
+  steady_time release_at;
+  steady_time release_computed;
 };
 
 // The journal's record of the end of a worker's lease; see recorded_leases.h.
@@ -190,6 +197,9 @@
   bool has_all_ends = true;
   std::vector<placement> placements;
   resources used;
+  // Parts of `used`, by runs that last and by backfilled runs.
+  resources lasting;
+  resources backfilled;
   std::uint32_t consecutive_failures = 0;
   steady_time avoid_until;     // No starts before this time.
   bool held_for_gang = false;  // Reserved in the last scheduling round.
@@ -379,6 +389,7 @@
   std::uint64_t unexpected_runs = 0;  // Reported runs without a valid order.
   // That placed nothing, as a copy of the store's records was too old.
   std::uint64_t outdated_rounds = 0;
+  std::uint64_t backfilled_runs = 0;  // Beside a reservation; placed.
 };
 
 // Runs that were placed and that no worker has confirmed.
--- /dev/null
+++ b/src/pool/reservations.cpp
@@ -0,0 +1,199 @@
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "pool/near_wait_pvt.h"
+#include "pool/pool_pvt.h"
+#include "pool/reservations_pvt.h"
+
+namespace ebonygrade::pool {
+
+namespace {
+
+// Limit of the workers that are reserved for gangs, relative to all available
+// workers. The rest serves steps of lower priority.
+constexpr double kMaxReservedShare = 0.8;
+// Workers report the progress of runs once a second.
+constexpr milliseconds kForecastValidity{500};
+
+// Resources that a run frees at its expected end.
+struct release {
+  steady_time at;
+  std::size_t worker = 0;
+  resources freed;
+};
+
+// When a gang has its room.
+struct room_forecast {
+  steady_time at;
+  std::vector<resources> free;  // At that time, by worker.
+};
+
+std::uint32_t slots_of(const candidate_step& candidate, const resources& free) {
+  const wire::step_definition& step =
+      definition(*candidate.job, *candidate.step);
+  std::uint32_t limit =
+      static_cast<std::uint32_t>(candidate.step->tasks.size());
+  if (step.max_per_worker() > 0) limit = std::min(limit, step.max_per_worker());
+  return count_slots(free, resources_needed(step), limit);
+}
+
+// A round of a large pool would take half as long again if it computed the
+// expected ends of all runs anew.
+steady_time release_time(const scheduling_round& round, const worker& worker,
+                         placement* placed) {
+  if (round.now - placed->release_computed >= kForecastValidity) {
+    placed->release_at = expected_end(round, worker, *placed);
+    placed->release_computed = round.now;
+  }
+  return placed->release_at;
+}
+
+// Nothing if the gang doesn't fit even when all runs have ended that end.
+std::optional<room_forecast> forecast_room(
+    const scheduling_round& round, const candidate_step& candidate,
+    const std::vector<worker*>& workers) {
+  std::uint32_t count =
+      static_cast<std::uint32_t>(candidate.step->tasks.size());
+  room_forecast forecast{round.now, {}};
+  std::vector<release> releases;
+  std::uint32_t total = 0;
+  for (std::size_t i = 0; i < workers.size(); ++i) {
+    resources free = free_resources_of(*workers[i]);
+    for (placement& each : workers[i]->placements) {
+      if (each.lasts) continue;
+      if (each.backfilled) {
+        free = free + each.need;
+      } else {
+        releases.push_back(
+            {release_time(round, *workers[i], &each), i, each.need});
+      }
+    }
+    total += slots_of(candidate, free);
+    forecast.free.push_back(free);
+  }
+  if (total >= count) return forecast;
+  std::sort(releases.begin(), releases.end(),
+            [](const release& a, const release& b) { return a.at < b.at; });
+  for (const release& each : releases) {
+    if (total >= count && each.at > forecast.at) break;
+    resources& free = forecast.free[each.worker];
+    total -= slots_of(candidate, free);
+    free = free + each.freed;
+    total += slots_of(candidate, free);
+    forecast.at = std::max(round.now, each.at);
+  }
+  if (total < count) return std::nullopt;
+  return forecast;
+}
+
+// When a run of the step would have ended at the latest; max() if it lasts or
+// nothing is known.
+steady_time latest_end(const scheduling_round& round,
+                       const candidate_step& candidate, const worker& worker) {
+  const wire::step_definition& step =
+      definition(*candidate.job, *candidate.step);
+  if (step.long_running() || step.estimate_ms() == 0) return steady_time::max();
+  return round.now +
+         std::chrono::ceil<milliseconds>(
+             expected_run_time(round, worker, step) * kSlowestTaskFactor);
+}
+
+// How many of the first workers hold a gang of so many tasks once all runs have
+// ended that end; 0 if all of them don't suffice.
+std::size_t count_if_idle(const std::vector<collectable_worker>& workers,
+                          const candidate_step& candidate,
+                          std::uint32_t tasks) {
+  std::uint32_t slots = 0;
+  for (std::size_t i = 0; i < workers.size(); ++i) {
+    slots += slots_of(candidate, workers[i].worker->entry.capacity -
+                                     workers[i].worker->lasting);
+    if (slots >= tasks) return i + 1;
+  }
+  return 0;
+}
+
+}  // namespace
+
+void reserve_room(scheduling_round* round, const candidate_step& candidate,
+                  const std::vector<worker*>& workers) {
+  std::optional<room_forecast> forecast =
+      forecast_room(*round, candidate, workers);
+  if (!forecast) return;
+  resources need =
+      resources_needed(definition(*candidate.job, *candidate.step));
+  for (std::size_t i = 0; i < workers.size(); ++i) {
+    // Workers without room at that time may have it sooner than forecast.
+    const resources& free = forecast->free[i];
+    std::uint32_t slots = slots_of(candidate, free);
+    resources spare = slots == 0 ? resources() : free - need * slots;
+    bool added = round->reserved
+                     .try_emplace(workers[i], reservation{candidate.job,
+                                                          forecast->at, spare})
+                     .second;
+    if (!added) continue;
+    round->reserved_free_cpu +=
+        std::max<std::int64_t>(0, free_resources_of(*workers[i]).cpu_milli);
+  }
+}
+
+// Load pattern: gangs wait while nearly half of the pool is free, a few cores
+// on each worker. Every gang with enough tickets collects room at the same
+// time, within a limit; the first gang always does.
+void reserve_workers(scheduling_round* round, const candidate_step& candidate) {
+  std::size_t limit = static_cast<std::size_t>(
+      kMaxReservedShare * static_cast<double>(round->available.size()));
+  bool first = round->reserved.empty();
+  if (!first && round->reserved.size() >= limit) return;
+  std::vector<collectable_worker> found =
+      collectable_workers(*round, candidate);
+  std::uint32_t count =
+      static_cast<std::uint32_t>(candidate.step->tasks.size());
+  std::size_t needed = count_to_collect(found, count);
+  // A gang that needs most of the pool would never start otherwise.
+  if (needed == 0 && first) needed = count_if_idle(found, candidate, count);
+  if (needed == 0) return;
+  if (!first && round->reserved.size() + needed > limit) return;
+  std::vector<worker*> workers;
+  for (std::size_t i = 0; i < needed; ++i) workers.push_back(found[i].worker);
+  reserve_room(round, candidate, workers);
+}
+
+resources usable_resources(const scheduling_round& round,
+                           const candidate_step& candidate,
+                           const worker& worker) {
+  resources free = free_resources_of(worker);
+  std::unordered_map<const pool::worker*, reservation>::const_iterator found =
+      round.reserved.find(&worker);
+  if (found == round.reserved.end()) return free;
+  const reservation& kept = found->second;
+  if (latest_end(round, candidate, worker) <= kept.start) return free;
+  return {std::min(free.cpu_milli, kept.spare.cpu_milli),
+          std::min(free.memory_mb, kept.spare.memory_mb),
+          std::min(free.gpus, kept.spare.gpus)};
+}
+
+void observe_beside_reservations(scheduling_round* round,
+                                 const candidate_step& candidate,
+                                 std::size_t first) {
+  pool_state* pool = round->pool;
+  const std::vector<placement_key>& starts = pool->unrecorded_starts;
+  for (std::size_t i = first; i < starts.size(); ++i) {
+    worker* at = find_worker(pool, starts[i].worker);
+    std::unordered_map<const worker*, reservation>::iterator found =
+        round->reserved.find(at);
+    if (found == round->reserved.end()) continue;
+    placement* placed = find_placement(at, starts[i].task, starts[i].run);
+    placed->backfilled =
+        latest_end(*round, candidate, *at) <= found->second.start;
+    if (placed->backfilled) {
+      at->backfilled = at->backfilled + placed->need;
+      ++pool->counters.backfilled_runs;
+    } else {
+      found->second.spare = found->second.spare - placed->need;
+    }
+  }
+}
+
+}  // namespace ebonygrade::pool
--- /dev/null
+++ b/src/pool/reservations_pvt.h
@@ -0,0 +1,38 @@
+// Room that gangs keep while they wait, so that smaller steps don't use all
+// capacity that becomes free, and what other steps may use of it.
+//
+// A reservation doesn't set a whole worker aside. A later step may start on it
+// (backfilling) if one of these holds:
+// - it is expected to end before the gang has its room;
+// - it fits beside the members that the gang will have on the worker.
+//
+// The gang starts all the same: the runs of the first kind don't put off the
+// time until which others may follow, so once the runs that block the gang have
+// ended, it waits for at most one such run on each worker.
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "pool/round_pvt.h"
+
+namespace ebonygrade::pool {
+
+// Reserves workers for a gang that waits for capacity or for new tickets.
+// Reserves nothing if runs that last keep the gang from its room.
+void reserve_workers(scheduling_round* round, const candidate_step& candidate);
+// The same on given workers.
+void reserve_room(scheduling_round* round, const candidate_step& candidate,
+                  const std::vector<worker*>& workers);
+
+// The free resources of the worker that the step may use.
+resources usable_resources(const scheduling_round& round,
+                           const candidate_step& candidate,
+                           const worker& worker);
+// To be called after an attempt to place the step. `first`: index of the first
+// start of the step in pool_state::unrecorded_starts.
+void observe_beside_reservations(scheduling_round* round,
+                                 const candidate_step& candidate,
+                                 std::size_t first);
+
+}  // namespace ebonygrade::pool
--- a/src/pool/round_pvt.h
+++ b/src/pool/round_pvt.h
@@ -41,14 +41,21 @@
 
 struct near_round;  // See near_wait_pvt.h.
 
+// What a waiting gang keeps of a worker; see reservations_pvt.h.
+struct reservation {
+  const pool::job* holder = nullptr;
+  steady_time start;  // When the gang is expected to have its room.
+  resources spare;    // Left beside the gang at that time.
+};
+
 struct scheduling_round {
   pool_state* pool = nullptr;
   steady_time now;
   unix_time wall;
   decisions* out = nullptr;
   std::vector<available_worker> available;  // Most free CPU first.
-  // For waiting gangs; with the job of the gang.
-  std::unordered_map<const worker*, const pool::job*> reserved;
+  // For waiting gangs.
+  std::unordered_map<const worker*, reservation> reserved;
   std::int64_t free_cpu = 0;           // Of all available workers.
   std::int64_t reserved_free_cpu = 0;  // Of the reserved ones.
   // CPU that earlier steps of this round will use once they have advice. Steps
@@ -63,6 +70,9 @@
 scheduling_round begin_round(pool_state* pool, decisions* out, steady_time now,
                              unix_time wall);
 
+// Run time of a step's slowest task relative to its estimate.
+inline constexpr double kSlowestTaskFactor = 1.3;
+
 // A worker that can run tasks of a step, and how many.
 struct placement_option {
   pool::worker* worker = nullptr;
@@ -72,7 +82,7 @@
   bool near_data = true;
   // Set by sort_by_preference().
   bool fast_enough = true;
-  bool avoided = false;  // Held for a gang that the step precedes.
+  bool avoided = false;  // Held for a gang.
   int speed_rank = 0;    // Lowest first.
 };
 
@@ -89,7 +99,7 @@
 // Sorts the best option first, by these criteria:
 // - the worker is near the data;
 // - it is fast enough for the step's objective;
-// - no gang collects room on it, for steps that come before all gangs;
+// - no gang collects room on it;
 // - best fit: the least free CPU.
 void sort_by_preference(const scheduling_round& round,
                         const candidate_step& candidate,
@@ -124,6 +134,8 @@
 struct collectable_worker {
   std::uint32_t expected = 0;  // Soon, counting a part of the runs as ended.
   std::uint32_t free = 0;      // Now.
+  // Now, but for backfilled runs. A worker that has some stays reserved.
+  std::uint32_t kept_free = 0;
   pool::worker* worker = nullptr;
 };
 
--- a/src/pool/step_wait.cpp
+++ b/src/pool/step_wait.cpp
@@ -1,13 +1,13 @@
 #include "pool/step_wait.h"
 
 #include <algorithm>
-#include <map>
 #include <optional>
 #include <string>
 #include <utility>
 
 #include "pool/near_wait_pvt.h"
 #include "pool/pool_pvt.h"
+#include "pool/reservations_pvt.h"
 
 namespace ebonygrade::pool {
 
@@ -98,23 +98,22 @@
               : milliseconds_between(step.last_advice, round.now));
 }
 
-// The gang that has reserved most of the workers that the step may use.
-std::string describe_reservations(const scheduling_round& round,
-                                  const candidate_step& candidate) {
+// The reservation that ends first, of those in the step's way.
+std::string describe_reservation(const scheduling_round& round,
+                                 const candidate_step& candidate) {
   const wire::step_definition& step =
       definition(*candidate.job, *candidate.step);
-  std::map<std::string, std::size_t> workers;  // By the job of the gang.
-  for (const std::pair<const worker* const, const job*>& each :
+  const reservation* first = nullptr;
+  for (const std::pair<const worker* const, reservation>& each :
        round.reserved) {
     if (!is_eligible(*each.first, *candidate.job, step)) continue;
-    ++workers[each.second->id];
+    if (first == nullptr || each.second.start < first->start) {
+      first = &each.second;
+    }
   }
-  std::map<std::string, std::size_t>::const_iterator most = std::max_element(
-      workers.begin(), workers.end(),
-      [](const auto& a, const auto& b) { return a.second < b.second; });
-  if (most == workers.end()) return "";
-  return " holder=" + most->first +
-         " held_workers=" + std::to_string(most->second) +
+  if (first == nullptr) return "";
+  return " holder=" + first->holder->id +
+         " starts_in_ms=" + milliseconds_between(round.now, first->start) +
          " reserved=" + std::to_string(round.reserved.size());
 }
 
@@ -221,7 +220,7 @@
   if (reason == wait_reason::member_placed) {
     detail += describe_placed(round, candidate);
   } else if (reason == wait_reason::reserved) {
-    detail += describe_reservations(round, candidate);
+    detail += describe_reservation(round, candidate);
   } else if (candidate.policy->needs_advice) {
     detail += describe_advice(round, candidate, granted);
   }
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -279,6 +279,10 @@
 
 void add_placement(pool_state* pool, worker* worker, placement placed) {
   worker->used = worker->used + placed.need;
+  task_ref ref = find_task(pool, placed.task);
+  placed.lasts =
+      ref.step != nullptr && definition(*ref.job, *ref.step).long_running();
+  if (placed.lasts) worker->lasting = worker->lasting + placed.need;
   add_usage(pool, &placed);
   job* job = find_job(pool, placed.task.job);
   if (job != nullptr) ++job->workers[worker->entry.id];
@@ -313,6 +317,10 @@
   worker->placements.erase(worker->placements.begin() +
                            (placed - worker->placements.data()));
   worker->used = worker->used - dropped.need;
+  if (dropped.lasts) worker->lasting = worker->lasting - dropped.need;
+  if (dropped.backfilled) {
+    worker->backfilled = worker->backfilled - dropped.need;
+  }
   drop_usage(pool, dropped);
   if (dropped.unexpected) --pool->unexpected_placements;
   if (dropped.trial) --worker->trials;
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -540,6 +540,9 @@
   append_value(text, "ebonygrade_pool_outdated_rounds_total", "counter",
                "Rounds without starts, as a copy of the store was too old.",
                state.counters.outdated_rounds);
+  append_value(text, "ebonygrade_pool_backfilled_runs_total", "counter",
+               "Runs placed on workers that a gang keeps, to end before it.",
+               state.counters.backfilled_runs);
   append_value(text, "ebonygrade_pool_long_step_waits", "gauge",
                "Steps that have waited for more than 3 s.",
                state.long_step_waits);
