pool: gangs give way to jobs with nothing running

When reservations have kept such a job from starting for 2 s, while more than half of the pool's CPU is unused, jobs with nothing running may use reserved workers for 1 s. The gang that reserved first then holds twice as long before it gives way again, so it starts in the end. Event 882 and `ebonygrade_pool_reservation_yields_total` tell of it.

Failed before: "a gang gives way to jobs with nothing running".

--- a/src/events/catalogue.h
+++ b/src/events/catalogue.h
@@ -87,6 +87,7 @@
   departures_traced = 875,
   outdated_pool_handed_over = 880,
   no_current_standby = 881,
+  reservation_yielded = 882,
 };
 
 struct definition {
@@ -290,6 +291,10 @@
                "The owner's copies stay too old, and no standby confirms "
                "recent ones.",
                "none"},
+    definition{id::reservation_yielded, "reservation_yielded", level::info,
+               "The room that waiting gangs keep has kept jobs with nothing "
+               "running from starting; these may use it for a moment.",
+               "none"},
 };
 
 // Returns the definition of an event, or the first definition if the catalogue
--- a/src/pool/decide.cpp
+++ b/src/pool/decide.cpp
@@ -376,6 +376,7 @@
     }
   } else {
     place_waiting_steps(&round, waiting);
+    update_yield(&round);
   }
   if (pool->has_tenants) end_tenant_round(pool, now);
   for (std::pair<const std::string, worker>& each : pool->workers) {
--- a/src/pool/options.cpp
+++ b/src/pool/options.cpp
@@ -190,6 +190,7 @@
   result.now = now;
   result.wall = wall;
   result.near = begin_near_round(*pool);
+  result.yields = now < pool->reservations.yields_until;
   update_cpu_release_rate(&pool->cpu_release_rate, now);
   result.available.reserve(pool->workers.size());
   for (std::pair<const std::string, worker>& each : pool->workers) {
@@ -197,6 +198,7 @@
     std::int64_t free_cpu = free_resources_of(each.second).cpu_milli;
     result.available.push_back({free_cpu, &each.second});
     result.free_cpu += std::max<std::int64_t>(0, free_cpu);
+    result.capacity_cpu += each.second.entry.capacity.cpu_milli;
   }
   std::sort(result.available.begin(), result.available.end(),
             [](const available_worker& a, const available_worker& b) {
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -253,6 +253,8 @@
   // When the quota of its tenant first held back tasks that still wait; default
   // value: it doesn't.
   steady_time held_by_quota_since;
+  // Of a gang: how often its reservation has given way.
+  std::uint32_t yields = 0;
   // Since when it has been ready. For a later step that was ready before a
   // takeover: the acceptance of its job, which is earlier.
   unix_time ready_since;
@@ -327,6 +329,7 @@
   near_wait_begun,  // A task waits for a place near its data.
   near_wait_ended,
   step_waits,  // Has waited for long; see step_wait.h.
+  reservation_yielded,
 };
 
 struct job_event {
@@ -390,6 +393,8 @@
   // That placed nothing, as a copy of the store's records was too old.
   std::uint64_t outdated_rounds = 0;
   std::uint64_t backfilled_runs = 0;  // Beside a reservation; placed.
+  // How often a gang has given way to jobs with nothing running.
+  std::uint64_t reservation_yields = 0;
 };
 
 // Runs that were placed and that no worker has confirmed.
@@ -412,6 +417,15 @@
   std::size_t waiting_without_value = 0;
 };
 
+// Of all rounds; see reservations_pvt.h.
+struct reservation_state {
+  // Since when reservations have kept jobs with nothing running from starting
+  // while most of the pool is unused; default value: they don't.
+  steady_time idle_jobs_kept_since;
+  steady_time yields_until;  // Until then such jobs may use reserved workers,
+  bool all_yield = false;    // also of gangs that are about to start.
+};
+
 // Use pool_time() and continue_pool_time().
 struct pool_time_state {
   milliseconds base{0};     // The pool time at `base_at`.
@@ -469,6 +483,7 @@
   steady_time journal_current_as_of;
   steady_time directory_current_as_of;
   load_summary load;
+  reservation_state reservations;
   steady_time step_waits_reported_at;
   std::size_t long_step_waits = 0;  // Steps with a long wait, at that time.
   near_wait_state near;
--- a/src/pool/reservation_test.cpp
+++ b/src/pool/reservation_test.cpp
@@ -226,6 +226,40 @@
   CHECK(pool.running_of(job) == kWorkers - 1);
 }
 
+// A job with nothing running starts within 3 s if most of the pool is unused,
+// also if its tasks outlast the wait of the gang.
+TEST_CASE("a gang gives way to jobs with nothing running") {
+  busy_pool pool;
+  pool.submit_blocked_gang(kWorkerCpu, milliseconds(36000));
+  std::string first =
+      pool.submit_small(busy_pool::step_of(2, 4000, milliseconds(60000)));
+  std::string second =
+      pool.submit_small(busy_pool::step_of(2, 4000, milliseconds(60000)));
+  pool.play(milliseconds(1500));
+  CHECK_FALSE(pool.wait_of(first));
+  pool.play(milliseconds(1500));
+  REQUIRE(pool.wait_of(first));
+  REQUIRE(pool.wait_of(second));
+  CHECK(pool.state.counters.reservation_yields == 1);
+}
+
+// The other side: it gives way ever more seldom, so a stream of such jobs
+// doesn't keep it waiting for good.
+TEST_CASE("a gang that gives way starts in the end") {
+  busy_pool pool;
+  constexpr milliseconds kRunTime{6000};
+  pool.submit_blocked_gang(kWorkerCpu, milliseconds(9000));
+  while (!pool.wait_of(kGang) &&
+         pool.now < pool.submitted[kGang] + std::chrono::seconds(120)) {
+    pool.submit_small(busy_pool::step_of(1, 4000, kRunTime));
+    pool.play(milliseconds(1500));
+  }
+  REQUIRE(pool.wait_of(kGang));
+  CHECK(pool.state.counters.reservation_yields >= 1);
+  // Holds of 2, 4 and 8 s; the last one is longer than the runs.
+  CHECK(*pool.wait_of(kGang) <= milliseconds(9000) + 4 * kRunTime);
+}
+
 TEST_CASE("a step that reservations keep waiting says which gang holds them") {
   busy_pool pool;
   pool.submit_blocked_gang(kWorkerCpu, milliseconds(36000));
--- a/src/pool/reservations.cpp
+++ b/src/pool/reservations.cpp
@@ -14,8 +14,18 @@
 // Limit of the workers that are reserved for gangs, relative to all available
 // workers. The rest serves steps of lower priority.
 constexpr double kMaxReservedShare = 0.8;
+// A gang gives way first after this time. A job with nothing running starts
+// within 3 s; the rest is for rounds, advice and the record of the start.
+constexpr milliseconds kFirstHold{2000};
+constexpr std::uint32_t kMaxHoldDoublings = 6;
+// A gang that is expected to start this soon, or that waits only for runs that
+// went ahead of it or for tickets, doesn't give way before the longer time.
+constexpr milliseconds kImminentStart{1000};
+constexpr milliseconds kImminentHold{8000};
 // Workers report the progress of runs once a second.
 constexpr milliseconds kForecastValidity{500};
+// For a request to the advice service and a record of the start.
+constexpr milliseconds kYieldTime{1000};
 
 // Resources that a run frees at its expected end.
 struct release {
@@ -114,6 +124,14 @@
   return 0;
 }
 
+bool is_imminent(const scheduling_round& round, const reservation& kept) {
+  return kept.start - round.now <= kImminentStart;
+}
+
+bool is_mostly_unused(const scheduling_round& round) {
+  return 2 * round.free_cpu > round.capacity_cpu;
+}
+
 }  // namespace
 
 void reserve_room(scheduling_round* round, const candidate_step& candidate,
@@ -121,6 +139,9 @@
   std::optional<room_forecast> forecast =
       forecast_room(*round, candidate, workers);
   if (!forecast) return;
+  if (round->reserved.empty()) {
+    round->first_holder = {candidate.job, candidate.step};
+  }
   resources need =
       resources_needed(definition(*candidate.job, *candidate.step));
   for (std::size_t i = 0; i < workers.size(); ++i) {
@@ -168,6 +189,9 @@
       round.reserved.find(&worker);
   if (found == round.reserved.end()) return free;
   const reservation& kept = found->second;
+  bool yields = round.yields && (round.pool->reservations.all_yield ||
+                                 !is_imminent(round, kept));
+  if (yields && candidate.job->workers.empty()) return free;
   if (latest_end(round, candidate, worker) <= kept.start) return free;
   return {std::min(free.cpu_milli, kept.spare.cpu_milli),
           std::min(free.memory_mb, kept.spare.memory_mb),
@@ -194,6 +218,48 @@
       found->second.spare = found->second.spare - placed->need;
     }
   }
+  if (round->keeps_idle_job || !is_mostly_unused(*round)) return;
+  bool awaits_advice =
+      candidate.policy->needs_advice && candidate.step->queried.empty();
+  if (awaits_advice || !candidate.job->workers.empty()) return;
+  round->keeps_idle_job = is_kept_by_reservations(*round, candidate);
+}
+
+void update_yield(scheduling_round* round) {
+  reservation_state* state = &round->pool->reservations;
+  if (round->yields) return;
+  if (!round->keeps_idle_job) {
+    state->idle_jobs_kept_since = {};
+    return;
+  }
+  if (state->idle_jobs_kept_since == steady_time()) {
+    state->idle_jobs_kept_since = round->now;
+  }
+  step_state* holder = round->first_holder.step;
+  milliseconds hold =
+      kFirstHold * (1 << std::min(holder->yields, kMaxHoldDoublings));
+  steady_time::duration kept = round->now - state->idle_jobs_kept_since;
+  bool all_yield = kept >= std::max(hold, kImminentHold);
+  bool some_yield =
+      kept >= hold &&
+      std::any_of(round->reserved.begin(), round->reserved.end(),
+                  [&](const std::pair<const worker* const, reservation>& each) {
+                    return !is_imminent(*round, each.second);
+                  });
+  if (!all_yield && !some_yield) return;
+  state->all_yield = all_yield;
+  ++holder->yields;
+  ++round->pool->counters.reservation_yields;
+  add_job_event(
+      round->pool, job_event_kind::reservation_yielded,
+      round->first_holder.job->id, {},
+      "occurrence=" + std::to_string(holder->occurrence) +
+          " step=" + std::to_string(holder->step) + " held_ms=" +
+          milliseconds_between(state->idle_jobs_kept_since, round->now) +
+          " yields=" + std::to_string(holder->yields) +
+          " reserved=" + std::to_string(round->reserved.size()));
+  state->idle_jobs_kept_since = {};
+  state->yields_until = round->now + kYieldTime;
 }
 
 }  // namespace ebonygrade::pool
--- a/src/pool/reservations_pvt.h
+++ b/src/pool/reservations_pvt.h
@@ -4,11 +4,15 @@
 // A reservation doesn't set a whole worker aside. A later step may start on it
 // (backfilling) if one of these holds:
 // - it is expected to end before the gang has its room;
-// - it fits beside the members that the gang will have on the worker.
+// - it fits beside the members that the gang will have on the worker;
+// - its job has nothing running, reservations have kept such jobs waiting for
+//   too long while most of the pool is unused, and the gang gives way.
 //
 // The gang starts all the same: the runs of the first kind don't put off the
 // time until which others may follow, so once the runs that block the gang have
-// ended, it waits for at most one such run on each worker.
+// ended, it waits for at most one such run on each worker, and gives way
+// late. Each time that it gives way it holds twice as long before the next
+// time, so in the end it holds its room for longer than other runs take.
 #pragma once
 
 #include <cstddef>
@@ -34,5 +38,7 @@
 void observe_beside_reservations(scheduling_round* round,
                                  const candidate_step& candidate,
                                  std::size_t first);
+// To be called at the end of the round: decides whether the gangs give way.
+void update_yield(scheduling_round* round);
 
 }  // namespace ebonygrade::pool
--- a/src/poold/node_peers.cpp
+++ b/src/poold/node_peers.cpp
@@ -543,6 +543,9 @@
   append_value(text, "ebonygrade_pool_backfilled_runs_total", "counter",
                "Runs placed on workers that a gang keeps, to end before it.",
                state.counters.backfilled_runs);
+  append_value(text, "ebonygrade_pool_reservation_yields_total", "counter",
+               "Times that gangs gave way to jobs with nothing running.",
+               state.counters.reservation_yields);
   append_value(text, "ebonygrade_pool_long_step_waits", "gauge",
                "Steps that have waited for more than 3 s.",
                state.long_step_waits);
--- a/src/poold/owner.cpp
+++ b/src/poold/owner.cpp
@@ -559,6 +559,10 @@
         events::emit(events::id::step_waits, "decide", "", "job={} {}",
                      each.job, each.detail);
         break;
+      case pool::job_event_kind::reservation_yielded:
+        events::emit(events::id::reservation_yielded, "decide", "", "job={} {}",
+                     each.job, each.detail);
+        break;
       case pool::job_event_kind::worker_avoided:
         events::emit(events::id::worker_avoided, "decide", each.worker,
                      "job={} {}", each.job, each.detail);
