pool: gangs hold whole workers again while most of the pool is in use

Cause: under load a gang starts with the first room that comes free on about twice the workers that it needs. Steps that went ahead took that room, on the strength of a forecast of the latest start.

--- a/src/pool/reservations.cpp
+++ b/src/pool/reservations.cpp
@@ -49,8 +49,8 @@
   return count_slots(free, resources_needed(step), limit);
 }
 
-// A round of a large pool would take half as long again if it computed the
-// expected ends of all runs anew.
+// Rounds of a large pool would take much longer if each computed the expected
+// ends of all runs anew.
 steady_time release_time(const scheduling_round& round, const worker& worker,
                          placement* placed) {
   if (round.now - placed->release_computed >= kForecastValidity) {
@@ -132,10 +132,23 @@
   return 2 * round.free_cpu > round.capacity_cpu;
 }
 
+void add_reservation(scheduling_round* round, const worker* worker,
+                     reservation kept) {
+  if (!round->reserved.try_emplace(worker, kept).second) return;
+  round->reserved_free_cpu +=
+      std::max<std::int64_t>(0, free_resources_of(*worker).cpu_milli);
+}
+
 }  // namespace
 
 void reserve_room(scheduling_round* round, const candidate_step& candidate,
                   const std::vector<worker*>& workers) {
+  if (!is_mostly_unused(*round)) {
+    for (worker* each : workers) {
+      add_reservation(round, each, {candidate.job, round->now, {}});
+    }
+    return;
+  }
   std::optional<room_forecast> forecast =
       forecast_room(*round, candidate, workers);
   if (!forecast) return;
@@ -149,13 +162,7 @@
     const resources& free = forecast->free[i];
     std::uint32_t slots = slots_of(candidate, free);
     resources spare = slots == 0 ? resources() : free - need * slots;
-    bool added = round->reserved
-                     .try_emplace(workers[i], reservation{candidate.job,
-                                                          forecast->at, spare})
-                     .second;
-    if (!added) continue;
-    round->reserved_free_cpu +=
-        std::max<std::int64_t>(0, free_resources_of(*workers[i]).cpu_milli);
+    add_reservation(round, workers[i], {candidate.job, forecast->at, spare});
   }
 }
 
@@ -188,6 +195,7 @@
   std::unordered_map<const pool::worker*, reservation>::const_iterator found =
       round.reserved.find(&worker);
   if (found == round.reserved.end()) return free;
+  if (!is_mostly_unused(round)) return {};
   const reservation& kept = found->second;
   bool yields = round.yields && (round.pool->reservations.all_yield ||
                                  !is_imminent(round, kept));
--- a/src/pool/reservations_pvt.h
+++ b/src/pool/reservations_pvt.h
@@ -1,8 +1,10 @@
 // Room that gangs keep while they wait, so that smaller steps don't use all
 // capacity that becomes free, and what other steps may use of it.
 //
-// A reservation doesn't set a whole worker aside. A later step may start on it
-// (backfilling) if one of these holds:
+// While most of the pool's CPU is in use, a reserved worker is for the gang
+// alone: gangs start with the first room that comes free, and what they collect
+// fills soon. Otherwise a later step may start on it (backfilling) if one of
+// these holds:
 // - it is expected to end before the gang has its room;
 // - it fits beside the members that the gang will have on the worker;
 // - its job has nothing running, reservations have kept such jobs waiting for
--- a/src/pool/round_pvt.h
+++ b/src/pool/round_pvt.h
@@ -45,8 +45,10 @@
 // What a waiting gang keeps of a worker; see reservations_pvt.h.
 struct reservation {
   const pool::job* holder = nullptr;
-  steady_time start;  // When the gang is expected to have its room.
-  resources spare;    // Left beside the gang at that time.
+  // Used only while most of the pool is unused: when the gang is expected to
+  // have its room, and what is left beside it at that time.
+  steady_time start;
+  resources spare;
 };
 
 struct scheduling_round {
