--- a/src/pool/near_forecast.cpp
+++ b/src/pool/near_forecast.cpp
@@ -221,7 +221,7 @@
 }  // namespace
 
 real_ms expected_run_time(const scheduling_round& round, const worker& worker,
-                           const wire::step_definition& step) {
+                          const wire::step_definition& step) {
   bool far = !step.data_rack().empty() && step.data_rack() != worker.entry.rack;
   double factor = far ? round.pool->near.settings.far_factor : 1;
   return real_ms(step.estimate_ms()) * factor * slowdown_of(worker, round.now);
--- a/src/pool/reservations.cpp
+++ b/src/pool/reservations.cpp
@@ -18,14 +18,14 @@
 // within 3 s; the rest is for rounds, advice and the record of the start.
 constexpr milliseconds kFirstHold{2000};
 constexpr std::uint32_t kMaxHoldDoublings = 6;
+// For a request to the advice service and a record of the start.
+constexpr milliseconds kYieldTime{1000};
 // A gang that is expected to start this soon, or that waits only for runs that
 // went ahead of it or for tickets, doesn't give way before the longer time.
 constexpr milliseconds kImminentStart{1000};
 constexpr milliseconds kImminentHold{8000};
 // Workers report the progress of runs once a second.
 constexpr milliseconds kForecastValidity{500};
-// For a request to the advice service and a record of the start.
-constexpr milliseconds kYieldTime{1000};
 
 // Resources that a run frees at its expected end.
 struct release {
