pool: rounds in a busy pool do without look-ups of reservations

Cause: the owner's processor bounds the large deployment, and a round asked several times a worker whether it may use what a gang keeps there, also while nothing of it may be used.

--- a/src/pool/options.cpp
+++ b/src/pool/options.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <optional>
 #include <string>
 
 #include "pool/near_wait_pvt.h"
@@ -67,23 +68,26 @@
   return std::min(slots, step.max_per_worker() - running);
 }
 
-// Whether the worker has capacity for a task that the step may use. Cheaper
-// than the search for a ticket.
-bool has_room(const scheduling_round& round, const candidate_step& candidate,
-              const resources& need, const worker& worker) {
-  return fits(need, free_resources_of(worker)) &&
-         fits(need, usable_resources(round, candidate, worker));
+// The free resources of the worker that the step may use, if they hold a task.
+// Cheaper than the search for a ticket.
+std::optional<resources> room_on(const scheduling_round& round,
+                                 const candidate_step& candidate,
+                                 const resources& need, const worker& worker) {
+  if (!fits(need, free_resources_of(worker))) return std::nullopt;
+  resources usable = usable_resources(round, candidate, worker);
+  if (!fits(need, usable)) return std::nullopt;
+  return usable;
 }
 
-// Adds the worker, which has room, to the options if it can run a task of the
-// step.
+// Adds the worker to the options if it can run a task of the step. `room`: see
+// room_on().
 void add_option(const scheduling_round& round, const candidate_step& candidate,
-                worker* target, std::string_view ticket,
+                worker* target, const resources& room, std::string_view ticket,
                 std::uint32_t max_slots, std::vector<placement_option>* found) {
   const wire::step_definition& step =
       definition(*candidate.job, *candidate.step);
   placement_option result;
-  result.free = usable_resources(round, candidate, *target);
+  result.free = room;
   if (!is_eligible(*target, *candidate.job, step)) return;
   // A trial may have been placed in this round.
   if (target->trials > 0) return;
@@ -140,8 +144,10 @@
     worker* target = find_worker(round.pool, each.first);
     if (target == nullptr || !is_available(*target, round.now)) continue;
     if (!is_for(each.second, *target)) continue;
-    if (!has_room(round, candidate, need, *target)) continue;
-    add_option(round, candidate, target, each.second.value, max_slots, &found);
+    std::optional<resources> room = room_on(round, candidate, need, *target);
+    if (!room) continue;
+    add_option(round, candidate, target, *room, each.second.value, max_slots,
+               &found);
   }
   return found;
 }
@@ -193,13 +199,15 @@
   result.yields = now < pool->reservations.yields_until;
   update_cpu_release_rate(&pool->cpu_release_rate, now);
   result.available.reserve(pool->workers.size());
+  std::int64_t capacity_cpu = 0;
   for (std::pair<const std::string, worker>& each : pool->workers) {
     if (!is_available(each.second, now)) continue;
     std::int64_t free_cpu = free_resources_of(each.second).cpu_milli;
     result.available.push_back({free_cpu, &each.second});
     result.free_cpu += std::max<std::int64_t>(0, free_cpu);
-    result.capacity_cpu += each.second.entry.capacity.cpu_milli;
+    capacity_cpu += each.second.entry.capacity.cpu_milli;
   }
+  result.mostly_unused = 2 * result.free_cpu > capacity_cpu;
   std::sort(result.available.begin(), result.available.end(),
             [](const available_worker& a, const available_worker& b) {
               if (a.free_cpu != b.free_cpu) return a.free_cpu > b.free_cpu;
@@ -253,13 +261,14 @@
   std::vector<placement_option> found;
   for (std::size_t i = 0; i < with_free_cpu; ++i) {
     worker* target = round.available[i].worker;
-    if (!has_room(round, candidate, need, *target)) continue;
+    std::optional<resources> room = room_on(round, candidate, need, *target);
+    if (!room) continue;
     const cached_ticket* cached =
         advised ? valid_ticket(step, *target, round.now) : nullptr;
     if (needs_ticket && cached == nullptr) continue;
     if (advised && cached == nullptr && is_denied(step, target->entry.id))
       continue;
-    add_option(round, candidate, target,
+    add_option(round, candidate, target, *room,
                cached == nullptr ? std::string_view() : cached->value,
                max_slots, &found);
   }
@@ -290,8 +299,9 @@
     each.speed_rank = slowdown <= affordable ? 0 : step;
     each.fast_enough = slowdown <= affordable;
     bool precedes_gangs = candidate.priority == 0;
-    each.avoided = round.reserved.count(each.worker) > 0 ||
-                   (precedes_gangs && each.worker->held_for_gang);
+    bool reserved =
+        round.mostly_unused && round.reserved.count(each.worker) > 0;
+    each.avoided = reserved || (precedes_gangs && each.worker->held_for_gang);
   }
   std::sort(options->begin(), options->end(),
             [](const placement_option& a, const placement_option& b) {
@@ -318,12 +328,17 @@
   auto consider = [&](worker* each) {
     if (round.reserved.count(each) > 0) return;
     if (!is_eligible(*each, *candidate.job, step)) return;
+    std::uint32_t free =
+        count_step_slots(*each, candidate, free_resources_of(*each), count);
+    bool has_backfilled = !fits(each->backfilled, resources());
+    std::uint32_t kept_free =
+        has_backfilled ? count_step_slots(
+                             *each, candidate,
+                             free_resources_of(*each) + each->backfilled, count)
+                       : free;
     found.push_back(
         {count_step_slots(*each, candidate, expected_resources(*each), count),
-         count_step_slots(*each, candidate, free_resources_of(*each), count),
-         count_step_slots(*each, candidate,
-                          free_resources_of(*each) + each->backfilled, count),
-         each});
+         free, kept_free, each});
   };
   const std::unordered_set<std::string>& granted_ids = candidate.step->granted;
   std::size_t unreserved =
--- a/src/pool/reservations.cpp
+++ b/src/pool/reservations.cpp
@@ -128,10 +128,6 @@
   return kept.start - round.now <= kImminentStart;
 }
 
-bool is_mostly_unused(const scheduling_round& round) {
-  return 2 * round.free_cpu > round.capacity_cpu;
-}
-
 void add_reservation(scheduling_round* round, const worker* worker,
                      reservation kept) {
   if (!round->reserved.try_emplace(worker, kept).second) return;
@@ -143,7 +139,7 @@
 
 void reserve_room(scheduling_round* round, const candidate_step& candidate,
                   const std::vector<worker*>& workers) {
-  if (!is_mostly_unused(*round)) {
+  if (!round->mostly_unused) {
     for (worker* each : workers) {
       add_reservation(round, each, {candidate.job, round->now, {}});
     }
@@ -195,7 +191,7 @@
   std::unordered_map<const pool::worker*, reservation>::const_iterator found =
       round.reserved.find(&worker);
   if (found == round.reserved.end()) return free;
-  if (!is_mostly_unused(round)) return {};
+  if (!round.mostly_unused) return {};
   const reservation& kept = found->second;
   bool yields = round.yields && (round.pool->reservations.all_yield ||
                                  !is_imminent(round, kept));
@@ -209,6 +205,7 @@
 void observe_beside_reservations(scheduling_round* round,
                                  const candidate_step& candidate,
                                  std::size_t first) {
+  if (round->reserved.empty() || !round->mostly_unused) return;
   pool_state* pool = round->pool;
   const std::vector<placement_key>& starts = pool->unrecorded_starts;
   for (std::size_t i = first; i < starts.size(); ++i) {
@@ -226,7 +223,7 @@
       found->second.spare = found->second.spare - placed->need;
     }
   }
-  if (round->keeps_idle_job || !is_mostly_unused(*round)) return;
+  if (round->keeps_idle_job) return;
   bool awaits_advice =
       candidate.policy->needs_advice && candidate.step->queried.empty();
   if (awaits_advice || !candidate.job->workers.empty()) return;
--- a/src/pool/round_pvt.h
+++ b/src/pool/round_pvt.h
@@ -60,12 +60,13 @@
   // For waiting gangs.
   std::unordered_map<const worker*, reservation> reserved;
   task_ref first_holder;  // The first gang that reserved.
+  // More than half of the CPU of the available workers is free.
+  bool mostly_unused = false;
   // Jobs with nothing running may use reserved workers.
   bool yields = false;
   // Reservations keep such a job from starting, and most of the pool is unused.
   bool keeps_idle_job = false;
   std::int64_t free_cpu = 0;           // Of all available workers.
-  std::int64_t capacity_cpu = 0;       // The same.
   std::int64_t reserved_free_cpu = 0;  // Of the reserved ones.
   // CPU that earlier steps of this round will use once they have advice. Steps
   // that can't be placed for other reasons are not counted, so that they don't
