--- a/src/pool/load_test.cpp
+++ b/src/pool/load_test.cpp
@@ -44,13 +44,7 @@
 
   void submit_to(const char* queue, const std::string& id,
                  const wire::step_definition& step) {
-    wire::job_submission job;
-    job.set_queue(queue);
-    job.set_service(kService);
-    job.set_accepted_ms(wall.time_since_epoch().count());
-    *job.add_steps() = step;
-    apply({jobs::submission_key(id), job.SerializeAsString(), 0});
-    add_job(&state, id, table.jobs[id], now);
+    submit(id, {step}, queue);
   }
 
   void submit_gang(const std::string& id, std::uint32_t count,
--- a/src/pool/near_forecast.cpp
+++ b/src/pool/near_forecast.cpp
@@ -145,28 +145,15 @@
   return from;
 }
 
-// One rack's room for a gang, from the ends of runs in order.
-struct rack_change {
-  steady_time at;
-  std::size_t worker = 0;
-  resources freed;
-};
-
 found_room gang_room_on(const scheduling_round& round,
                         const candidate_step& candidate,
                         const std::vector<worker*>& workers) {
   const wire::step_definition& step =
       definition(*candidate.job, *candidate.step);
   resources need = resources_needed(step);
-  std::uint32_t count =
-      static_cast<std::uint32_t>(candidate.step->tasks.size());
-  std::uint32_t limit = step.max_per_worker() == 0
-                            ? count
-                            : std::min(count, step.max_per_worker());
   std::vector<resources> free;
-  std::vector<rack_change> changes;
+  std::vector<release> releases;
   near_forecast forecast;
-  std::uint32_t total = 0;
   steady_time until = steady_time::max();
   for (worker* each : workers) {
     until = std::min(until, *usable_until(round, candidate, *each));
@@ -180,29 +167,24 @@
       }
     }
     for (const room_change& change : room.changes) {
-      changes.push_back({change.at, free.size(), change.freed});
+      releases.push_back({change.at, free.size(), change.freed});
     }
-    total += count_slots(now_free, need, limit);
     free.push_back(now_free);
   }
-  round.near->changes_searched += changes.size() + workers.size();
-  std::sort(
-      changes.begin(), changes.end(),
-      [](const rack_change& a, const rack_change& b) { return a.at < b.at; });
+  round.near->changes_searched += releases.size() + workers.size();
+  std::optional<std::size_t> taken =
+      release_until_fits(candidate, &releases, &free);
+  if (!taken) return {};
   forecast.free_at = round.now;
-  for (const rack_change& each : changes) {
-    if (total >= count) break;
-    resources& at = free[each.worker];
-    total -= count_slots(at, need, limit);
-    at = at + each.freed;
-    total += count_slots(at, need, limit);
-    forecast.free_at = std::max(forecast.free_at, each.at);
+  if (*taken > 0) {
+    forecast.free_at = std::max(round.now, releases[*taken - 1].at);
   }
-  if (total < count || forecast.free_at > until) return {};
+  if (forecast.free_at > until) return {};
   found_room found;
   found.forecast = forecast;
   // Workers with the most room first, as far as they are needed.
-  std::vector<std::pair<std::uint32_t, const worker*>> order;
+  std::uint32_t limit = max_members_per_worker(candidate);
+  std::vector<std::pair<std::uint32_t, worker*>> order;
   for (std::size_t i = 0; i < workers.size(); ++i) {
     order.push_back({count_slots(free[i], need, limit), workers[i]});
   }
@@ -211,7 +193,7 @@
     return a.second->entry.id < b.second->entry.id;
   });
   std::uint32_t held = 0;
-  for (std::size_t i = 0; held < count; ++i) {
+  for (std::size_t i = 0; held < candidate.step->tasks.size(); ++i) {
     held += order[i].first;
     found.workers.push_back(order[i].second);
   }
@@ -243,6 +225,37 @@
          std::max(kMinRest, std::chrono::duration_cast<milliseconds>(rest));
 }
 
+std::uint32_t max_members_per_worker(const candidate_step& candidate) {
+  std::uint32_t count =
+      static_cast<std::uint32_t>(candidate.step->tasks.size());
+  std::uint32_t limit =
+      definition(*candidate.job, *candidate.step).max_per_worker();
+  return limit == 0 ? count : std::min(count, limit);
+}
+
+std::optional<std::size_t> release_until_fits(const candidate_step& candidate,
+                                              std::vector<release>* releases,
+                                              std::vector<resources>* free) {
+  resources need =
+      resources_needed(definition(*candidate.job, *candidate.step));
+  std::uint32_t limit = max_members_per_worker(candidate);
+  std::size_t total = 0;
+  for (const resources& each : *free) total += count_slots(each, need, limit);
+  std::size_t count = candidate.step->tasks.size();
+  if (total >= count) return 0;
+  std::sort(releases->begin(), releases->end(),
+            [](const release& a, const release& b) { return a.at < b.at; });
+  for (std::size_t i = 0; i < releases->size(); ++i) {
+    const release& each = (*releases)[i];
+    resources& at = (*free)[each.worker];
+    total -= count_slots(at, need, limit);
+    at = at + each.freed;
+    total += count_slots(at, need, limit);
+    if (total >= count) return i + 1;
+  }
+  return std::nullopt;
+}
+
 found_room find_task_room(const scheduling_round& round,
                           const candidate_step& candidate, const task& task,
                           const std::string& rack) {
--- a/src/pool/near_round.cpp
+++ b/src/pool/near_round.cpp
@@ -295,11 +295,7 @@
 void reserve_near_room(scheduling_round* round,
                        const candidate_step& candidate) {
   if (round->near == nullptr || round->near->awaited.empty()) return;
-  std::vector<worker*> workers;
-  for (const worker* each : std::exchange(round->near->awaited, {})) {
-    workers.push_back(find_worker(round->pool, each->entry.id));
-  }
-  reserve_room(round, candidate, workers);
+  reserve_room(round, candidate, std::exchange(round->near->awaited, {}));
 }
 
 bool all_wait_for_near(const scheduling_round& round,
--- a/src/pool/near_wait_pvt.h
+++ b/src/pool/near_wait_pvt.h
@@ -1,6 +1,7 @@
 // Connects near_wait.h to the scheduling rounds: what is known of the near
-// racks, and the functions that decide.cpp and ends.cpp call. All of them do
-// nothing for steps without a near rack.
+// racks, and the functions that decide.cpp and ends.cpp call. These do nothing
+// for steps without a near rack. The forecasts of runs and of a gang's room are
+// for reservations, too.
 #pragma once
 
 #include <chrono>
@@ -34,7 +35,7 @@
   std::unordered_map<std::string, std::vector<worker*>> racks;
   std::unordered_map<const worker*, worker_room> rooms;
   // Where a gang that has just been considered waits for room.
-  std::vector<const worker*> awaited;
+  std::vector<worker*> awaited;
   std::size_t changes_searched = 0;
   std::size_t events = 0;
 };
@@ -44,7 +45,7 @@
   bool has_workers = false;  // Some may run the task, with or without room.
   std::optional<near_forecast> forecast;
   // The worker of the forecast, or those on which a gang will have room.
-  std::vector<const worker*> workers;
+  std::vector<worker*> workers;
 };
 
 // Null unless the settings ask for waits.
@@ -57,6 +58,23 @@
 // When the run is expected to end; max() if it lasts.
 steady_time expected_end(const scheduling_round& round, const worker& worker,
                          const placement& placed);
+
+// Resources that a run frees at its expected end.
+struct release {
+  steady_time at;
+  std::size_t worker = 0;  // Index in the caller's list.
+  resources freed;
+};
+// How many members of the gang may run on one worker.
+std::uint32_t max_members_per_worker(const candidate_step& candidate);
+// Adds resources that come free to `free`, the earliest first, until the
+// workers have room for the gang. Returns how many releases that takes; if any,
+// these are the first of `releases`, which is sorted by time. Nothing if all of
+// them don't suffice.
+std::optional<std::size_t> release_until_fits(const candidate_step& candidate,
+                                              std::vector<release>* releases,
+                                              std::vector<resources>* free);
+
 // When room for one task of the step comes free on the rack. Tasks that wait
 // already, which come before it, keep their claims.
 found_room find_task_room(const scheduling_round& round,
--- a/src/pool/reservations.cpp
+++ b/src/pool/reservations.cpp
@@ -27,13 +27,6 @@
 // Workers report the progress of runs once a second.
 constexpr milliseconds kForecastValidity{500};
 
-// Resources that a run frees at its expected end.
-struct release {
-  steady_time at;
-  std::size_t worker = 0;
-  resources freed;
-};
-
 // When a gang has its room.
 struct room_forecast {
   steady_time at;
@@ -41,12 +34,9 @@
 };
 
 std::uint32_t slots_of(const candidate_step& candidate, const resources& free) {
-  const wire::step_definition& step =
-      definition(*candidate.job, *candidate.step);
-  std::uint32_t limit =
-      static_cast<std::uint32_t>(candidate.step->tasks.size());
-  if (step.max_per_worker() > 0) limit = std::min(limit, step.max_per_worker());
-  return count_slots(free, resources_needed(step), limit);
+  return count_slots(
+      free, resources_needed(definition(*candidate.job, *candidate.step)),
+      max_members_per_worker(candidate));
 }
 
 // Rounds of a large pool would take much longer if each computed the expected
@@ -64,11 +54,8 @@
 std::optional<room_forecast> forecast_room(
     const scheduling_round& round, const candidate_step& candidate,
     const std::vector<worker*>& workers) {
-  std::uint32_t count =
-      static_cast<std::uint32_t>(candidate.step->tasks.size());
   room_forecast forecast{round.now, {}};
   std::vector<release> releases;
-  std::uint32_t total = 0;
   for (std::size_t i = 0; i < workers.size(); ++i) {
     resources free = free_resources_of(*workers[i]);
     for (placement& each : workers[i]->placements) {
@@ -80,21 +67,19 @@
             {release_time(round, *workers[i], &each), i, each.need});
       }
     }
-    total += slots_of(candidate, free);
     forecast.free.push_back(free);
   }
-  if (total >= count) return forecast;
-  std::sort(releases.begin(), releases.end(),
-            [](const release& a, const release& b) { return a.at < b.at; });
-  for (const release& each : releases) {
-    if (total >= count && each.at > forecast.at) break;
-    resources& free = forecast.free[each.worker];
-    total -= slots_of(candidate, free);
-    free = free + each.freed;
-    total += slots_of(candidate, free);
-    forecast.at = std::max(round.now, each.at);
+  std::optional<std::size_t> taken =
+      release_until_fits(candidate, &releases, &forecast.free);
+  if (!taken) return std::nullopt;
+  if (*taken == 0) return forecast;
+  forecast.at = std::max(round.now, releases[*taken - 1].at);
+  // Also what comes free at the same time.
+  for (std::size_t i = *taken; i < releases.size(); ++i) {
+    if (releases[i].at > forecast.at) break;
+    resources& free = forecast.free[releases[i].worker];
+    free = free + releases[i].freed;
   }
-  if (total < count) return std::nullopt;
   return forecast;
 }
 
--- a/src/pool/step_wait.cpp
+++ b/src/pool/step_wait.cpp
@@ -7,7 +7,6 @@
 
 #include "pool/near_wait_pvt.h"
 #include "pool/pool_pvt.h"
-#include "pool/reservations_pvt.h"
 
 namespace ebonygrade::pool {
 
@@ -127,9 +126,9 @@
   bool gang = definition(*candidate.job, step).gang();
   if (gang && any_placed(step)) return wait_reason::member_placed;
   if (all_wait_for_near(round, candidate)) return wait_reason::near;
-  bool reserved = is_kept_by_reservations(round, candidate);
   if (!candidate.policy->needs_advice) {
-    return reserved ? wait_reason::reserved : wait_reason::no_room;
+    return is_kept_by_reservations(round, candidate) ? wait_reason::reserved
+                                                     : wait_reason::no_room;
   }
   std::optional<wait_reason> hindrance = advice_hindrance(round, candidate);
   if (hindrance) return *hindrance;
@@ -141,7 +140,8 @@
   bool any_to_ask =
       !find_options(round, candidate, ticket_mode::ignored, count).empty();
   if (any_to_ask) return wait_reason::not_requested;
-  return reserved ? wait_reason::reserved : wait_reason::no_workers;
+  return is_kept_by_reservations(round, candidate) ? wait_reason::reserved
+                                                   : wait_reason::no_workers;
 }
 
 }  // namespace
--- a/src/pool/workers.cpp
+++ b/src/pool/workers.cpp
@@ -279,13 +279,15 @@
 
 void add_placement(pool_state* pool, worker* worker, placement placed) {
   worker->used = worker->used + placed.need;
-  task_ref ref = find_task(pool, placed.task);
-  placed.lasts =
-      ref.step != nullptr && definition(*ref.job, *ref.step).long_running();
-  if (placed.lasts) worker->lasting = worker->lasting + placed.need;
   add_usage(pool, &placed);
   job* job = find_job(pool, placed.task.job);
-  if (job != nullptr) ++job->workers[worker->entry.id];
+  if (job != nullptr) {
+    ++job->workers[worker->entry.id];
+    const step_state* step =
+        find_step(job, placed.task.occurrence, placed.task.step);
+    placed.lasts = step != nullptr && definition(*job, *step).long_running();
+  }
+  if (placed.lasts) worker->lasting = worker->lasting + placed.need;
   if (placed.trial) ++worker->trials;
   worker->placements.push_back(std::move(placed));
 }
